--- /dev/null
+++ b/cmd/zinniapond/main.go
@@ -0,0 +1,4 @@
+// Command zinniapond schedules agent programs.
+package main
+
+func main() {}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,64 @@
+package zinniapond
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Reasons for refusals. Errors wrap one of them, so that a front end can choose
+// a status without knowing the step.
+var (
+	ErrMalformed   = errors.New("malformed request")
+	ErrKey         = errors.New("unknown or expired key")
+	ErrForbidden   = errors.New("not in the plan")
+	ErrTooLarge    = errors.New("body too large")
+	ErrReused      = errors.New("idempotency key reused with another request")
+	ErrUnknown     = errors.New("outcome unknown")
+	ErrBudget      = errors.New("budget of the plan is used up")
+	ErrOverload    = errors.New("overloaded")
+	ErrStale       = errors.New("configuration not confirmed")
+	ErrNotOwner    = errors.New("not the owner of the shard")
+	ErrFenced      = errors.New("fenced by a newer epoch")
+	ErrNotLeader   = errors.New("not the control leader")
+	ErrNoQuorum    = errors.New("no majority")
+	ErrConflict    = errors.New("version conflict")
+	ErrNotFound    = errors.New("not found")
+	ErrEnded       = errors.New("program has ended")
+	ErrOrder       = errors.New("earlier call of the program is missing")
+	ErrBackend     = errors.New("backend server failed")
+	ErrCorrupt     = errors.New("corrupt record")
+	ErrNotSent     = errors.New("no byte reached the peer")
+	ErrUnavailable = errors.New("no backend server available")
+)
+
+// Error is a failure with the step and the peer at which it arose.
+type Error struct {
+	Step string         // what was being done
+	Peer netip.AddrPort // the other side; invalid if there is none
+	Host HostName       // the host that reports it; may be empty
+	Hint string         // what to do next; may be empty
+	// RetryAfter tells when a new try may succeed; zero if unknown.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error returns the step, the peer and the cause in one line.
+func (e *Error) Error() string {
+	if e.Peer.IsValid() {
+		return fmt.Sprintf("%s: peer %s: %v", e.Step, e.Peer, e.Err)
+	}
+	return fmt.Sprintf("%s: %v", e.Step, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Wrap returns err with the step and the peer, or nil if err is nil.
+func Wrap(step string, peer netip.AddrPort, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Step: step, Peer: peer, Err: err}
+}
--- /dev/null
+++ b/internal/core/plugs/plugs.go
@@ -0,0 +1,3 @@
+// Package plugs is the list of all plug-ins. Importing it registers them with
+// the kernel.
+package plugs
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,106 @@
+package zinniapond
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Voter is one host of the control quorum, as the settings name it.
+type Voter struct {
+	Name  HostName
+	Peers netip.AddrPort
+}
+
+// Settings are the settings of one host, read once at its start.
+type Settings struct {
+	File    string // path it was read from
+	Cluster string
+	Host    HostName
+	// DataCentre is where the host is.
+	DataCentre DataCentre
+	// Data is the data folder; empty on a host without a disk.
+	Data  string
+	Roles []Role
+	// Drain bounds a graceful stop.
+	Drain time.Duration
+
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+	Streams   netip.AddrPort
+
+	Control  ControlSettings
+	Journal  JournalSettings
+	Platform PlatformSettings
+	Security SecuritySettings
+	Limits   LimitSettings
+	Trace    TraceSettings
+	LogLevel string
+	// Plugins names the implementation of an interface, by the interface's
+	// name in lower case.
+	Plugins map[string]string
+}
+
+// HasRole reports whether the host takes the given role.
+func (s *Settings) HasRole(role Role) bool {
+	for _, r := range s.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// ControlSettings are the settings of the control quorum. They are equal on all
+// hosts.
+type ControlSettings struct {
+	Voters    []Voter
+	Bootstrap bool // form a new cluster; only with an empty data folder
+	Shards    int
+	Lease     time.Duration // freshness lease of a host
+	Session   time.Duration // silence after which a host is fenced; above Lease
+	Fetch     time.Duration // silence after which a voter starts an election
+	Election  time.Duration // mean time between election attempts
+	Replicas  int           // replicas of a journal shard
+	Snapshot  int           // records between snapshots
+}
+
+// JournalSettings are the settings of the program journal.
+type JournalSettings struct {
+	Retention time.Duration // how long ended programs are kept
+}
+
+// PlatformSettings say how the platform's list of backend servers is read.
+type PlatformSettings struct {
+	List    string        // path of a file, or an http URL
+	Refresh time.Duration // span between two readings
+	// Weights is the least span between two loads from the weight store.
+	Weights time.Duration
+}
+
+// SecuritySettings hold credentials. They are never logged.
+type SecuritySettings struct {
+	Secret       []byte   // shared by the hosts of the cluster
+	OperatorHash [32]byte // SHA-256 of the operators' key
+	Certificate  string   // path; TLS is used when set
+	Key          string   // path
+	Authority    string   // path of the CA that signs the peers' certificates
+}
+
+// LimitSettings bound what callers may send.
+type LimitSettings struct {
+	Body   int64         // bytes of a request body
+	Header int           // bytes of the request header
+	Read   time.Duration // time to send a request
+	Open   int           // requests open at once at one entry
+	// Progress is the longest silence of a backend server within an answer.
+	Progress time.Duration
+	// Attempt bounds one attempt as a whole.
+	Attempt time.Duration
+}
+
+// TraceSettings say where spans go; both empty for nowhere.
+type TraceSettings struct {
+	File string
+	OTLP string // http URL of a collector
+}
