--- a/fleet.go
+++ b/fleet.go
@@ -40,6 +40,9 @@
 	Peers      netip.AddrPort `cbor:"p" json:"peers"`   // net/rpc
 	Streams    netip.AddrPort `cbor:"s" json:"streams"` // net/http between hosts
 	State      MemberState    `cbor:"st" json:"state"`
+	// Instance identifies the process, so that a resent registration is
+	// recognised and a restarted process is not taken for the earlier one.
+	Instance string `cbor:"i" json:"instance"`
 }
 
 // Has reports whether the member has the given role.
@@ -60,6 +63,11 @@
 	Replicas []HostName `cbor:"r" json:"replicas"`
 	// Joining is a replica that still catches up and does not count.
 	Joining HostName `cbor:"j,omitempty" json:"joining,omitempty"`
+	// Leaving is the replica that Joining replaces; empty if it is added.
+	Leaving HostName `cbor:"l,omitempty" json:"leaving,omitempty"`
+	// Member is the owner's registration for which the assignment was made.
+	// A restarted owner has another one and does not hold the shard.
+	Member Epoch `cbor:"m" json:"member"`
 }
 
 // Lists is the accepted pair of lists, as text and as parsed.
--- a/messages.go
+++ b/messages.go
@@ -27,9 +27,12 @@
 	Usage       string       `cbor:"u,omitempty"`
 	Member      *Member      `cbor:"m,omitempty"`
 	Assignments []Assignment `cbor:"a,omitempty"`
-	Voters      []HostName   `cbor:"v,omitempty"`
+	Voters      []VoterKey   `cbor:"v,omitempty"`
 	Order       *Order       `cbor:"o,omitempty"`
 	Shards      int          `cbor:"s,omitempty"` // set by the first command
+	// Faults are found by the leader before it appends the command, so that
+	// hosts whose parsers differ in version still apply the same outcome.
+	Faults []ListFault `cbor:"f,omitempty"`
 }
 
 // CommandResult is the outcome of a committed command.
@@ -48,16 +51,40 @@
 	Index Index  `cbor:"i"`
 	Term  Term   `cbor:"t"`
 	Data  []byte `cbor:"d"` // encoded Command
+	// Voters is the voter set in force from this record on; nil for no change.
+	Voters []VoterKey `cbor:"v,omitempty"`
+}
+
+// VoterKey is a voter together with its disk. A host that lost its disk comes
+// back with another DiskID and therefore as another voter: its earlier votes
+// and acknowledgements cannot be given twice.
+type VoterKey struct {
+	Name HostName `cbor:"n" json:"name"`
+	Disk DiskID   `cbor:"d" json:"disk"`
 }
 
 // Snapshot is the control state up to and including Index.
 type Snapshot struct {
 	Index  Index      `cbor:"i"`
 	Term   Term       `cbor:"t"`
-	Voters []HostName `cbor:"v"`
+	Voters []VoterKey `cbor:"v"`
 	Data   []byte     `cbor:"d"`
 }
 
+// LogChange is what a voter syncs to its disk before it acts on it. Read from
+// the disk, it is the whole durable state.
+type LogChange struct {
+	Term  Term
+	Voted VoterKey
+	// Entries replace everything from index From on.
+	From    Index
+	Entries []LogEntry
+	// Snapshot, if any, replaces everything up to its index.
+	Snapshot *Snapshot
+	// Sequence orders the changes of one process.
+	Sequence uint64
+}
+
 // FetchRequest asks the control leader for records; it is also the heartbeat
 // of its sender.
 type FetchRequest struct {
@@ -68,6 +95,11 @@
 	Last    Term          `cbor:"l"` // term of the record before Next
 	Applied Index         `cbor:"a"`
 	Wait    time.Duration `cbor:"w"` // longest time to hold the request
+	// Disk is set by voters and by hosts that want to become one.
+	Disk DiskID `cbor:"d,omitempty"`
+	// Stamp repeats the Stamp of the last reply of the same term. It shows the
+	// leader an instant of its own clock at which the sender followed it.
+	Stamp time.Duration `cbor:"st,omitempty"`
 }
 
 // FetchReply answers a FetchRequest.
@@ -82,8 +114,15 @@
 	Diverged bool      `cbor:"dv,omitempty"`
 	Match    Index     `cbor:"mt,omitempty"`
 	Snapshot *Snapshot `cbor:"sn,omitempty"`
-	// Quorum is the age of the leader's last contact with a majority.
+	// Quorum is the age of the leader's last contact with a majority, taken
+	// when the request arrived: below zero if the contact came while the
+	// request was held.
 	Quorum time.Duration `cbor:"q"`
+	// Current is false while the leader cannot know yet whether Commit covers
+	// all that earlier leaders committed; such a reply renews no lease.
+	Current bool `cbor:"cu,omitempty"`
+	// Stamp is the time since the leader's election.
+	Stamp time.Duration `cbor:"st,omitempty"`
 	// Fenced tells the sender that its registration is no longer valid.
 	Fenced bool `cbor:"fn,omitempty"`
 }
@@ -96,12 +135,19 @@
 	LastTerm  Term     `cbor:"l"`
 	// Pre asks whether the vote would be granted, and changes nothing.
 	Pre bool `cbor:"p"`
+	// Disk is the receiver's disk in the candidate's voter set. A receiver with
+	// another disk has lost the one that is asked, and refuses.
+	Disk DiskID `cbor:"d"`
+	// CandidateDisk is the disk of the candidate.
+	CandidateDisk DiskID `cbor:"cd"`
 }
 
 // VoteReply answers a VoteRequest.
 type VoteReply struct {
 	Term    Term `cbor:"t"`
 	Granted bool `cbor:"g"`
+	// Empty tells that the receiver has no data and belongs to no cluster yet.
+	Empty bool `cbor:"e,omitempty"`
 }
 
 // ProposeRequest hands a command to the control leader.
@@ -117,6 +163,8 @@
 	// majority; the command may still have been committed in the second case.
 	Accepted bool          `cbor:"ok"`
 	Result   CommandResult `cbor:"r"`
+	// RetryAfter is set if the leader will take the command only later.
+	RetryAfter time.Duration `cbor:"ra,omitempty"`
 }
 
 // RecordKind tells what a journal record says.
--- a/types.go
+++ b/types.go
@@ -20,6 +20,10 @@
 // CustomerName names a customer within a plan.
 type CustomerName string
 
+// DiskID identifies the data folder of a voter. It is drawn when the folder is
+// first used.
+type DiskID string
+
 // ProgramID identifies one agent program.
 type ProgramID string
 
