--- /dev/null
+++ b/internal/fleet/state/state.go
@@ -0,0 +1,290 @@
+// Package state builds the control state from the records of the control log.
+// Every host applies the same records in the same order and gets the same
+// state; nothing here depends on the time, the host or the version of a parser.
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniapond.example/zinniapond"
+)
+
+// defaultOutcomes is the number of changes whose outcome is kept. At 580
+// changes a day it covers a week of late resends.
+const defaultOutcomes = 4096
+
+// State is the control state. It is not safe for concurrent use, but for the
+// views that it returns. The exported fields are set before the first call.
+type State struct {
+	// Parse checks a pair of lists and returns its faults.
+	Parse func(version zinniapond.Version, plans, usage string) (*zinniapond.Catalog, []zinniapond.ListFault)
+	// Outcomes is the number of changes whose outcome is kept; 0 for the default.
+	Outcomes int
+
+	view     *zinniapond.ControlView
+	catalog  *zinniapond.Catalog
+	outcomes map[zinniapond.ChangeID]outcome
+	order    []zinniapond.ChangeID // of outcomes, oldest first
+	voters   []zinniapond.VoterKey
+}
+
+// outcome is what is kept of a change of the lists. The texts are not: an
+// accepted change is resent with them, and a conflict shows the lists in force.
+type outcome struct {
+	Index    zinniapond.Index       `cbor:"i"`
+	Accepted bool                   `cbor:"ok,omitempty"`
+	Conflict bool                   `cbor:"cf,omitempty"`
+	Reason   string                 `cbor:"why,omitempty"`
+	Version  zinniapond.Version     `cbor:"v"`
+	Faults   []zinniapond.ListFault `cbor:"f,omitempty"`
+	Digest   uint64                 `cbor:"d"`
+}
+
+// View returns the state. It is never changed afterwards.
+func (s *State) View() *zinniapond.ControlView {
+	if s.view == nil {
+		s.view = &zinniapond.ControlView{}
+	}
+	return s.view
+}
+
+// Catalog returns the parsed lists of View, never nil.
+func (s *State) Catalog() *zinniapond.Catalog {
+	if s.catalog == nil {
+		s.catalog = &zinniapond.Catalog{}
+	}
+	return s.catalog
+}
+
+// Voters returns the voter set of the applied records.
+func (s *State) Voters() []zinniapond.VoterKey { return s.voters }
+
+// Check completes a command before it is appended: it adds the faults of lists.
+// It returns false with the outcome if the command needs no record, because it
+// was decided before.
+func (s *State) Check(command *zinniapond.Command) (zinniapond.CommandResult, bool) {
+	if command.Kind != zinniapond.CommandLists {
+		return zinniapond.CommandResult{}, true
+	}
+	if known, ok := s.outcomes[command.Change]; ok && command.Change != "" {
+		return s.repeat(known, command), false
+	}
+	_, command.Faults = s.parse(command.Expect+1, command.Plans, command.Usage)
+	return zinniapond.CommandResult{}, true
+}
+
+func (s *State) parse(version zinniapond.Version, plans, usage string) (*zinniapond.Catalog, []zinniapond.ListFault) {
+	if s.Parse == nil {
+		return &zinniapond.Catalog{Version: version}, nil
+	}
+	return s.Parse(version, plans, usage)
+}
+
+// Apply changes the state by a record and returns its outcome. A record that
+// was applied before changes nothing.
+func (s *State) Apply(entry zinniapond.LogEntry) (zinniapond.CommandResult, error) {
+	view := s.View()
+	if entry.Index <= view.Index {
+		return zinniapond.CommandResult{Index: entry.Index, Reason: "applied before"}, nil
+	}
+	if entry.Index != view.Index+1 {
+		return zinniapond.CommandResult{}, fmt.Errorf("apply record %d after %d: %w", entry.Index, view.Index, zinniapond.ErrCorrupt)
+	}
+	var command zinniapond.Command
+	if len(entry.Data) > 0 {
+		if err := cbor.Unmarshal(entry.Data, &command); err != nil {
+			return zinniapond.CommandResult{}, fmt.Errorf("decode record %d: %w", entry.Index, err)
+		}
+	}
+	if entry.Voters != nil {
+		s.voters = entry.Voters
+	}
+	next := *view
+	next.Index = entry.Index
+	result := s.apply(&next, command)
+	result.Index = entry.Index
+	s.view = &next
+	return result, nil
+}
+
+// apply changes view, which shares its maps with the view before; a map is
+// copied before it is changed.
+func (s *State) apply(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
+	switch command.Kind {
+	case zinniapond.CommandLists:
+		return s.lists(view, command)
+	case zinniapond.CommandRegister:
+		return register(view, command)
+	case zinniapond.CommandMember:
+		return member(view, command)
+	case zinniapond.CommandAssign:
+		return assign(view, command)
+	case zinniapond.CommandOrder:
+		return order(view, command)
+	case zinniapond.CommandEmpty, "":
+		if command.Shards > 0 && view.Shards == 0 {
+			view.Shards = command.Shards
+		}
+		return accepted()
+	case zinniapond.CommandVoters:
+		return accepted()
+	default:
+		return refused("unknown command " + string(command.Kind))
+	}
+}
+
+func accepted() zinniapond.CommandResult { return zinniapond.CommandResult{Accepted: true} }
+
+func refused(reason string) zinniapond.CommandResult {
+	return zinniapond.CommandResult{Reason: reason}
+}
+
+// lists changes the lists if the change was made from the version in force.
+func (s *State) lists(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
+	if known, ok := s.outcomes[command.Change]; ok && command.Change != "" {
+		return s.repeat(known, &command)
+	}
+	result := zinniapond.CommandResult{Faults: command.Faults}
+	switch {
+	case command.Expect != view.Lists.Version:
+		result.Conflict = true
+		result.Faults = nil
+		result.Reason = fmt.Sprintf("made from version %d, in force is %d", command.Expect, view.Lists.Version)
+	case len(command.Faults) > 0:
+		result.Reason = "the lists have faults"
+	default:
+		result.Accepted = true
+		view.Lists = zinniapond.Lists{Version: command.Expect + 1, Plans: command.Plans, Usage: command.Usage}
+		s.catalog, _ = s.parse(view.Lists.Version, command.Plans, command.Usage)
+	}
+	result.Lists = view.Lists
+	s.keep(command.Change, outcome{
+		Index: view.Index, Accepted: result.Accepted, Conflict: result.Conflict, Reason: result.Reason,
+		Version: view.Lists.Version, Faults: result.Faults, Digest: digest(&command),
+	})
+	return result
+}
+
+// digest tells changes apart that an operator sent under one id.
+func digest(command *zinniapond.Command) uint64 {
+	d := xxhash.New()
+	_, _ = fmt.Fprintf(d, "%d %d ", command.Expect, len(command.Plans)) // never fails
+	_, _ = d.WriteString(command.Plans)
+	_, _ = d.WriteString(command.Usage)
+	return d.Sum64()
+}
+
+func (s *State) keep(change zinniapond.ChangeID, o outcome) {
+	if change == "" {
+		return
+	}
+	if s.outcomes == nil {
+		s.outcomes = make(map[zinniapond.ChangeID]outcome)
+	}
+	s.outcomes[change] = o
+	s.order = append(s.order, change)
+	most := s.Outcomes
+	if most == 0 {
+		most = defaultOutcomes
+	}
+	for len(s.order) > most {
+		delete(s.outcomes, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// repeat returns the first outcome of a change.
+func (s *State) repeat(known outcome, command *zinniapond.Command) zinniapond.CommandResult {
+	lists := s.View().Lists
+	if known.Digest != digest(command) {
+		return zinniapond.CommandResult{
+			Index: known.Index, Reason: "another change has the same id", Lists: lists,
+		}
+	}
+	result := zinniapond.CommandResult{
+		Index: known.Index, Accepted: known.Accepted, Conflict: known.Conflict,
+		Reason: known.Reason, Faults: known.Faults, Lists: lists,
+	}
+	if known.Accepted {
+		result.Lists = zinniapond.Lists{Version: known.Version, Plans: command.Plans, Usage: command.Usage}
+	}
+	return result
+}
+
+// image is the form of the state in a snapshot.
+type image struct {
+	Index       zinniapond.Index                `cbor:"i"`
+	Shards      int                             `cbor:"s"`
+	Lists       zinniapond.Lists                `cbor:"l"`
+	Members     []zinniapond.Member             `cbor:"m"`
+	Assignments []zinniapond.Assignment         `cbor:"a"`
+	Orders      []zinniapond.Order              `cbor:"o"`
+	Outcomes    map[zinniapond.ChangeID]outcome `cbor:"c"`
+	Order       []zinniapond.ChangeID           `cbor:"co"`
+	Voters      []zinniapond.VoterKey           `cbor:"v"`
+}
+
+// Encode returns the state as one snapshot, equal on all hosts.
+func (s *State) Encode() ([]byte, error) {
+	view := s.View()
+	i := image{
+		Index: view.Index, Shards: view.Shards, Lists: view.Lists,
+		Outcomes: s.outcomes, Order: s.order, Voters: s.voters,
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Members)) {
+		i.Members = append(i.Members, view.Members[name])
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Assignments)) {
+		i.Assignments = append(i.Assignments, view.Assignments[id])
+	}
+	for _, o := range view.Orders {
+		i.Orders = append(i.Orders, o)
+	}
+	slices.SortFunc(i.Orders, func(a, b zinniapond.Order) int { return a.Backend.Compare(b.Backend) })
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil, fmt.Errorf("encode control state: %w", err)
+	}
+	data, err := mode.Marshal(i)
+	if err != nil {
+		return nil, fmt.Errorf("encode control state: %w", err)
+	}
+	return data, nil
+}
+
+// Decode replaces the state by a snapshot. A snapshot that is older than the
+// state changes nothing.
+func (s *State) Decode(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	var i image
+	if err := cbor.Unmarshal(data, &i); err != nil {
+		return fmt.Errorf("decode control state: %w", err)
+	}
+	if i.Index <= s.View().Index {
+		return nil
+	}
+	view := &zinniapond.ControlView{
+		Index: i.Index, Shards: i.Shards, Lists: i.Lists,
+		Members:     make(map[zinniapond.HostName]zinniapond.Member, len(i.Members)),
+		Assignments: make(map[zinniapond.ShardID]zinniapond.Assignment, len(i.Assignments)),
+	}
+	for _, m := range i.Members {
+		view.Members[m.Name] = m
+	}
+	for _, a := range i.Assignments {
+		view.Assignments[a.Shard] = a
+	}
+	for _, o := range i.Orders {
+		put(&view.Orders, o.Backend, o)
+	}
+	s.view, s.outcomes, s.order, s.voters = view, i.Outcomes, i.Order, i.Voters
+	s.catalog, _ = s.parse(i.Lists.Version, i.Lists.Plans, i.Lists.Usage)
+	return nil
+}
--- a/messages.go
+++ b/messages.go
@@ -81,8 +81,9 @@
 	Entries []LogEntry
 	// Snapshot, if any, replaces everything up to its index.
 	Snapshot *Snapshot
-	// Sequence orders the changes of one process.
+	// Sequence and Cuts order the changes of one process.
 	Sequence uint64
+	Cuts     uint64
 }
 
 // FetchRequest asks the control leader for records; it is also the heartbeat
