Separate lease and duties from the voter and the watcher

Holder (host) and Leader (control) decide without clock and network, so that fuzzing can drive them. Found by reading: a host that was told of its fencing by a leader that then lost its leadership never registered again; Enrolled now counts the notice.

--- a/internal/fleet/plan/planner.go
+++ b/internal/fleet/plan/planner.go
@@ -15,8 +15,10 @@
 // fields are set before use.
 type Planner struct {
 	Replicas int // replicas wanted for each shard
-	// Patience is how long to wait for stores to register before the first
-	// assignment, and for a store that left to come back.
+	// Start is how long to wait for stores to register before the first
+	// assignment; each replica that is added later has to be copied.
+	Start time.Duration
+	// Patience is how long to wait for a store that left to come back.
 	Patience time.Duration
 	// Moves bounds the hand-overs asked of one owner at a time: each stops the
 	// calls of its shard for a moment.
@@ -71,8 +73,8 @@
 }
 
 // Assign returns the assignments to propose: owners for shards without one, and
-// at most one change of the replicas of a shard. silent tells for how long a
-// host has not been heard, and since when this leader is at work is known.
+// at most one change of the replicas of a shard. leading is the
+// age of the leadership, and silent tells for how long a host was not heard.
 func (p *Planner) Assign(view *zinniapond.ControlView, leading time.Duration, silent func(zinniapond.HostName) time.Duration) []zinniapond.Assignment {
 	f := newFleet(view)
 	if len(f.owners) == 0 || len(f.stores) == 0 {
@@ -83,7 +85,7 @@
 		id := zinniapond.ShardID(n) //nolint:gosec // not negative.
 		a, known := view.Assignments[id]
 		a.Shard = id
-		if !known && len(f.stores) < p.Replicas && leading < p.Patience {
+		if !known && len(f.stores) < p.Replicas && leading < p.Start {
 			continue
 		}
 		if next, changed := p.shard(f, a, known, silent); changed {
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -137,7 +137,9 @@
 	}
 	over := !now.Before(arrived.Add(request.Wait))
 	if !c.Leading(now) {
-		known := c.role != leader && c.leads != "" && c.leads != request.Sender
+		// Only first-hand knowledge is passed on: two followers would else
+		// keep telling each other of a leader that is dead.
+		known := c.role != leader && c.served(now) && c.leads != request.Sender
 		reply := zinniapond.FetchReply{Term: c.term}
 		if known {
 			reply.Leader = c.leads
--- a/internal/quorum/voter/drive.go
+++ b/internal/quorum/voter/drive.go
@@ -63,10 +63,15 @@
 			delete(v.waits, index)
 			w.result <- answer{}
 		}
-		v.leading = leading{}
+		v.leader.End()
 	}
-	if v.mark.current && !v.leading.current {
-		v.leading = newLeading(now)
+	if v.mark.current && !v.leader.Leads() {
+		v.leader.Begin(now)
+	}
+	// A fetch that waits at a voter that has lost its use would delay the
+	// first contact with a new leader.
+	if peer, _, ok := v.core.Next(); ok && v.pulling.cancel != nil && peer != v.pulling.peer {
+		v.pulling.cancel()
 	}
 }
 
@@ -171,38 +176,47 @@
 // pull fetches from the leader, or looks for it, while this voter follows.
 func (v *Voter) pull(ctx context.Context) error {
 	for ctx.Err() == nil {
+		limited, cancel := context.WithCancel(ctx)
 		v.mu.Lock()
 		peer, request, ok := v.core.Next()
 		wake := v.recorded
+		v.pulling = pulling{peer, cancel}
 		v.mu.Unlock()
-		if !ok {
+		var err error
+		if ok {
+			err = v.fetch(limited, peer, request)
+		} else {
 			select {
 			case <-ctx.Done():
 			case <-wake:
 			}
-			continue
 		}
-		if err := v.fetch(ctx, peer, request); err != nil {
+		cancel()
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// fetch sends one fetch and takes the answer. ctx is cancelled if another voter
+// should be asked.
 func (v *Voter) fetch(ctx context.Context, peer zinniapond.HostName, request zinniapond.FetchRequest) error {
 	var reply zinniapond.FetchReply
 	err := v.call(ctx, peer, "Control.Fetch", request, &reply, request.Wait+v.Settings.Control.Fetch/2)
-	if err == nil {
-		known := reply.Accepted || reply.Leader != ""
-		err := v.change(func(now time.Time) error { return v.core.Fetched(now, peer, request, reply) })
-		if err != nil || known {
-			return err
-		}
-	} else {
+	known := false
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case err != nil:
 		v.Logger.Debug("fetch failed", "error", err)
-		if err := v.change(func(time.Time) error { v.core.Missed(peer); return nil }); err != nil {
-			return err
-		}
+		err = v.change(func(time.Time) error { v.core.Missed(peer); return nil })
+	default:
+		known = reply.Accepted || reply.Leader != ""
+		err = v.change(func(now time.Time) error { return v.core.Fetched(now, peer, request, reply) })
+	}
+	if err != nil || known {
+		return err
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -60,7 +60,7 @@
 		if p.Name == v.Settings.Host {
 			continue
 		}
-		empty, err := v.ask(ctx, p)
+		empty, err := v.probe(ctx, p)
 		if err != nil {
 			return err
 		}
@@ -72,8 +72,8 @@
 	return v.log.Form(voters, firstDisk)
 }
 
-// ask returns whether a voter has no data, once it answers.
-func (v *Voter) ask(ctx context.Context, p zinniapond.Voter) (bool, error) {
+// probe returns whether a voter has no data, once it answers.
+func (v *Voter) probe(ctx context.Context, p zinniapond.Voter) (bool, error) {
 	for {
 		var reply zinniapond.VoteReply
 		limited, cancel := context.WithTimeout(ctx, v.Settings.Control.Fetch)
--- a/internal/quorum/voter/net_test.go
+++ b/internal/quorum/voter/net_test.go
@@ -132,8 +132,8 @@
 	voter   *Voter // nil on a host without the control role
 	watcher *watch.Watcher
 	data    string
-	stop    func()
-	crash   func() // stops the voter alone, without a departure
+	leave   func() // stops the watcher
+	crash   func() // stops the voter, if any
 }
 
 func newCluster(t testing.TB, voters int) *cluster {
@@ -160,7 +160,10 @@
 	}
 	t.Cleanup(func() {
 		for _, h := range c.hosts {
-			h.stop()
+			h.leave()
+		}
+		for _, h := range c.hosts {
+			h.crash()
 		}
 	})
 	return c
@@ -177,8 +180,7 @@
 	p := port{fabric: c.fabric, host: name}
 	h := &host{data: data, watcher: &watch.Watcher{Settings: &s, Peers: p, Clock: time.Now, Logger: logger}}
 	c.hosts[name] = h
-	watching := run(c.t, h.watcher.Run)
-	h.stop, h.crash = watching, func() {}
+	h.leave, h.crash = run(c.t, h.watcher.Run), func() {}
 	if data != "" {
 		for _, v := range s.Control.Voters {
 			if v.Name == name {
@@ -196,7 +198,6 @@
 			c.fabric.mu.Unlock()
 			voting()
 		}
-		h.stop = func() { watching(); voting() }
 	}
 	return h
 }
--- a/internal/quorum/voter/serve.go
+++ b/internal/quorum/voter/serve.go
@@ -86,10 +86,13 @@
 	if err := v.settle(now); err != nil {
 		return false, nil, err
 	}
-	v.meet(now, ready, request, reply)
+	if v.leader.Meet(now, ready, v.state.View(), request, reply) {
+		signal(v.duty)
+	}
 	if request.Disk != "" {
 		return ready, v.recorded, nil
 	}
+	// A fenced host is told at once, so that it registers again.
 	return ready || reply.Fenced, v.committed, nil
 }
 
@@ -121,7 +124,7 @@
 		return nil, nil
 	}
 	reply.Leader = v.Settings.Host
-	if reply.RetryAfter = v.tooEarly(now, command); reply.RetryAfter > 0 {
+	if reply.RetryAfter = v.leader.Early(now, v.state.View(), command); reply.RetryAfter > 0 {
 		return nil, nil
 	}
 	result, ok := v.state.Check(&command)
@@ -134,9 +137,7 @@
 		reply.Accepted, reply.Result = true, zinniapond.CommandResult{Reason: err.Error()}
 		return nil, nil //nolint:nilerr // The outcome of the command.
 	}
-	if command.Kind == zinniapond.CommandRegister && v.leading.current {
-		v.leading.contacts[command.Member.Name] = now
-	}
+	v.leader.Proposed(now, command)
 	c := make(chan answer, 1)
 	v.waits[index] = wait{term: term, result: c}
 	return c, v.settle(now)
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -21,6 +21,7 @@
 	"zinniapond.example/zinniapond/internal/fleet/plan"
 	"zinniapond.example/zinniapond/internal/fleet/state"
 	"zinniapond.example/zinniapond/internal/quorum/disk"
+	"zinniapond.example/zinniapond/internal/quorum/duty"
 	"zinniapond.example/zinniapond/internal/quorum/raft"
 )
 
@@ -66,16 +67,16 @@
 	committed chan struct{}
 	saved     uint64 // sequence of the last durable change
 	waits     map[zinniapond.Index]wait
-	leading   leading
-
-	dirty   chan struct{} // has one element when there is something to save
-	alarm   chan struct{} // the core's deadline may have changed
-	duty    chan struct{} // the leader's duties may have changed
-	done    chan struct{} // closed when Run ends
-	once    sync.Once
-	planner plan.Planner
-	calls   *errgroup.Group
-	ctx     context.Context //nolint:containedctx // Of Run; the calls that core asks for begin in net/rpc methods.
+	leader    duty.Leader
+	pulling   pulling
+
+	dirty chan struct{} // has one element when there is something to save
+	alarm chan struct{} // the core's deadline may have changed
+	duty  chan struct{} // the leader's duties may have changed
+	done  chan struct{} // closed when Run ends
+	once  sync.Once
+	calls *errgroup.Group
+	ctx   context.Context // of Run; calls to other voters begin in net/rpc methods too
 }
 
 // mark is what the waiting requests depend on.
@@ -87,6 +88,12 @@
 	current bool
 }
 
+// pulling is the fetch that runs.
+type pulling struct {
+	peer   zinniapond.HostName
+	cancel context.CancelFunc
+}
+
 // wait is a proposal whose record is not committed yet.
 type wait struct {
 	term   zinniapond.Term
@@ -111,8 +118,10 @@
 		v.done = make(chan struct{})
 		v.waits = make(map[zinniapond.Index]wait)
 		v.state = &state.State{Parse: v.Parse}
-		v.planner = plan.Planner{
-			Replicas: v.Settings.Control.Replicas, Patience: v.Settings.Control.Session, Moves: handovers,
+		c := v.Settings.Control
+		v.leader = duty.Leader{
+			Session: c.Session, Shards: c.Shards,
+			Planner: plan.Planner{Replicas: c.Replicas, Start: c.Lease, Patience: c.Session, Moves: handovers},
 		}
 	})
 }
--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -11,11 +10,6 @@
 // pause separates a failed request from the next.
 const pause = 50 * time.Millisecond
 
-// wait is how long the leader may hold a fetch. Just before the next reply the
-// lease is as old as one hold and the leader's contact with its majority; what
-// is left must outlast an election of 1.5 s.
-func (w *Watcher) wait() time.Duration { return w.Settings.Control.Lease / 5 }
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -49,6 +43,9 @@
 	}
 	if !reply.Accepted {
 		w.learn(name, reply.Leader)
+		if err := w.take(sent, request, reply); err != nil || reply.Leader != "" {
+			return err
+		}
 		return zinniapond.Wrap("Control.Fetch", address, zinniapond.ErrNotLeader)
 	}
 	w.learn(name, name)
@@ -64,47 +61,12 @@
 func (w *Watcher) request() zinniapond.FetchRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	applied := w.state.View().Index
-	return zinniapond.FetchRequest{
-		Sender: w.Settings.Host, Member: w.epoch, Term: w.term,
-		Next: applied + 1, Last: w.last, Applied: applied, Wait: w.wait(),
-	}
+	return w.holder.Request()
 }
 
-// take applies the leader's answer. The state only goes forward: records that
-// were applied before, and an older snapshot, change nothing.
 func (w *Watcher) take(sent time.Time, request zinniapond.FetchRequest, reply zinniapond.FetchReply) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.term = max(w.term, reply.Term)
-	if reply.Diverged {
-		return fmt.Errorf("the leader lacks record %d, which was committed: %w", request.Next-1, zinniapond.ErrCorrupt)
-	}
-	if s := reply.Snapshot; s != nil && s.Index > w.state.View().Index {
-		if err := w.state.Decode(s.Data); err != nil {
-			return err
-		}
-		w.last = s.Term
-	}
-	for _, e := range reply.Entries {
-		if e.Index <= w.state.View().Index {
-			continue
-		}
-		if _, err := w.state.Apply(e); err != nil {
-			return err
-		}
-		w.last = e.Term
-	}
-	if reply.Fenced && request.Member == w.epoch && w.epoch > 0 && !w.fenced {
-		w.Logger.Warn("this host was fenced", "epoch", w.epoch)
-		w.fenced = true
-	}
-	// A lease needs all that was committed when the leader answered.
-	if reply.Current && !reply.Fenced && w.state.View().Index >= reply.Commit && request.Member == w.epoch {
-		if until := sent.Add(w.Settings.Control.Lease - reply.Quorum); until.After(w.until) {
-			w.until = until
-		}
-	}
-	w.publish()
-	return nil
+	defer w.publish()
+	return w.holder.Take(sent, request, reply)
 }
--- a/internal/quorum/watch/propose.go
+++ b/internal/quorum/watch/propose.go
@@ -24,7 +24,7 @@
 	w.prepare()
 	if command.Kind == zinniapond.CommandAssign && command.Member == nil {
 		w.mu.Lock()
-		command.Member = &zinniapond.Member{Name: w.Settings.Host, Epoch: w.epoch}
+		command.Member = &zinniapond.Member{Name: w.Settings.Host, Epoch: w.holder.Epoch()}
 		w.mu.Unlock()
 	}
 	var last error
@@ -66,7 +66,10 @@
 func (w *Watcher) enrol(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := w.Changed()
-		if w.enrolled() {
+		w.mu.Lock()
+		enrolled := w.holder.Enrolled()
+		w.mu.Unlock()
+		if enrolled {
 			select {
 			case <-ctx.Done():
 			case <-changed:
@@ -81,21 +84,10 @@
 	return nil
 }
 
-// enrolled tells whether this process has a registration that is in force as
-// far as it knows.
-func (w *Watcher) enrolled() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := w.state.View().Members[w.Settings.Host]
-	gone := m.State == zinniapond.MemberFenced || m.State == zinniapond.MemberLeft
-	// The own record may not have been fetched yet.
-	return w.epoch > 0 && m.Epoch <= w.epoch && (m.Epoch < w.epoch || !gone)
-}
-
 func (w *Watcher) register(ctx context.Context) error {
 	s := w.Settings
 	w.mu.Lock()
-	before := w.epoch
+	before := w.holder.Epoch()
 	w.mu.Unlock()
 	result, err := w.Propose(ctx, w.Clock(), zinniapond.Command{
 		Kind: zinniapond.CommandRegister,
@@ -112,9 +104,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.epoch, w.fenced = result.Epoch, false
-	// The lease was given to the registration before.
-	w.until = time.Time{}
+	w.holder.Registered(result.Epoch)
 	w.publish()
 	w.Logger.Info("registered", "epoch", result.Epoch)
 	return nil
@@ -124,9 +114,8 @@
 // session to end.
 func (w *Watcher) leave(ctx context.Context) {
 	w.mu.Lock()
-	epoch := w.epoch
-	// The lease ends before others may act on the departure.
-	w.until = time.Time{}
+	epoch := w.holder.Epoch()
+	w.holder.Leave()
 	w.publish()
 	w.mu.Unlock()
 	if epoch == 0 {
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -17,8 +17,14 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/fleet/state"
+	"zinniapond.example/zinniapond/internal/quorum/lease"
 )
 
+// holds is the number of fetches in the time of a lease. Just before a reply
+// the lease is as old as one hold and the leader's contact with its majority;
+// what is left must outlast an election of 1.5 s.
+const holds = 5
+
 func init() {
 	kernel.Register[zinniapond.Directory]("default", build)
 	kernel.Register[zinniapond.Control]("default", func(k *kernel.Kernel) (zinniapond.Control, error) {
@@ -53,14 +59,9 @@
 	published atomic.Pointer[publication]
 
 	mu     sync.Mutex
-	state  *state.State
-	term   zinniapond.Term
-	last   zinniapond.Term // of the last applied record
-	epoch  zinniapond.Epoch
-	fenced bool
+	holder lease.Holder
 	leader zinniapond.HostName // last known
 	hunt   int
-	until  time.Time // end of the lease
 }
 
 // publication is what readers see; it is replaced as a whole.
@@ -74,10 +75,13 @@
 
 func (w *Watcher) prepare() {
 	w.once.Do(func() {
-		w.state = &state.State{Parse: w.Parse}
 		w.instance = uuid.NewString()
+		c := w.Settings.Control
+		w.holder = lease.Holder{
+			Host: w.Settings.Host, Lease: c.Lease, Wait: c.Lease / holds, State: &state.State{Parse: w.Parse},
+		}
 		w.published.Store(&publication{
-			view: w.state.View(), catalog: w.state.Catalog(), changed: make(chan struct{}),
+			view: w.holder.State.View(), catalog: w.holder.State.Catalog(), changed: make(chan struct{}),
 		})
 	})
 }
@@ -136,12 +140,12 @@
 // publish shows the state to readers, under the lock.
 func (w *Watcher) publish() {
 	before := w.published.Load()
-	view := *w.state.View()
+	view := *w.holder.State.View()
 	view.Leader = w.leader
-	next := &publication{view: &view, catalog: w.state.Catalog(), changed: before.changed, until: w.until}
-	m := next.view.Members[w.Settings.Host]
-	next.member = w.epoch > 0 && m.Epoch == w.epoch && !w.fenced &&
-		(m.State == zinniapond.MemberActive || m.State == zinniapond.MemberDraining)
+	next := &publication{
+		view: &view, catalog: w.holder.State.Catalog(), changed: before.changed,
+		until: w.holder.Until(), member: w.holder.Member(),
+	}
 	changed := next.view.Index != before.view.Index || next.view.Leader != before.view.Leader
 	if changed {
 		next.changed = make(chan struct{})
