Fuzz the control log with leases, duties and state against an oracle

Cause: three faults that the first runs showed. The copy of a hand-over that arrived after the first was refused, and an owner could have gone on.

--- a/internal/fleet/state/fleet.go
+++ b/internal/fleet/state/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 
 	"zinniapond.example/zinniapond"
 )
@@ -77,8 +78,10 @@
 }
 
 // assign changes assignments, all or none. Each must name the present epoch
-// plus one. The owner of a shard changes against its will only if its
-// registration is no longer in force.
+// plus one; one that is in force already is a resent copy. The owner of a shard
+// changes against its will only if its registration is no longer in force. The
+// result of a refused command has the present epoch: an owner whose hand-over
+// was refused goes on only if that is still its own.
 func assign(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
 	next := maps.Clone(view.Assignments)
 	if next == nil {
@@ -86,6 +89,9 @@
 	}
 	for _, a := range command.Assignments {
 		have := next[a.Shard]
+		if reflect.DeepEqual(have, a) {
+			continue
+		}
 		if reason := objection(view, command, have, a); reason != "" {
 			return zinniapond.CommandResult{Conflict: true, Reason: fmt.Sprintf("shard %d: %s", a.Shard, reason), Epoch: have.Epoch}
 		}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -107,7 +107,9 @@
 	next := *view
 	next.Index = entry.Index
 	result := s.apply(&next, command)
-	result.Index = entry.Index
+	if result.Index == 0 { // a resent change has the index of its first record
+		result.Index = entry.Index
+	}
 	s.view = &next
 	return result, nil
 }
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -1,7 +1,9 @@
 package raft
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -76,7 +78,11 @@
 		return nil, false
 	}
 	voters := c.log.voters()
-	for key, p := range c.progress {
+	keys := slices.SortedFunc(maps.Keys(c.progress), func(a, b zinniapond.VoterKey) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Disk, b.Disk))
+	})
+	for _, key := range keys {
+		p := c.progress[key]
 		if contains(voters, key) || p.match < c.commit || now.Sub(p.contact) > c.Quorum {
 			continue
 		}
--- a/internal/quorum/raft/log.go
+++ b/internal/quorum/raft/log.go
@@ -137,6 +137,9 @@
 		l.baseTerm = l.entries[drop-1].Term
 		l.base += zinniapond.Index(drop)
 		l.entries = append([]zinniapond.LogEntry(nil), l.entries[drop:]...)
+		// Records that others made committed may not be synced here; the
+		// snapshot, which is saved with the next change, covers them.
+		l.saved = max(l.saved, l.base)
 	}
 }
 
--- /dev/null
+++ b/internal/quorum/raft/world_test.go
@@ -0,0 +1,407 @@
+package raft_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/plan"
+	"zinniapond.example/zinniapond/internal/fleet/state"
+	"zinniapond.example/zinniapond/internal/quorum/duty"
+	"zinniapond.example/zinniapond/internal/quorum/raft"
+)
+
+// The times of the design page.
+const (
+	leaseTime = 2500 * time.Millisecond
+	session   = 4 * time.Second
+	contact   = 600 * time.Millisecond
+	election  = 300 * time.Millisecond
+	snapshot  = 16 // records; far fewer than in use, so that runs cross many snapshots
+	shards    = 4
+)
+
+type name = zinniapond.HostName
+
+// event is something that happens at an instant of the simulated time.
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// world runs voters and hosts in one thread on a simulated clock. All that is
+// random comes from one seed, and the faults come from rapid.
+type world struct {
+	t      *rapid.T
+	now    time.Time
+	events events
+	order  int
+	random *rand.Rand
+	nodes  []*node
+	hosts  []*host
+	cut    map[name]bool
+	slow   time.Duration // greatest extra delay of a message
+	loss   float64       // share of messages lost
+	oracle oracle
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, event{w.now.Add(d), w.order, run})
+}
+
+// send carries a message, or loses or delays it.
+func (w *world) send(from, to name, run func()) {
+	d := time.Millisecond + time.Duration(w.random.Int64N(int64(2*time.Millisecond)))
+	if w.slow > 0 && w.random.IntN(4) == 0 {
+		d += time.Duration(w.random.Int64N(int64(w.slow)))
+	}
+	if w.random.Float64() < w.loss || w.cut[from] != w.cut[to] {
+		return
+	}
+	w.after(d, func() {
+		if w.cut[from] == w.cut[to] {
+			run()
+		}
+	})
+}
+
+// advance runs the events of the given span.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+		w.checkOwners()
+	}
+	w.now = end
+}
+
+// node is one voter host: the driver of a core, as Voter is one.
+type node struct {
+	w       *world
+	name    name
+	disk    zinniapond.DiskID
+	disks   int
+	durable zinniapond.LogChange
+	life    int // number of starts; events of an earlier life do nothing
+
+	core   *raft.Core // nil while it is down
+	state  *state.State
+	duty   duty.Leader
+	saving bool
+	saved  uint64
+	asked  int // number of the fetch that runs, 0 for none
+	fetch  int
+	alarm  time.Time
+	term   zinniapond.Term
+	waits  map[zinniapond.Index]func(term zinniapond.Term, result zinniapond.CommandResult)
+	held   []func() bool // fetches that wait; true when done
+	votes  []vote
+}
+
+type vote struct {
+	sequence uint64
+	send     func()
+}
+
+// merge changes durable state as disk.Log does.
+func merge(durable *zinniapond.LogChange, change zinniapond.LogChange) {
+	durable.Term, durable.Voted = change.Term, change.Voted
+	durable.Entries = slices.DeleteFunc(slices.Clone(durable.Entries), func(e zinniapond.LogEntry) bool { return e.Index >= change.From })
+	durable.Entries = append(durable.Entries, change.Entries...)
+	if s := change.Snapshot; s != nil {
+		durable.Entries = slices.DeleteFunc(durable.Entries, func(e zinniapond.LogEntry) bool { return e.Index <= s.Index })
+		durable.Snapshot = s
+	}
+}
+
+// alive makes an event of the present life.
+func (n *node) alive(run func()) func() {
+	life := n.life
+	return func() {
+		if n.life == life && n.core != nil {
+			run()
+		}
+	}
+}
+
+func (n *node) start() {
+	n.life++
+	n.core = &raft.Core{
+		Self:    zinniapond.VoterKey{Name: n.name, Disk: n.disk},
+		Contact: contact, Election: election, Quorum: contact, Wait: contact / 3, Random: n.w.random, Keep: 8,
+	}
+	for _, p := range n.w.nodes {
+		if p != n {
+			n.core.Peers = append(n.core.Peers, p.name)
+		}
+	}
+	n.state = &state.State{}
+	if n.durable.Snapshot == nil {
+		n.durable.Snapshot = new(zinniapond.Snapshot)
+	}
+	n.check(n.state.Decode(n.durable.Snapshot.Data))
+	n.core.Restore(n.w.now, n.durable)
+	n.duty = duty.Leader{Session: session, Shards: shards, Planner: plan.Planner{Replicas: 2, Start: time.Second, Patience: session, Moves: 2}}
+	n.saving, n.asked, n.saved, n.alarm, n.term = false, 0, 0, time.Time{}, 0
+	n.waits = make(map[zinniapond.Index]func(zinniapond.Term, zinniapond.CommandResult))
+	n.held, n.votes = nil, nil
+	n.settle()
+}
+
+// crash loses what is not synced; a sync that runs may or may not have ended.
+func (n *node) crash() {
+	if n.core == nil {
+		return
+	}
+	if change, ok := n.core.Unsaved(); ok && n.saving && n.w.random.IntN(2) == 0 {
+		merge(&n.durable, change)
+	}
+	n.core = nil
+	n.life++
+}
+
+func (n *node) check(err error) {
+	if err != nil {
+		n.w.t.Fatalf("%s at %s: %v", n.name, n.w.now.Format("05.000"), err)
+	}
+}
+
+// settle follows each change of the core, as Voter.settle does.
+func (n *node) settle() {
+	n.apply()
+	n.w.oracle.leader(n)
+	if !n.core.Leading(n.w.now) || n.core.Term() != n.term {
+		n.duty.End()
+		n.term = n.core.Term()
+	}
+	if n.core.Current() && !n.duty.Leads() {
+		n.duty.Begin(n.w.now)
+		n.serve(n.core.Term())
+	}
+	n.sync()
+	ballots := n.core.Ballots()
+	for _, p := range n.w.nodes { // in a fixed order, for reproduction
+		if request, ok := ballots[p.name]; ok {
+			n.canvass(p.name, request)
+		}
+	}
+	n.pull()
+	for _, v := range slices.DeleteFunc(slices.Clone(n.votes), func(v vote) bool { return v.sequence > n.saved }) {
+		v.send()
+	}
+	n.votes = slices.DeleteFunc(n.votes, func(v vote) bool { return v.sequence <= n.saved })
+	held := n.held
+	n.held = nil
+	for _, done := range held {
+		if !done() {
+			n.held = append(n.held, done)
+		}
+	}
+	if d := n.core.Deadline(n.w.now); !d.Equal(n.alarm) {
+		n.alarm = d
+		n.w.after(max(d.Sub(n.w.now), 0), n.alive(func() {
+			if d.Equal(n.alarm) {
+				n.alarm = time.Time{}
+				n.core.Tick(n.w.now)
+				n.settle()
+			}
+		}))
+	}
+}
+
+func (n *node) apply() {
+	if s := n.core.Snapshot(); s.Index > n.state.View().Index {
+		n.check(n.state.Decode(s.Data))
+	}
+	for _, e := range n.core.Entries(n.state.View().Index + 1) {
+		n.w.oracle.committed(n, e)
+		result, err := n.state.Apply(e)
+		n.check(err)
+		if wait := n.waits[e.Index]; wait != nil {
+			delete(n.waits, e.Index)
+			wait(e.Term, result)
+		}
+	}
+	if index := n.state.View().Index; index >= n.core.Snapshot().Index+snapshot {
+		data, err := n.state.Encode()
+		n.check(err)
+		n.core.Compact(index, data)
+	}
+}
+
+func (n *node) sync() {
+	change, ok := n.core.Unsaved()
+	if !ok {
+		n.saved = n.core.Sequence()
+	}
+	if !ok || n.saving {
+		return
+	}
+	n.saving = true
+	n.w.after(time.Duration(n.w.random.Int64N(int64(8*time.Millisecond))), n.alive(func() {
+		n.saving = false
+		merge(&n.durable, change)
+		n.core.Saved(n.w.now, change)
+		n.saved = change.Sequence
+		n.settle()
+	}))
+}
+
+func (n *node) canvass(to name, request zinniapond.VoteRequest) {
+	p := n.w.node(to)
+	n.w.send(n.name, to, func() {
+		if p.core == nil {
+			return
+		}
+		reply := p.core.Vote(n.w.now, request)
+		p.votes = append(p.votes, vote{p.core.Sequence(), func() {
+			n.w.send(to, n.name, n.alive(func() {
+				n.core.Voted(n.w.now, to, request, reply)
+				n.settle()
+			}))
+		}})
+		p.settle()
+	})
+}
+
+func (n *node) pull() {
+	peer, request, ok := n.core.Next()
+	if !ok || n.asked > 0 {
+		return
+	}
+	n.fetch++
+	n.asked = n.fetch
+	number := n.fetch
+	n.w.send(n.name, peer, func() {
+		n.w.node(peer).serveFetch(request, func(reply zinniapond.FetchReply) {
+			n.w.send(peer, n.name, n.alive(func() {
+				// A late answer is handed over too; the core must cope with it.
+				n.check(n.core.Fetched(n.w.now, peer, request, reply))
+				if n.asked == number {
+					n.asked = 0
+				}
+				n.settle()
+			}))
+		})
+	})
+	n.w.after(request.Wait+contact/2, n.alive(func() {
+		if n.asked == number {
+			n.asked = 0
+			n.core.Missed(peer)
+			n.settle()
+		}
+	}))
+}
+
+// serveFetch answers a fetch of a voter or a host, as Voter.Fetch does.
+func (n *node) serveFetch(request zinniapond.FetchRequest, answer func(zinniapond.FetchReply)) {
+	if n.core == nil {
+		return
+	}
+	arrived := n.w.now
+	try := func() bool {
+		reply, ready := n.core.Fetch(n.w.now, arrived, request)
+		n.duty.Meet(n.w.now, ready, n.state.View(), request, &reply)
+		if ready = ready || reply.Fenced; ready {
+			answer(reply)
+		}
+		return ready
+	}
+	if !try() {
+		n.held = append(n.held, try)
+		n.w.after(request.Wait, n.alive(n.settle))
+	}
+	n.settle()
+}
+
+// propose appends a command, as Voter.Propose does.
+func (n *node) propose(command zinniapond.Command, answer func(zinniapond.ProposeReply)) {
+	if n.core == nil || !n.core.Leading(n.w.now) {
+		return
+	}
+	if n.duty.Early(n.w.now, n.state.View(), command) > 0 {
+		return
+	}
+	if result, ok := n.state.Check(&command); !ok {
+		answer(zinniapond.ProposeReply{Accepted: true, Result: result})
+		return
+	}
+	n.duty.Proposed(n.w.now, command)
+	index, term, err := n.append(command)
+	if err != nil {
+		return
+	}
+	n.waits[index] = func(got zinniapond.Term, result zinniapond.CommandResult) {
+		if got == term {
+			answer(zinniapond.ProposeReply{Accepted: true, Result: result})
+		}
+	}
+	n.settle()
+}
+
+func (n *node) append(command zinniapond.Command) (zinniapond.Index, zinniapond.Term, error) {
+	data, err := cbor.Marshal(command)
+	n.check(err)
+	if command.Kind == zinniapond.CommandVoters {
+		return n.core.ProposeVoters(n.w.now, command.Voters, data)
+	}
+	return n.core.Propose(n.w.now, data)
+}
+
+// serve does the leader's duties for as long as it leads.
+func (n *node) serve(term zinniapond.Term) {
+	n.w.after(100*time.Millisecond, n.alive(func() {
+		if !n.duty.Leads() || n.core.Term() != term {
+			return
+		}
+		if n.core.Leading(n.w.now) {
+			commands := n.duty.Due(n.w.now, n.state.View())
+			if voters, ok := n.core.Repair(n.w.now); ok {
+				commands = append(commands, zinniapond.Command{Kind: zinniapond.CommandVoters, Voters: voters})
+			}
+			for _, c := range commands {
+				if index, _, err := n.append(c); err == nil {
+					n.duty.Appended(index)
+				}
+			}
+			for _, move := range n.duty.Moves(n.w.now, n.state.View()) {
+				n.w.handover(n, move)
+			}
+			n.settle()
+		}
+		n.serve(term)
+	}))
+}
+
+func (w *world) node(of name) *node {
+	for _, n := range w.nodes {
+		if n.name == of {
+			return n
+		}
+	}
+	panic(fmt.Sprintf("no node %s", of))
+}
