--- a/internal/quorum/disk/log.go
+++ b/internal/quorum/disk/log.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"zinniapond.example/zinniapond"
 )
@@ -69,7 +71,7 @@
 	path := filepath.Join(l.Folder, "control.bolt")
 	base, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout, FreelistType: bbolt.FreelistMapType})
 	if err != nil {
-		return fmt.Errorf("open %s: %w", path, err)
+		return fmt.Errorf("open %s: %w", path, damage(err))
 	}
 	l.base = base
 	if err := l.prepare(); err != nil {
@@ -78,6 +80,16 @@
 	return nil
 }
 
+// damage marks an error of bbolt that only a damaged file causes. A lock that is
+// held and an error of the file system are none.
+func damage(err error) error {
+	var system *fs.PathError
+	if errors.Is(err, berrors.ErrTimeout) || errors.As(err, &system) {
+		return err
+	}
+	return errors.Join(err, zinniapond.ErrCorrupt)
+}
+
 func (l *Log) prepare() error {
 	return l.base.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{metaBucket, logBucket, snapshotBucket} {
@@ -132,9 +144,14 @@
 
 // Load returns the whole durable state. Records after the snapshot must follow
 // one another without a gap and with matching checksums.
-func (l *Log) Load() (zinniapond.LogChange, error) {
-	var all zinniapond.LogChange
-	err := l.base.View(func(tx *bbolt.Tx) error {
+func (l *Log) Load() (all zinniapond.LogChange, err error) {
+	// bbolt panics on a damaged page.
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("load control log of %s: %v: %w", l.Folder, r, zinniapond.ErrCorrupt)
+		}
+	}()
+	err = l.base.View(func(tx *bbolt.Tx) error {
 		var s state
 		if err := get(tx.Bucket(metaBucket), stateKey, &s); err != nil {
 			return err
--- /dev/null
+++ b/internal/quorum/lease/holder_test.go
@@ -0,0 +1,74 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/state"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+var begin = time.Unix(1000, 0)
+
+// newHolder returns a registered and active host that was fresh at begin.
+func newHolder(t *testing.T) *Holder {
+	h := &Holder{Host: "a", Lease: 2 * time.Second, State: &state.State{}}
+	h.Registered(1)
+	records := []zinniapond.Command{
+		{Kind: zinniapond.CommandRegister, Member: &zinniapond.Member{Name: "a", Instance: "1"}},
+		{Kind: zinniapond.CommandMember, Member: &zinniapond.Member{Name: "a", Epoch: 1, State: zinniapond.MemberActive}},
+	}
+	reply := zinniapond.FetchReply{Accepted: true, Current: true, Commit: 2}
+	for i, r := range records {
+		data, err := cbor.Marshal(r)
+		assert.NoError(t, err)
+		reply.Entries = append(reply.Entries, zinniapond.LogEntry{Index: zinniapond.Index(i + 1), Term: 1, Data: data})
+	}
+	assert.NoError(t, h.Take(begin, h.Request(), reply))
+	assert.True(t, h.Fresh(begin), "not fresh")
+	return h
+}
+
+func TestHolder(t *testing.T) {
+	later := begin.Add(time.Second)
+	renew := zinniapond.FetchReply{Accepted: true, Current: true, Commit: 2}
+	for _, c := range []struct {
+		guards string
+		change func(*zinniapond.FetchReply)
+		until  time.Time
+	}{
+		{"a lease that is not renewed", func(*zinniapond.FetchReply) {}, later.Add(2 * time.Second)},
+		{"a lease from a leader that has lost its majority", func(r *zinniapond.FetchReply) { r.Quorum = 500 * time.Millisecond }, later.Add(1500 * time.Millisecond)},
+		{"a lease for a state that lacks committed records", func(r *zinniapond.FetchReply) { r.Commit = 3 }, begin.Add(2 * time.Second)},
+		{"a lease from a leader that does not know all committed records", func(r *zinniapond.FetchReply) { r.Current = false }, begin.Add(2 * time.Second)},
+	} {
+		t.Run("guards against "+c.guards, func(t *testing.T) {
+			h, reply := newHolder(t), renew
+			c.change(&reply)
+			assert.NoError(t, h.Take(later, h.Request(), reply))
+			assert.Equal(t, h.Until(), c.until)
+		})
+	}
+	t.Run("guards against a fenced host that stays fresh or never registers again", func(t *testing.T) {
+		h := newHolder(t)
+		assert.NoError(t, h.Take(later, h.Request(), zinniapond.FetchReply{Accepted: true, Fenced: true, Commit: 2}))
+		assert.True(t, !h.Fresh(begin), "fresh after it was fenced")
+		assert.True(t, !h.Enrolled(), "counts as registered after it was fenced")
+	})
+	t.Run("guards against a lease that passes to another registration", func(t *testing.T) {
+		h := newHolder(t)
+		h.Registered(7)
+		assert.True(t, h.Until().IsZero(), "the lease lasts until %s", h.Until())
+	})
+	t.Run("guards against an older snapshot that replaces the state", func(t *testing.T) {
+		h := newHolder(t)
+		data, err := (&state.State{}).Encode()
+		assert.NoError(t, err)
+		reply := zinniapond.FetchReply{Accepted: true, Snapshot: &zinniapond.Snapshot{Index: 1, Data: data}}
+		assert.NoError(t, h.Take(later, h.Request(), reply))
+		assert.Equal(t, h.State.View().Index, 2)
+	})
+}
