--- a/internal/quorum/voter/net_test.go
+++ b/internal/quorum/voter/net_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"testing"
@@ -182,24 +183,33 @@
 	c.hosts[name] = h
 	h.leave, h.crash = run(c.t, h.watcher.Run), func() {}
 	if data != "" {
-		for _, v := range s.Control.Voters {
-			if v.Name == name {
-				s.Peers = v.Peers
-			}
+		c.vote(name, data)
+	}
+	return h
+}
+
+// vote starts the voter of a host.
+func (c *cluster) vote(name zinniapond.HostName, data string) {
+	h := c.hosts[name]
+	s := c.settings
+	s.Host, s.Data = name, data
+	for _, v := range s.Control.Voters {
+		if v.Name == name {
+			s.Peers = v.Peers
 		}
-		h.voter = &Voter{Settings: &s, Peers: p, Clock: time.Now, Logger: logger}
+	}
+	h.data = data
+	h.voter = &Voter{Settings: &s, Peers: port{fabric: c.fabric, host: name}, Clock: time.Now, Logger: h.watcher.Logger}
+	c.fabric.mu.Lock()
+	c.fabric.voters[s.Peers] = h.voter
+	c.fabric.mu.Unlock()
+	stop := run(c.t, h.voter.Run)
+	h.crash = func() {
 		c.fabric.mu.Lock()
-		c.fabric.voters[s.Peers] = h.voter
+		delete(c.fabric.voters, s.Peers)
 		c.fabric.mu.Unlock()
-		voting := run(c.t, h.voter.Run)
-		h.crash = func() {
-			c.fabric.mu.Lock()
-			delete(c.fabric.voters, s.Peers)
-			c.fabric.mu.Unlock()
-			voting()
-		}
+		stop()
 	}
-	return h
 }
 
 // run starts work and returns a function that ends it, once.
@@ -217,8 +227,11 @@
 }
 
 func (c *cluster) leader() zinniapond.HostName {
+	c.fabric.mu.Lock()
+	voters := maps.Clone(c.fabric.voters)
+	c.fabric.mu.Unlock()
 	for name, h := range c.hosts {
-		if h.voter == nil {
+		if h.voter == nil || voters[h.voter.Settings.Peers] != h.voter {
 			continue
 		}
 		h.voter.mu.Lock()
