--- a/internal/quorum/raft/hosts_test.go
+++ b/internal/quorum/raft/hosts_test.go
@@ -20,7 +20,6 @@
 	target   int
 	frozen   bool
 	dead     bool
-	busy     bool // a registration runs
 	// released has the shards that this process has offered to another host;
 	// it does not serve them until it knows that the offer was refused.
 	released map[zinniapond.ShardID]zinniapond.Epoch
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -63,9 +63,7 @@
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	var group sync.WaitGroup
-	id := 0
-	for _, h := range c.hosts {
-		id++
+	for name, h := range c.hosts {
 		group.Go(func() {
 			var seen zinniapond.Version
 			for n := 0; ; n++ {
@@ -75,7 +73,7 @@
 				case <-time.After(5 * time.Millisecond):
 				}
 				called := time.Now()
-				command := lists(seen, fmt.Sprintf("%d-%d-%d", called.UnixNano(), id, n), "x")
+				command := lists(seen, fmt.Sprintf("%s-%d", name, n), "x")
 				result, err := h.watcher.Propose(c.t.Context(), called, command)
 				if err != nil {
 					c.t.Errorf("propose: %v", err)
@@ -83,7 +81,7 @@
 				}
 				mu.Lock()
 				history = append(history, porcupine.Operation{
-					ClientId: id, Input: operation{seen}, Call: called.UnixNano(), Output: result, Return: time.Now().UnixNano(),
+					ClientId: slices.IndexFunc(c.settings.Control.Voters, func(v zinniapond.Voter) bool { return v.Name == name }), Input: operation{seen}, Call: called.UnixNano(), Output: result, Return: time.Now().UnixNano(),
 				})
 				mu.Unlock()
 				seen = result.Lists.Version
@@ -124,9 +122,9 @@
 		assert.True(t, disk != firstDisk, "the empty disk took the identity of the lost one")
 	})
 	t.Run("guards against a damaged log that is used or stops the voter", func(t *testing.T) {
-		follower := slices.MinFunc(c.settings.Control.Voters, func(a, b zinniapond.Voter) int {
-			return map[bool]int{true: 1, false: -1}[a.Name == c.leader()]
-		}).Name
+		leader := c.leader()
+		at := slices.IndexFunc(c.settings.Control.Voters, func(v zinniapond.Voter) bool { return v.Name != leader })
+		follower := c.settings.Control.Voters[at].Name
 		h := c.hosts[follower]
 		h.crash()
 		assert.NoError(t, os.Truncate(filepath.Join(h.data, "control", "control.bolt"), 5000))
