--- /dev/null
+++ b/internal/fleet/plan/planner_test.go
@@ -0,0 +1,156 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// planner applies its own decisions to a view of hosts, each in its own data
+// centre.
+type planner struct {
+	Planner
+	view   *zinniapond.ControlView
+	silent time.Duration
+}
+
+func newPlanner(hosts int) *planner {
+	p := &planner{
+		Planner: Planner{Replicas: 3, Start: time.Second, Patience: 4 * time.Second, Moves: 2},
+		view: &zinniapond.ControlView{
+			Shards: 60, Members: make(map[zinniapond.HostName]zinniapond.Member),
+			Assignments: make(map[zinniapond.ShardID]zinniapond.Assignment),
+		},
+		silent: time.Hour,
+	}
+	for i := range hosts {
+		p.set(fmt.Sprint(i), zinniapond.MemberActive)
+	}
+	return p
+}
+
+func (p *planner) set(host string, state zinniapond.MemberState) {
+	name := zinniapond.HostName(host)
+	p.view.Members[name] = zinniapond.Member{
+		Name: name, Epoch: 1, State: state, DataCentre: zinniapond.DataCentre(host),
+		Roles: []zinniapond.Role{zinniapond.RoleOwner, zinniapond.RoleStore},
+	}
+}
+
+// assign applies what Assign returns and returns how many shards changed.
+func (p *planner) assign(t *testing.T, leading time.Duration) int {
+	changes := p.Assign(p.view, leading, func(zinniapond.HostName) time.Duration { return p.silent })
+	for _, a := range changes {
+		assert.Equal(t, a.Epoch, p.view.Assignments[a.Shard].Epoch+1)
+		p.view.Assignments[a.Shard] = a
+	}
+	return len(changes)
+}
+
+func (p *planner) owned(host zinniapond.HostName) int {
+	n := 0
+	for _, a := range p.view.Assignments {
+		if a.Owner == host {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAssign(t *testing.T) {
+	t.Run("guards against an uneven first assignment, and one that is repeated", func(t *testing.T) {
+		p := newPlanner(4)
+		assert.Equal(t, p.assign(t, 0), 60)
+		for host := range p.view.Members {
+			assert.Equal(t, p.owned(host), 15)
+		}
+		for _, a := range p.view.Assignments {
+			assert.Equal(t, len(a.Replicas), 3)
+		}
+		assert.Equal(t, p.assign(t, time.Hour), 0)
+		assert.Equal(t, len(p.Rebalance(p.view)), 0)
+	})
+	t.Run("guards against single replicas because the stores start one after another", func(t *testing.T) {
+		p := newPlanner(1)
+		assert.Equal(t, p.assign(t, 0), 0)
+		assert.Equal(t, p.assign(t, time.Second), 60)
+	})
+	t.Run("guards against moving what a dead host did not own", func(t *testing.T) {
+		p := newPlanner(4)
+		p.assign(t, 0)
+		p.silent = 0 // no replica is replaced yet
+		p.set("0", zinniapond.MemberFenced)
+		assert.Equal(t, p.assign(t, time.Hour), 15)
+		assert.Equal(t, p.owned("0"), 0)
+		assert.Equal(t, p.owned("1"), 20)
+	})
+	t.Run("guards against replacing two replicas at once, or one too early", func(t *testing.T) {
+		p := newPlanner(5)
+		p.assign(t, 0)
+		p.set("0", zinniapond.MemberFenced)
+		p.set("1", zinniapond.MemberLeft)
+		p.silent = p.Patience - 1
+		p.assign(t, time.Hour)
+		for _, a := range p.view.Assignments {
+			assert.Equal(t, a.Joining, "")
+		}
+		p.silent = p.Patience
+		assert.True(t, p.assign(t, time.Hour) > 0, "nothing replaced")
+		assert.Equal(t, p.assign(t, time.Hour), 0) // the owners copy
+		for _, a := range p.view.Assignments {
+			assert.True(t, a.Joining == "" || a.Leaving == "0" || a.Leaving == "1", "%+v", a)
+			assert.True(t, a.Joining != "0" && a.Joining != "1", "%+v", a)
+		}
+	})
+	t.Run("guards against two replicas in one data centre while another is free", func(t *testing.T) {
+		p := newPlanner(3)
+		twin := p.view.Members["0"]
+		twin.Name = "0b"
+		p.view.Members["0b"] = twin
+		p.assign(t, 0)
+		for _, a := range p.view.Assignments {
+			centres := make(map[zinniapond.DataCentre]bool)
+			for _, r := range a.Replicas {
+				centres[p.view.Members[r].DataCentre] = true
+			}
+			assert.Equal(t, len(centres), 3)
+		}
+	})
+}
+
+func TestRebalance(t *testing.T) {
+	// settle makes every owner hand over at once and returns the moves.
+	settle := func(p *planner) int {
+		for n := 0; ; {
+			moves := p.Rebalance(p.view)
+			if len(moves) == 0 {
+				return n
+			}
+			for _, m := range moves {
+				a := p.view.Assignments[m.Shard]
+				a.Owner = m.To
+				a.Epoch++
+				p.view.Assignments[m.Shard] = a
+				n++
+			}
+		}
+	}
+	t.Run("guards against moving more than a new host needs", func(t *testing.T) {
+		p := newPlanner(4)
+		p.assign(t, 0)
+		p.set("4", zinniapond.MemberActive)
+		assert.Equal(t, settle(p), 12)
+		assert.Equal(t, p.owned("4"), 12)
+	})
+	t.Run("guards against a draining host that keeps shards", func(t *testing.T) {
+		p := newPlanner(4)
+		p.assign(t, 0)
+		p.set("0", zinniapond.MemberDraining)
+		assert.Equal(t, len(p.Rebalance(p.view)), 2) // Moves
+		assert.Equal(t, settle(p), 15)
+		assert.Equal(t, p.owned("0"), 0)
+	})
+}
