--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,7 @@
 	ErrConflict    = errors.New("version conflict")
 	ErrNotFound    = errors.New("not found")
 	ErrEnded       = errors.New("program has ended")
+	ErrCap         = errors.New("program is over a cap of its plan")
 	ErrOrder       = errors.New("earlier call of the program is missing")
 	ErrBackend     = errors.New("backend server failed")
 	ErrCorrupt     = errors.New("corrupt record")
--- a/interfaces.go
+++ b/interfaces.go
@@ -92,6 +92,10 @@
 	// Reserve returns ErrBudget if the plan's window has too little left.
 	Reserve(ctx context.Context, now time.Time, plan Plan, amount Tokens) (Reservation, error)
 	Settle(now time.Time, reservation Reservation, used Tokens)
+	// Restore takes in a grant record of a shard that this host took over.
+	Restore(now time.Time, shard ShardID, record Record)
+	// Drop forgets the plans whose home shard was taken from this host.
+	Drop(shard ShardID)
 }
 
 // Reservation is a part of a plan's budget set aside for one call.
@@ -275,6 +279,8 @@
 type BackendClient interface {
 	// Do runs one attempt. It returns an error wrapping ErrNotSent if no byte
 	// reached the server. The answer's body is whole even if parts went to sink.
+	// The part that ends a streamed answer is in the body only: the caller must
+	// not see the end before the result is durable.
 	Do(ctx context.Context, attempt AttemptID, server Backend, call Call, sink Sink) (Answer, error)
 	// Release drops the program's KV cache on the server.
 	Release(ctx context.Context, server netip.AddrPort, program ProgramID) error
--- /dev/null
+++ b/internal/program/calls/book_test.go
@@ -0,0 +1,167 @@
+package calls
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newCall(id, key string, sequence uint64) *zinniapond.Call {
+	c := &zinniapond.Call{ID: zinniapond.CallID(id), Key: key, Sequence: sequence}
+	c.Digest[0] = byte(sequence)
+	return c
+}
+
+func admit(t assert.TB, b *Book, c *zinniapond.Call, want zinniapond.CallState) {
+	t.Helper()
+	_, state, err := b.Admit(start, c, &zinniapond.Plan{})
+	assert.NoError(t, err)
+	assert.Equal(t, state, want)
+}
+
+func ready(t assert.TB, b *Book, want zinniapond.CallID) {
+	t.Helper()
+	id, _ := b.Ready()
+	assert.Equal(t, id, want)
+}
+
+func done(id zinniapond.CallID, tokens zinniapond.Tokens) *zinniapond.Answer {
+	return &zinniapond.Answer{
+		Call: id, Outcome: zinniapond.OutcomeDone, Usage: zinniapond.Usage{Generated: tokens},
+	}
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("guards against two calls of a program at once", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("a", "", 0), zinniapond.CallNew)
+		admit(t, b, newCall("b", "", 0), zinniapond.CallNew)
+		ready(t, b, "a")
+		b.Start("a")
+		ready(t, b, "")
+		b.Finish("a", done("a", 0))
+		ready(t, b, "b")
+	})
+	t.Run("guards against running a later sequence number first", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("b", "", 2), zinniapond.CallNew)
+		ready(t, b, "")
+		admit(t, b, newCall("a", "", 1), zinniapond.CallNew)
+		ready(t, b, "a")
+		b.Start("a")
+		b.Finish("a", done("a", 0))
+		ready(t, b, "b")
+	})
+	t.Run("guards against a second call under a used sequence number", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("a", "", 1), zinniapond.CallNew)
+		b.Start("a")
+		b.Finish("a", done("a", 0))
+		_, _, err := b.Admit(start, newCall("other", "", 1), &zinniapond.Plan{})
+		assert.ErrorIs(t, err, zinniapond.ErrReused)
+	})
+}
+
+func TestRepetition(t *testing.T) {
+	t.Run("guards against running a repeated key again", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("a", "key", 0), zinniapond.CallNew)
+		admit(t, b, newCall("b", "key", 0), zinniapond.CallRunning)
+		b.Finish("a", done("a", 0))
+		admit(t, b, newCall("c", "key", 0), zinniapond.CallFinished)
+	})
+	t.Run("guards against one key for two requests", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("a", "key", 0), zinniapond.CallNew)
+		_, _, err := b.Admit(start, newCall("b", "key", 9), &zinniapond.Plan{})
+		assert.ErrorIs(t, err, zinniapond.ErrReused)
+	})
+	t.Run("guards against remembering a call that did not run", func(t *testing.T) {
+		b := New(zinniapond.Program{})
+		admit(t, b, newCall("a", "key", 1), zinniapond.CallNew)
+		b.Withdraw("a")
+		admit(t, b, newCall("a", "key", 1), zinniapond.CallNew)
+		ready(t, b, "a")
+	})
+}
+
+func TestCaps(t *testing.T) {
+	finished := func() *Book {
+		b := New(zinniapond.Program{Opened: start})
+		b.add(newCall("a", "", 0))
+		b.Finish("a", done("a", 10))
+		return b
+	}
+	for name, plan := range map[string]zinniapond.Plan{
+		"guards against endless turns":  {Turns: 1},
+		"guards against endless tokens": {Tokens: 10},
+		"guards against endless time":   {Time: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := finished().Admit(start.Add(time.Hour), newCall("b", "", 0), &plan)
+			assert.ErrorIs(t, err, zinniapond.ErrCap)
+		})
+	}
+	t.Run("guards against calls after the end", func(t *testing.T) {
+		b := finished()
+		b.End(start, "ended by its caller")
+		_, _, err := b.Admit(start, newCall("b", "", 0), &zinniapond.Plan{})
+		assert.ErrorIs(t, err, zinniapond.ErrEnded)
+		admit(t, b, newCall("a", "", 0), zinniapond.CallFinished)
+	})
+}
+
+// TestReplay writes random histories as an owner does, loses the owner at a
+// random record, and compares what the next owner's book allows with an oracle
+// of the sends that may have happened.
+func TestReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var journal []zinniapond.Record
+		sent := make(map[string]int) // sends by key, of non-idempotent calls
+		owner := New(zinniapond.Program{})
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			key := rapid.StringMatching("[a-e]").Draw(t, "key")
+			c := &zinniapond.Call{ID: zinniapond.CallID("call-" + key), Key: key}
+			c.Idempotent = key < "c"
+			_, state, err := owner.Admit(start, c, &zinniapond.Plan{})
+			assert.NoError(t, err)
+			if state != zinniapond.CallNew {
+				continue
+			}
+			owner.Start(c.ID)
+			if rapid.Bool().Draw(t, "refused before the intent") {
+				owner.Withdraw(c.ID)
+				continue
+			}
+			journal = append(journal, zinniapond.Record{Kind: zinniapond.RecordIntent, Call: c})
+			owner.Intend(c.ID)
+			if !c.Idempotent {
+				sent[key]++
+			}
+			if rapid.Bool().Draw(t, "owner lost after the intent") {
+				owner = New(zinniapond.Program{})
+				for _, r := range journal {
+					owner.Replay(&r)
+				}
+				for _, id := range owner.Interrupted() {
+					unknown := &zinniapond.Answer{Call: id, Outcome: zinniapond.OutcomeUnknown}
+					journal = append(journal, zinniapond.Record{Kind: zinniapond.RecordResult, Answer: unknown})
+					owner.Finish(id, unknown)
+				}
+				continue
+			}
+			answer := done(c.ID, 1)
+			journal = append(journal, zinniapond.Record{Kind: zinniapond.RecordResult, Answer: answer})
+			owner.Finish(c.ID, answer)
+		}
+		for key, n := range sent {
+			assert.True(t, n <= 1, "non-idempotent call %s was sent %d times", key, n)
+		}
+	})
+}
--- a/internal/test/assert/assert.go
+++ b/internal/test/assert/assert.go
@@ -4,14 +4,19 @@
 import (
 	"errors"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
 
+// TB is the part of testing.TB that the functions use; rapid's T has it too.
+type TB interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // Equal fails the test unless got equals want.
-func Equal[T any](t testing.TB, got, want T, options ...cmp.Option) {
+func Equal[T any](t TB, got, want T, options ...cmp.Option) {
 	t.Helper()
 	if diff := cmp.Diff(want, got, options...); diff != "" {
 		t.Fatalf("unexpected value (-want +got):\n%s", diff)
@@ -19,7 +24,7 @@
 }
 
 // True fails the test unless ok holds.
-func True(t testing.TB, ok bool, format string, args ...any) {
+func True(t TB, ok bool, format string, args ...any) {
 	t.Helper()
 	if !ok {
 		t.Fatalf(format, args...)
@@ -27,7 +32,7 @@
 }
 
 // NoError fails the test if err is not nil.
-func NoError(t testing.TB, err error) {
+func NoError(t TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatalf("unexpected error: %v", err)
@@ -35,7 +40,7 @@
 }
 
 // ErrorIs fails the test unless err wraps want.
-func ErrorIs(t testing.TB, err, want error) {
+func ErrorIs(t TB, err, want error) {
 	t.Helper()
 	if !errors.Is(err, want) {
 		t.Fatalf("got error %v, want %v", err, want)
@@ -43,7 +48,7 @@
 }
 
 // Contains fails the test unless text contains part.
-func Contains(t testing.TB, text, part string) {
+func Contains(t TB, text, part string) {
 	t.Helper()
 	if !strings.Contains(text, part) {
 		t.Fatalf("%q does not contain %q", text, part)
@@ -52,7 +57,7 @@
 
 // Eventually fails the test unless holds returns true within the given time.
 // It is for tests of several processes, where no channel tells of the change.
-func Eventually(t testing.TB, within time.Duration, what string, holds func() bool) {
+func Eventually(t TB, within time.Duration, what string, holds func() bool) {
 	t.Helper()
 	deadline := time.After(within)
 	tick := time.NewTicker(10 * time.Millisecond)
--- a/types.go
+++ b/types.go
@@ -183,6 +183,19 @@
 	Err     string         `cbor:"err,omitempty" json:"error,omitempty"`
 }
 
+// CallState tells how far a program's call is.
+type CallState uint8
+
+// The states of a call.
+const (
+	// CallNew was not known before.
+	CallNew CallState = iota
+	// CallRunning is waiting or running for an earlier request.
+	CallRunning
+	// CallFinished has a stored answer.
+	CallFinished
+)
+
 // Program describes one agent program.
 type Program struct {
 	ID       ProgramID    `cbor:"id" json:"id"`
