Test the owner with fakes at its interfaces

The tests found one fault: a reader lost the parts of a broken answer that it had not yet taken, because the error came first. Flow now passes the parts before the error.

--- a/internal/program/flow/flow.go
+++ b/internal/program/flow/flow.go
@@ -218,7 +218,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := state{begun: f.begun, status: f.status, fields: f.fields, done: f.done, answer: f.answer}
-	if f.done && f.err != nil {
+	if f.done && f.err != nil && offset >= int64(len(f.body)) {
 		return s, f.err
 	}
 	if offset <= int64(len(f.body)) {
--- /dev/null
+++ b/internal/program/flow/flow_test.go
@@ -0,0 +1,76 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+type collect struct{ text string }
+
+func (*collect) Begin(int, []zinniapond.Field) error { return nil }
+
+func (c *collect) Write(part []byte) error {
+	c.text += string(part)
+	return nil
+}
+
+func write(t *testing.T, f *Flow, parts ...string) {
+	t.Helper()
+	assert.NoError(t, f.Begin(200, nil))
+	for _, p := range parts {
+		assert.NoError(t, f.Write([]byte(p)))
+	}
+}
+
+func TestRead(t *testing.T) {
+	ctx := context.Background()
+	t.Run("guards against repeating bytes that the reader has", func(t *testing.T) {
+		var f Flow
+		write(t, &f, "one ", "two")
+		f.Finish(zinniapond.Answer{}, nil)
+		var c collect
+		_, err := f.Read(ctx, &c, 4, xxhash.Sum64String("one "))
+		assert.NoError(t, err)
+		assert.Equal(t, c.text, "two")
+	})
+	t.Run("guards against joining another answer to those bytes", func(t *testing.T) {
+		var f Flow
+		write(t, &f, "two ", "two")
+		f.Finish(zinniapond.Answer{}, nil)
+		_, err := f.Read(ctx, &collect{}, 4, xxhash.Sum64String("one "))
+		assert.ErrorIs(t, err, zinniapond.ErrUnknown)
+	})
+	t.Run("guards against a shorter answer passing as a continuation", func(t *testing.T) {
+		var f Flow
+		write(t, &f, "one")
+		f.Finish(zinniapond.Answer{}, nil)
+		_, err := f.Read(ctx, &collect{}, 4, xxhash.Sum64String("one "))
+		assert.ErrorIs(t, err, zinniapond.ErrUnknown)
+	})
+	t.Run("guards against losing the parts before an error", func(t *testing.T) {
+		var f Flow
+		write(t, &f, "one")
+		failure := errors.New("broken")
+		f.Finish(zinniapond.Answer{}, failure)
+		var c collect
+		_, err := f.Read(ctx, &c, 0, 0)
+		assert.ErrorIs(t, err, failure)
+		assert.Equal(t, c.text, "one")
+	})
+	t.Run("guards against an unnoticed departure of the last reader", func(t *testing.T) {
+		var f Flow
+		left := f.Abandoned()
+		ctx, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err := f.Read(ctx, &collect{}, 0, 0)
+		assert.ErrorIs(t, err, context.Canceled)
+		<-left
+		assert.Equal(t, f.Readers(), 0)
+	})
+}
--- /dev/null
+++ b/internal/program/owner/fakes_test.go
@@ -0,0 +1,365 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/sync/errgroup"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/program/pool"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// journal keeps records in memory under the greatest epoch it was sealed at.
+type journal struct {
+	mu      sync.Mutex
+	sealed  zinniapond.Epoch
+	records []zinniapond.Record
+	fail    error
+	hold    chan struct{} // appends of results wait until it is closed
+}
+
+func (j *journal) Recover(_ context.Context, _ time.Time, a zinniapond.Assignment, each func(zinniapond.Record) error) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sealed = a.Epoch
+	for _, r := range j.records {
+		if err := each(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j *journal) Append(_ context.Context, _ time.Time, _ zinniapond.ShardID, epoch zinniapond.Epoch, records ...zinniapond.Record) error {
+	if j.hold != nil && records[0].Kind == zinniapond.RecordResult {
+		<-j.hold
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if epoch < j.sealed {
+		return zinniapond.ErrFenced
+	}
+	if j.fail != nil {
+		return j.fail
+	}
+	j.records = append(j.records, records...)
+	return nil
+}
+
+func (j *journal) History(_ context.Context, _ time.Time, _ zinniapond.ShardID, program zinniapond.ProgramID, each func(zinniapond.Record) error) error {
+	j.mu.Lock()
+	records := append([]zinniapond.Record(nil), j.records...)
+	j.mu.Unlock()
+	for _, r := range records {
+		if r.Program == program {
+			if err := each(r); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (j *journal) has(kind zinniapond.RecordKind, call zinniapond.CallID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, r := range j.records {
+		if r.Kind != kind {
+			continue
+		}
+		if r.Call != nil && r.Call.ID == call || r.Answer != nil && r.Answer.Call == call {
+			return true
+		}
+	}
+	return false
+}
+
+// directory has one host that owns the only shard.
+type directory struct {
+	mu      sync.Mutex
+	view    zinniapond.ControlView
+	stale   bool
+	changed chan struct{}
+}
+
+func (d *directory) View() *zinniapond.ControlView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.view
+	return &v
+}
+
+func (d *directory) Catalog() *zinniapond.Catalog {
+	return &zinniapond.Catalog{Plans: map[zinniapond.PlanName]zinniapond.Plan{"gold": {Name: "gold", Turns: 5}}}
+}
+
+func (d *directory) Fresh(time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stale
+}
+
+func (d *directory) Confirmed() time.Time { return time.Time{} }
+
+func (d *directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *directory) assign(owner zinniapond.HostName, epoch zinniapond.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Shards = 1
+	d.view.Assignments = map[zinniapond.ShardID]zinniapond.Assignment{0: {Owner: owner, Epoch: epoch}}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// client runs calls by a function of the test.
+type client struct {
+	mu    sync.Mutex
+	sends int
+	do    func(ctx context.Context, send int, server netip.AddrPort, sink zinniapond.Sink) (zinniapond.Answer, error)
+}
+
+func (c *client) Do(ctx context.Context, _ zinniapond.AttemptID, server zinniapond.Backend, _ zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
+	c.mu.Lock()
+	c.sends++
+	n := c.sends
+	c.mu.Unlock()
+	return c.do(ctx, n, server.Address, sink)
+}
+
+func (c *client) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sends
+}
+
+func (*client) Release(context.Context, netip.AddrPort, zinniapond.ProgramID) error { return nil }
+
+func (*client) Load(context.Context, netip.AddrPort) (zinniapond.LoadReport, error) {
+	return zinniapond.LoadReport{}, nil
+}
+
+func (*client) Order(context.Context, zinniapond.Order) (zinniapond.PoolName, error) { return "", nil }
+
+// simple is the plainest queue, router, limiter, retrier, detector, leases,
+// budget and roster in one.
+type simple struct {
+	mu      sync.Mutex
+	waiting []zinniapond.Waiting
+	servers []zinniapond.Backend
+	marked  []netip.AddrPort
+	changed chan struct{}
+}
+
+func (s *simple) Push(_ time.Time, w zinniapond.Waiting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = append(s.waiting, w)
+}
+
+func (s *simple) Pop(_ time.Time, admit func(zinniapond.Waiting) bool) (zinniapond.Waiting, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) == 0 || !admit(s.waiting[0]) {
+		return zinniapond.Waiting{}, false
+	}
+	w := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	return w, true
+}
+
+func (s *simple) Remove(call zinniapond.CallID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, w := range s.waiting {
+		if w.Call == call {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (*simple) Expire(time.Time) []zinniapond.Waiting { return nil }
+func (*simple) Charge(time.Time, zinniapond.PlanName, zinniapond.ProgramID, int, zinniapond.Tokens) {
+}
+func (*simple) Forget(zinniapond.ProgramID) {}
+
+func (s *simple) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting)
+}
+
+func (*simple) Update(time.Time, []zinniapond.Backend) {}
+
+func (s *simple) Pick(_ time.Time, need zinniapond.Need, _ func(netip.AddrPort) bool) (zinniapond.Choice, bool) {
+	for _, b := range s.servers {
+		tried := false
+		for _, e := range need.Exclude {
+			tried = tried || e == b.Address
+		}
+		if !tried {
+			return zinniapond.Choice{Backend: b.Address}, true
+		}
+	}
+	return zinniapond.Choice{}, false
+}
+
+func (*simple) Started(time.Time, netip.AddrPort, zinniapond.Need) {}
+func (*simple) Finished(time.Time, netip.AddrPort, zinniapond.Need, zinniapond.Observation) {
+}
+func (*simple) Report(time.Time, zinniapond.LoadReport)                   {}
+func (*simple) Event(time.Time, zinniapond.CacheEvent)                    {}
+func (*simple) Estimate(zinniapond.Need) time.Duration                    { return 0 }
+func (*simple) Acquire(time.Time, netip.AddrPort) bool                    { return true }
+func (*simple) Free(time.Time, netip.AddrPort) bool                       { return true }
+func (*simple) Release(time.Time, netip.AddrPort, zinniapond.Observation) {}
+func (*simple) Request(time.Time)                                         {}
+func (*simple) Retry(time.Time, int) (time.Duration, bool)                { return 0, true }
+func (*simple) HedgeAfter(time.Time, zinniapond.PoolName) (time.Duration, bool) {
+	return 0, false
+}
+func (*simple) Hedge(time.Time) bool                                  { return false }
+func (*simple) Observe(time.Time, zinniapond.PoolName, time.Duration) {}
+func (*simple) Keep(time.Time, zinniapond.ProgramID, netip.AddrPort, zinniapond.Tokens) (time.Time, bool) {
+	return time.Time{}, true
+}
+func (*simple) Returned(time.Time, zinniapond.ProgramID)                {}
+func (*simple) End(zinniapond.ProgramID) []zinniapond.Pin               { return nil }
+func (*simple) Expired(time.Time) []zinniapond.Pin                      { return nil }
+func (*simple) Sweep(time.Time, zinniapond.LoadReport) []zinniapond.Pin { return nil }
+func (*simple) Held(zinniapond.ProgramID) []zinniapond.Pin              { return nil }
+func (*simple) Reserve(context.Context, time.Time, zinniapond.Plan, zinniapond.Tokens) (zinniapond.Reservation, error) {
+	return zinniapond.Reservation{}, nil
+}
+func (*simple) Settle(time.Time, zinniapond.Reservation, zinniapond.Tokens) {}
+func (*simple) Restore(time.Time, zinniapond.ShardID, zinniapond.Record)    {}
+func (*simple) Drop(zinniapond.ShardID)                                     {}
+func (s *simple) Backends() []zinniapond.Backend                            { return s.servers }
+func (s *simple) Changed() <-chan struct{}                                  { return s.changed }
+
+func (s *simple) Mark(_ time.Time, server netip.AddrPort, _ zinniapond.BackendState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marked = append(s.marked, server)
+}
+
+// detector never sees a decline.
+type detector struct{}
+
+func (detector) Observe(time.Time, string, time.Duration, time.Duration, bool) {}
+func (detector) Declines(time.Time) []zinniapond.Decline                       { return nil }
+
+// control accepts every command.
+type control struct{ commands chan zinniapond.Command }
+
+func (c control) Propose(_ context.Context, _ time.Time, command zinniapond.Command) (zinniapond.CommandResult, error) {
+	c.commands <- command
+	return zinniapond.CommandResult{Accepted: true}, nil
+}
+
+// fixture is an owner of the only shard with two backend servers.
+type fixture struct {
+	owner     *Owner
+	journal   *journal
+	directory *directory
+	client    *client
+	simple    *simple
+	control   control
+}
+
+var (
+	serverA = netip.MustParseAddrPort("127.0.0.1:1001")
+	serverB = netip.MustParseAddrPort("127.0.0.1:1002")
+)
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{
+		journal:   &journal{},
+		directory: &directory{changed: make(chan struct{})},
+		client:    &client{},
+		simple: &simple{changed: make(chan struct{}), servers: []zinniapond.Backend{
+			{Address: serverA, Pool: "yard"}, {Address: serverB, Pool: "yard"},
+		}},
+		control: control{commands: make(chan zinniapond.Command, 8)},
+	}
+	f.owner = &Owner{
+		Settings: &zinniapond.Settings{
+			Host: "host-1", Drain: time.Second, Limits: zinniapond.LimitSettings{Attempt: 2 * time.Second},
+		},
+		Logger: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), Clock: time.Now,
+		Directory: f.directory, Control: f.control, Journal: f.journal, Budget: f.simple, Roster: f.simple,
+		Retrier: f.simple, Detector: detector{}, Leases: f.simple,
+		Clients: map[zinniapond.Kind]zinniapond.BackendClient{
+			zinniapond.KindEngine: f.client, zinniapond.KindService: f.client,
+		},
+		NewPool: func(name zinniapond.PoolName) (*pool.Pool, error) {
+			p := pool.New(name)
+			p.Queue, p.Router, p.Limiter, p.Clock = f.simple, f.simple, f.simple, time.Now
+			return p, nil
+		},
+	}
+	f.owner.life, f.owner.cancel = context.WithCancel(context.Background())
+	f.owner.group = new(errgroup.Group)
+	return f
+}
+
+// start runs the owner and waits until it holds the shard.
+func (f *fixture) start(t *testing.T) {
+	t.Helper()
+	f.directory.assign("host-1", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.owner.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	f.awaitEpoch(t, 1)
+}
+
+func (f *fixture) awaitEpoch(t *testing.T, epoch zinniapond.Epoch) {
+	t.Helper()
+	assert.Eventually(t, 2*time.Second, "the shard is held", func() bool {
+		h, ok := f.owner.holdings.Get(0)
+		if !ok {
+			return false
+		}
+		h.epochLock.RLock()
+		defer h.epochLock.RUnlock()
+		return h.isReady() && h.epoch == epoch
+	})
+}
+
+func (f *fixture) submit(call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return f.owner.Submit(ctx, time.Now(), call, sink)
+}
+
+func newCall(id string) zinniapond.Call {
+	return zinniapond.Call{
+		ID: zinniapond.CallID(id), Key: "key-" + id, Program: "drum-17", Plan: "gold", Customer: "foreman",
+		Kind: zinniapond.KindService, Pool: "yard", Wait: time.Second,
+	}
+}
+
+var errBroken = errors.New("connection broke")
+
+func ok(body string) (zinniapond.Answer, error) {
+	return zinniapond.Answer{Status: 200, Body: []byte(body)}, nil
+}
--- /dev/null
+++ b/internal/program/owner/owner_test.go
@@ -0,0 +1,267 @@
+package owner
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+func checkOutcome(t *testing.T, a zinniapond.Answer, err error, want zinniapond.Outcome, status int) {
+	t.Helper()
+	assert.NoError(t, err)
+	assert.Equal(t, a.Outcome, want)
+	assert.Equal(t, a.Status, status)
+}
+
+func TestAtMostOnce(t *testing.T) {
+	t.Run("guards against sending before the intent is durable", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			assert.True(t, f.journal.has(zinniapond.RecordIntent, "a"), "sent without a durable intent")
+			return ok("released")
+		}
+		f.start(t)
+		a, err := f.submit(newCall("a"), nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeDone, 200)
+		assert.True(t, f.journal.has(zinniapond.RecordResult, "a"), "answered without a durable result")
+	})
+	t.Run("guards against sending when the journal has no majority", func(t *testing.T) {
+		f := newFixture(t)
+		f.journal.fail = zinniapond.ErrNoQuorum
+		f.start(t)
+		_, err := f.submit(newCall("a"), nil)
+		assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
+		assert.Equal(t, f.client.count(), 0)
+	})
+	t.Run("guards against sending under a lapsed lease", func(t *testing.T) {
+		f := newFixture(t)
+		f.start(t)
+		f.directory.mu.Lock()
+		f.directory.stale = true
+		f.directory.mu.Unlock()
+		_, err := f.submit(newCall("a"), nil)
+		assert.ErrorIs(t, err, zinniapond.ErrStale)
+		assert.Equal(t, f.client.count(), 0)
+	})
+	t.Run("guards against sending again after a broken connection", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			return zinniapond.Answer{}, errBroken
+		}
+		f.start(t)
+		a, err := f.submit(newCall("a"), nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeUnknown, 502)
+		a, err = f.submit(newCall("a"), nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeUnknown, 409)
+		assert.Equal(t, f.client.count(), 1)
+	})
+	t.Run("guards against two sends for two requests at once", func(t *testing.T) {
+		f := newFixture(t)
+		release := make(chan struct{})
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			<-release
+			return ok("released")
+		}
+		f.start(t)
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() {
+				a, err := f.submit(newCall("a"), nil)
+				checkOutcome(t, a, err, zinniapond.OutcomeDone, 200)
+				assert.Equal(t, string(a.Body), "released")
+			})
+		}
+		assert.Eventually(t, 2*time.Second, "the call is sent", func() bool { return f.client.count() > 0 })
+		close(release)
+		group.Wait()
+		assert.Equal(t, f.client.count(), 1)
+	})
+	t.Run("guards against giving up when no byte was sent", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(_ context.Context, _ int, server netip.AddrPort, _ zinniapond.Sink) (zinniapond.Answer, error) {
+			if server == serverA {
+				return zinniapond.Answer{}, zinniapond.Wrap("dial", server, zinniapond.ErrNotSent)
+			}
+			return ok("released")
+		}
+		f.start(t)
+		a, err := f.submit(newCall("a"), nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeDone, 200)
+		assert.Equal(t, a.Backend, serverB)
+	})
+	t.Run("guards against work for a server that is leaving", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(_ context.Context, _ int, server netip.AddrPort, _ zinniapond.Sink) (zinniapond.Answer, error) {
+			if server == serverA {
+				return zinniapond.Answer{Status: 503, Fields: []zinniapond.Field{{Name: "X-Leaving", Value: "true"}}}, nil
+			}
+			return ok("released")
+		}
+		f.start(t)
+		a, err := f.submit(newCall("a"), nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeDone, 200)
+		assert.Equal(t, f.simple.marked, []netip.AddrPort{serverA})
+	})
+}
+
+func TestTakeOver(t *testing.T) {
+	t.Run("guards against running an interrupted call again", func(t *testing.T) {
+		f := newFixture(t)
+		call := newCall("a")
+		f.journal.records = []zinniapond.Record{
+			{Kind: zinniapond.RecordOpen, Program: "drum-17", Opened: &zinniapond.Program{ID: "drum-17", Customer: "foreman"}},
+			{Kind: zinniapond.RecordIntent, Program: "drum-17", Call: &call},
+		}
+		f.start(t)
+		a, err := f.submit(call, nil)
+		checkOutcome(t, a, err, zinniapond.OutcomeUnknown, 409)
+		assert.Equal(t, f.client.count(), 0)
+	})
+	t.Run("guards against answering for a shard that was lost", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			f.journal.mu.Lock()
+			f.journal.sealed = 2 // another host has taken over
+			f.journal.mu.Unlock()
+			return ok("released")
+		}
+		f.start(t)
+		_, err := f.submit(newCall("a"), nil)
+		assert.ErrorIs(t, err, zinniapond.ErrNotOwner)
+	})
+	t.Run("guards against losing calls when only the epoch changes", func(t *testing.T) {
+		f := newFixture(t)
+		release := make(chan struct{})
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			<-release
+			return ok("released")
+		}
+		f.start(t)
+		answers := make(chan zinniapond.Answer, 1)
+		go func() {
+			a, err := f.submit(newCall("a"), nil)
+			assert.NoError(t, err)
+			answers <- a
+		}()
+		assert.Eventually(t, 2*time.Second, "the call is sent", func() bool { return f.client.count() > 0 })
+		f.directory.assign("host-1", 2)
+		f.awaitEpoch(t, 2)
+		close(release)
+		assert.Equal(t, (<-answers).Outcome, zinniapond.OutcomeDone)
+	})
+}
+
+func TestHandOver(t *testing.T) {
+	t.Run("guards against moving a shard under a running call", func(t *testing.T) {
+		f := newFixture(t)
+		release := make(chan struct{})
+		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
+			<-release
+			return ok("released")
+		}
+		f.start(t)
+		answers := make(chan error, 1)
+		go func() {
+			_, err := f.submit(newCall("a"), nil)
+			answers <- err
+		}()
+		assert.Eventually(t, 2*time.Second, "the call is sent", func() bool { return f.client.count() > 0 })
+		var reply zinniapond.HandoverReply
+		r := &handover{owner: f.owner}
+		assert.NoError(t, r.Handover(zinniapond.HandoverRequest{Epoch: 1, To: "host-2"}, &reply))
+		assert.True(t, reply.Accepted, "hand-over refused")
+		assert.Equal(t, len(f.control.commands), 0)
+		close(release)
+		assert.NoError(t, <-answers)
+		command := <-f.control.commands
+		assert.Equal(t, command.Assignments[0].Owner, "host-2")
+		assert.Equal(t, command.Assignments[0].Epoch, 2)
+	})
+}
+
+// parts records what a caller sees.
+type parts struct {
+	mu   sync.Mutex
+	body string
+}
+
+func (*parts) Begin(int, []zinniapond.Field) error { return nil }
+
+func (p *parts) Write(part []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.body += string(part)
+	return nil
+}
+
+func (p *parts) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.body
+}
+
+func TestStream(t *testing.T) {
+	streamed := func(id string) zinniapond.Call {
+		c := newCall(id)
+		c.Stream, c.Idempotent = true, true
+		return c
+	}
+	t.Run("guards against showing the end before it is durable", func(t *testing.T) {
+		f := newFixture(t)
+		f.journal.hold = make(chan struct{})
+		f.client.do = func(_ context.Context, _ int, _ netip.AddrPort, sink zinniapond.Sink) (zinniapond.Answer, error) {
+			assert.NoError(t, sink.Begin(200, nil))
+			assert.NoError(t, sink.Write([]byte("one ")))
+			return ok("one end")
+		}
+		f.start(t)
+		var seen parts
+		answers := make(chan error, 1)
+		go func() {
+			_, err := f.submit(streamed("a"), &seen)
+			answers <- err
+		}()
+		assert.Eventually(t, 2*time.Second, "the first part is seen", func() bool { return seen.text() == "one " })
+		close(f.journal.hold)
+		assert.NoError(t, <-answers)
+		assert.Equal(t, seen.text(), "one end")
+	})
+	t.Run("guards against joining two different answers", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(_ context.Context, send int, _ netip.AddrPort, sink zinniapond.Sink) (zinniapond.Answer, error) {
+			assert.NoError(t, sink.Begin(200, nil))
+			if send == 1 {
+				assert.NoError(t, sink.Write([]byte("one ")))
+				return zinniapond.Answer{}, errBroken
+			}
+			return zinniapond.Answer{}, sink.Write([]byte("two "))
+		}
+		f.start(t)
+		var seen parts
+		_, err := f.submit(streamed("a"), &seen)
+		assert.ErrorIs(t, err, zinniapond.ErrBackend)
+		assert.Equal(t, seen.text(), "one ")
+	})
+	t.Run("guards against repeating what the caller has", func(t *testing.T) {
+		f := newFixture(t)
+		f.client.do = func(_ context.Context, send int, _ netip.AddrPort, sink zinniapond.Sink) (zinniapond.Answer, error) {
+			assert.NoError(t, sink.Begin(200, nil))
+			if send == 1 {
+				assert.NoError(t, sink.Write([]byte("one ")))
+				return zinniapond.Answer{}, errBroken
+			}
+			assert.NoError(t, sink.Write([]byte("one two ")))
+			return ok("one two end")
+		}
+		f.start(t)
+		var seen parts
+		_, err := f.submit(streamed("a"), &seen)
+		assert.NoError(t, err)
+		assert.Equal(t, seen.text(), "one two end")
+	})
+}
--- a/internal/test/assert/assert.go
+++ b/internal/test/assert/assert.go
@@ -3,12 +3,17 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strings"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
+// addresses lets cmp compare the address types, whose fields are unexported.
+var addresses = cmpopts.EquateComparable(netip.Addr{}, netip.AddrPort{}, netip.Prefix{})
+
 // TB is the part of testing.TB that the functions use; rapid's T has it too.
 type TB interface {
 	Helper()
@@ -18,7 +23,7 @@
 // Equal fails the test unless got equals want.
 func Equal[T any](t TB, got, want T, options ...cmp.Option) {
 	t.Helper()
-	if diff := cmp.Diff(want, got, options...); diff != "" {
+	if diff := cmp.Diff(want, got, append(options, addresses)...); diff != "" {
 		t.Fatalf("unexpected value (-want +got):\n%s", diff)
 	}
 }
