--- /dev/null
+++ b/internal/journal/store/append.go
@@ -0,0 +1,274 @@
+package store
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"zinniapond.example/zinniapond"
+)
+
+// state returns the standing of a shard. Only the committing goroutine calls
+// it, in a transaction that may change the standing.
+func (s *Store) state(tx *bolt.Tx, shard zinniapond.ShardID) (*standing, error) {
+	if st, ok := s.states[shard]; ok {
+		return st, nil
+	}
+	st, err := loadStanding(tx, shard)
+	if err != nil {
+		return nil, err
+	}
+	s.states[shard] = st
+	return st, nil
+}
+
+func loadStanding(tx *bolt.Tx, shard zinniapond.ShardID) (*standing, error) {
+	st := new(standing)
+	if err := st.decode(shard, tx.Bucket(metaBucket).Get(shardKey(shard))); err != nil {
+		return nil, err
+	}
+	c := tx.Bucket(spanBucket).Cursor()
+	for k, v := c.Seek(shardKey(shard)); k != nil && shardOf(k) == shard; k, v = c.Next() {
+		st.spans = append(st.spans, zinniapond.EpochSpan{
+			First: indexOf(k), Epoch: zinniapond.Epoch(binary.BigEndian.Uint64(v)),
+		})
+	}
+	return st, nil
+}
+
+func saveStanding(tx *bolt.Tx, shard zinniapond.ShardID, st *standing) error {
+	return tx.Bucket(metaBucket).Put(shardKey(shard), st.encode(shard))
+}
+
+// Seal promises to refuse appends of smaller epochs and answers with the end of
+// the replica's log, once the promise is synced. An epoch is promised once, so
+// that of two writers that ask for the same epoch only one gets a majority.
+func (s *Store) Seal(request *zinniapond.SealRequest, reply *zinniapond.SealReply) error {
+	return s.submit(func(tx *bolt.Tx) error {
+		st, err := s.state(tx, request.Shard)
+		if err != nil {
+			return err
+		}
+		form := request.Form && request.Epoch == st.promised && st.last == 0
+		if form || request.Epoch > st.promised {
+			reply.Accepted = true
+			st.promised = request.Epoch
+			st.voting = st.voting || form
+			if err := saveStanding(tx, request.Shard, st); err != nil {
+				return err
+			}
+		}
+		reply.Promised = st.promised
+		reply.First = min(1, st.last)
+		reply.Last = st.last
+		reply.LastEpoch = st.epochAt(st.last)
+		reply.Voting = st.voting
+		reply.Spans = append([]zinniapond.EpochSpan(nil), st.spans...)
+		return nil
+	})
+}
+
+// Append adds entries to a replica and answers once they are synced.
+func (s *Store) Append(request *zinniapond.AppendRequest, reply *zinniapond.AppendReply) error {
+	// Encoding happens before the transaction, in the caller's goroutine.
+	values := make([][]byte, len(request.Entries))
+	at := request.PrevIndex
+	for i, e := range request.Entries {
+		if e.Index <= at || e.Index > request.Last || e.Epoch > request.Epoch {
+			return fmt.Errorf("append to journal shard %d: entry %d is out of order: %w",
+				request.Shard, e.Index, zinniapond.ErrMalformed)
+		}
+		at = e.Index
+		var err error
+		if values[i], err = encodeEntry(request.Shard, e); err != nil {
+			return fmt.Errorf("append to journal shard %d: %w", request.Shard, err)
+		}
+	}
+	now := s.Clock()
+	var refused error
+	err := s.submit(func(tx *bolt.Tx) error {
+		st, err := s.state(tx, request.Shard)
+		if err != nil {
+			return err
+		}
+		defer func() { reply.Promised, reply.Voting = st.promised, st.voting }()
+		if request.Epoch < st.promised {
+			reply.Last = st.last
+			return nil
+		}
+		if agreed, ok := st.agrees(request.PrevIndex, request.PrevEpoch); !ok {
+			reply.Last = agreed
+			st.promised = request.Epoch
+			return saveStanding(tx, request.Shard, st)
+		}
+		cut, conflict := st.conflict(request)
+		if conflict && cut <= st.commit {
+			refused = fmt.Errorf("append to journal shard %d: entry %d is committed and differs: %w",
+				request.Shard, cut, zinniapond.ErrCorrupt)
+			return nil
+		}
+		if conflict {
+			if err := truncate(tx, request.Shard, st, cut); err != nil {
+				return err
+			}
+		}
+		for i, e := range request.Entries {
+			if e.Index <= st.last {
+				continue
+			}
+			if err := put(tx, now, request.Shard, st, e, values[i]); err != nil {
+				return err
+			}
+		}
+		st.promised = request.Epoch
+		st.last = max(st.last, request.Last)
+		st.commit = max(st.commit, min(request.Commit, request.Last))
+		st.voting = st.voting || request.Vote
+		reply.Accepted = true
+		reply.Last = request.Last
+		return saveStanding(tx, request.Shard, st)
+	})
+	if err != nil {
+		return err
+	}
+	return refused
+}
+
+// agrees tells whether the log has index under epoch. If not, it returns the
+// last index that may still agree.
+func (st *standing) agrees(index zinniapond.Index, epoch zinniapond.Epoch) (zinniapond.Index, bool) {
+	if index > st.last {
+		return st.last, false
+	}
+	if st.epochAt(index) == epoch {
+		return index, true
+	}
+	// The whole span was written by another owner than the sender's.
+	return st.spans[st.span(index)].First - 1, false
+}
+
+// conflict returns the first index that the replica holds under another epoch
+// than the request. The first entry of an epoch is never removed, so an index
+// without an entry has the epoch of the entry before it.
+func (st *standing) conflict(request *zinniapond.AppendRequest) (zinniapond.Index, bool) {
+	from, epoch := request.PrevIndex+1, request.PrevEpoch
+	for _, e := range request.Entries {
+		if i, ok := st.other(from, e.Index-1, epoch); ok {
+			return i, true
+		}
+		from, epoch = e.Index, e.Epoch
+	}
+	return st.other(from, request.Last, epoch)
+}
+
+// put adds one entry after the end of the log.
+func put(tx *bolt.Tx, now time.Time, shard zinniapond.ShardID, st *standing, entry zinniapond.JournalEntry, value []byte) error {
+	key := indexKey(shard, entry.Index)
+	b := tx.Bucket(logBucket)
+	if err := b.Put(key, value); err != nil {
+		return err
+	}
+	if len(st.spans) == 0 || st.spans[len(st.spans)-1].Epoch != entry.Epoch {
+		epoch := binary.BigEndian.AppendUint64(nil, uint64(entry.Epoch))
+		if err := tx.Bucket(spanBucket).Put(key, epoch); err != nil {
+			return err
+		}
+		st.spans = append(st.spans, zinniapond.EpochSpan{Epoch: entry.Epoch, First: entry.Index})
+	}
+	st.last = entry.Index
+	if entry.Kind == zinniapond.RecordEnd || entry.Kind == zinniapond.RecordGrant {
+		if err := tx.Bucket(dueBucket).Put(dueKey(now, shard, entry.Index), nil); err != nil {
+			return err
+		}
+	}
+	if entry.Program == "" {
+		return nil
+	}
+	if err := mark(tx, shard, entry.Program, entry.Kind); err != nil {
+		return err
+	}
+	return tx.Bucket(stepBucket).Put(stepKey(shard, entry.Program, entry.Index), nil)
+}
+
+// mark keeps the set of programs that have not ended. A record that comes after
+// the end does not make the program live again, unless it opens it.
+func mark(tx *bolt.Tx, shard zinniapond.ShardID, program zinniapond.ProgramID, kind zinniapond.RecordKind) error {
+	live, key := tx.Bucket(liveBucket), programKey(shard, program)
+	switch kind {
+	case zinniapond.RecordOpen:
+		return live.Put(key, nil)
+	case zinniapond.RecordEnd:
+		return live.Delete(key)
+	}
+	if first, _ := tx.Bucket(stepBucket).Cursor().Seek(key); first != nil && hasPrefix(first, key) {
+		return nil
+	}
+	return live.Put(key, nil)
+}
+
+// truncate removes the entries from index on, which another owner wrote and no
+// majority holds.
+func truncate(tx *bolt.Tx, shard zinniapond.ShardID, st *standing, index zinniapond.Index) error {
+	programs := make(map[zinniapond.ProgramID]bool)
+	c := tx.Bucket(logBucket).Cursor()
+	var keys [][]byte
+	for k, v := c.Seek(indexKey(shard, index)); k != nil && shardOf(k) == shard; k, v = c.Next() {
+		_, program, err := peekEntry(k, v)
+		if err != nil {
+			return err
+		}
+		programs[zinniapond.ProgramID(program)] = true
+		keys = append(keys, append([]byte(nil), k...))
+		if len(program) == 0 {
+			continue
+		}
+		if err := tx.Bucket(stepBucket).Delete(stepKey(shard, zinniapond.ProgramID(program), indexOf(k))); err != nil {
+			return err
+		}
+	}
+	for _, k := range keys {
+		if err := tx.Bucket(logBucket).Delete(k); err != nil {
+			return err
+		}
+	}
+	for len(st.spans) > 0 && st.spans[len(st.spans)-1].First >= index {
+		first := st.spans[len(st.spans)-1].First
+		if err := tx.Bucket(spanBucket).Delete(indexKey(shard, first)); err != nil {
+			return err
+		}
+		st.spans = st.spans[:len(st.spans)-1]
+	}
+	st.last = index - 1
+	for p := range programs {
+		if err := remark(tx, shard, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// remark finds out from its remaining entries whether a program has ended.
+func remark(tx *bolt.Tx, shard zinniapond.ShardID, program zinniapond.ProgramID) error {
+	if program == "" {
+		return nil
+	}
+	prefix := programKey(shard, program)
+	var live bool
+	c := tx.Bucket(stepBucket).Cursor()
+	first := true
+	for k, _ := c.Seek(prefix); k != nil && hasPrefix(k, prefix); k, _ = c.Next() {
+		key := indexKey(shard, indexOf(k))
+		kind, _, err := peekEntry(key, tx.Bucket(logBucket).Get(key))
+		if err != nil {
+			return err
+		}
+		live = kind == zinniapond.RecordOpen || kind != zinniapond.RecordEnd && (first || live)
+		first = false
+	}
+	if live {
+		return tx.Bucket(liveBucket).Put(prefix, nil)
+	}
+	return tx.Bucket(liveBucket).Delete(prefix)
+}
--- /dev/null
+++ b/internal/journal/store/keep.go
@@ -0,0 +1,187 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	bolt "go.etcd.io/bbolt"
+
+	"zinniapond.example/zinniapond"
+)
+
+// sweepEntries bounds the removals in one transaction, so that appends wait
+// only briefly for it.
+const sweepEntries = 2000
+
+func dueKey(at time.Time, shard zinniapond.ShardID, index zinniapond.Index) []byte {
+	key := binary.BigEndian.AppendUint64(nil, uint64(at.UnixNano())) //nolint:gosec // after 1970.
+	return append(key, indexKey(shard, index)...)
+}
+
+// Compact removes the records of programs that ended, and the grants that were
+// over, more than the retention ago. Only committed records are removed. It is
+// called by Run, or instead of it.
+func (s *Store) Compact(now time.Time) error {
+	more := true
+	for more {
+		err := s.db.Update(func(tx *bolt.Tx) error {
+			var err error
+			more, err = s.compact(tx, now)
+			return err
+		})
+		if err != nil {
+			return fmt.Errorf("compact journal: %w", err)
+		}
+	}
+	return nil
+}
+
+func (s *Store) compact(tx *bolt.Tx, now time.Time) (bool, error) {
+	end := dueKey(now.Add(-s.Retention), 0, 0)
+	var keys [][]byte
+	c := tx.Bucket(dueBucket).Cursor()
+	for k, _ := c.First(); k != nil && string(k) < string(end) && len(keys) < sweepEntries; k, _ = c.Next() {
+		keys = append(keys, append([]byte(nil), k...))
+	}
+	removed := 0
+	for _, k := range keys {
+		if removed >= sweepEntries {
+			return true, nil
+		}
+		if err := tx.Bucket(dueBucket).Delete(k); err != nil {
+			return false, err
+		}
+		at := time.Unix(0, int64(binary.BigEndian.Uint64(k))) //nolint:gosec // written by dueKey.
+		n, err := s.expire(tx, now, at, shardOf(k[8:]), indexOf(k))
+		if err != nil {
+			return false, err
+		}
+		removed += n
+	}
+	return len(keys) == sweepEntries, nil
+}
+
+// expire removes what the entry at index allows to remove. An entry that is not
+// committed yet or that has to stay longer gets a later due mark.
+func (s *Store) expire(tx *bolt.Tx, now, at time.Time, shard zinniapond.ShardID, index zinniapond.Index) (int, error) {
+	st, err := s.state(tx, shard)
+	if err != nil {
+		return 0, err
+	}
+	key := indexKey(shard, index)
+	value := tx.Bucket(logBucket).Get(key)
+	if value == nil {
+		return 0, nil // truncated since
+	}
+	if index > st.commit {
+		later := now.Add(s.sweep() - s.Retention)
+		return 0, tx.Bucket(dueBucket).Put(dueKey(later, shard, index), nil)
+	}
+	e, err := decodeEntry(key, value)
+	if errors.Is(err, zinniapond.ErrCorrupt) {
+		s.Logger.Error("damaged journal record", "shard", shard, "err", err)
+		return 0, s.drop(tx, shard)
+	}
+	if err != nil {
+		return 0, err
+	}
+	switch e.Kind {
+	case zinniapond.RecordGrant:
+		var r zinniapond.Record
+		if err := cbor.Unmarshal(e.Data, &r); err == nil && r.Grant != nil && now.Sub(at) < r.Grant.Left {
+			// The window is longer than the retention.
+			later := at.Add(r.Grant.Left - s.Retention)
+			return 0, tx.Bucket(dueBucket).Put(dueKey(later, shard, index), nil)
+		}
+		return 1, tx.Bucket(logBucket).Delete(key)
+	case zinniapond.RecordEnd:
+		return removeProgram(tx, shard, e.Program, index)
+	}
+	return 0, nil // truncated and overwritten since
+}
+
+// removeProgram removes the records of an ended program. If it was opened
+// again, its records after the end at index stay.
+func removeProgram(tx *bolt.Tx, shard zinniapond.ShardID, program zinniapond.ProgramID, index zinniapond.Index) (int, error) {
+	prefix := programKey(shard, program)
+	l, _ := tx.Bucket(liveBucket).Cursor().Seek(prefix)
+	live := string(l) == string(prefix)
+	var steps [][]byte
+	c := tx.Bucket(stepBucket).Cursor()
+	for k, _ := c.Seek(prefix); k != nil && hasPrefix(k, prefix); k, _ = c.Next() {
+		if live && indexOf(k) > index {
+			break
+		}
+		steps = append(steps, append([]byte(nil), k...))
+	}
+	for _, k := range steps {
+		if err := tx.Bucket(stepBucket).Delete(k); err != nil {
+			return 0, err
+		}
+		if err := tx.Bucket(logBucket).Delete(indexKey(shard, indexOf(k))); err != nil {
+			return 0, err
+		}
+	}
+	return len(steps), nil
+}
+
+// check reads every record and drops the shards with damaged ones.
+func (s *Store) check() error {
+	broken := make(map[zinniapond.ShardID]bool)
+	err := s.db.View(func(tx *bolt.Tx) error {
+		c := tx.Bucket(metaBucket).Cursor()
+		for k, v := c.First(); k != nil; k, v = c.Next() {
+			if err := new(standing).decode(shardOf(k), v); err != nil {
+				s.Logger.Error("damaged journal shard", "shard", shardOf(k), "err", err)
+				broken[shardOf(k)] = true
+			}
+		}
+		c = tx.Bucket(logBucket).Cursor()
+		for k, v := c.First(); k != nil; k, v = c.Next() {
+			if broken[shardOf(k)] {
+				continue
+			}
+			if _, err := decodeEntry(k, v); err != nil {
+				s.Logger.Error("damaged journal record", "shard", shardOf(k), "err", err)
+				broken[shardOf(k)] = true
+			}
+		}
+		return nil
+	})
+	if err != nil || len(broken) == 0 {
+		return err
+	}
+	return s.db.Update(func(tx *bolt.Tx) error {
+		for shard := range broken {
+			if err := s.drop(tx, shard); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// drop removes a shard's log. The promise stays, unless it was damaged too; the
+// replica no longer counts, as one whose disk was lost.
+func (s *Store) drop(tx *bolt.Tx, shard zinniapond.ShardID) error {
+	st := new(standing)
+	if err := st.decode(shard, tx.Bucket(metaBucket).Get(shardKey(shard))); err != nil {
+		st = new(standing)
+	}
+	for _, b := range [][]byte{spanBucket, logBucket, stepBucket, liveBucket} {
+		c := tx.Bucket(b).Cursor()
+		prefix := shardKey(shard)
+		for k, _ := c.Seek(prefix); k != nil && shardOf(k) == shard; k, _ = c.Seek(prefix) {
+			if err := tx.Bucket(b).Delete(k); err != nil {
+				return err
+			}
+		}
+	}
+	next := &standing{promised: st.promised}
+	s.states[shard] = next
+	s.Logger.Warn("journal shard dropped, to be copied from its peers", "shard", shard)
+	return saveStanding(tx, shard, next)
+}
--- a/messages.go
+++ b/messages.go
@@ -171,20 +171,38 @@
 	PrevEpoch Epoch          `cbor:"pe"`
 	Commit    Index          `cbor:"c"`
 	Entries   []JournalEntry `cbor:"en"`
+	// Last is the last index that the request covers. Indexes up to it that
+	// have no entry were removed after the retention.
+	Last Index `cbor:"l"`
+	// Vote tells a replica that it now holds the whole log and counts.
+	Vote bool `cbor:"v,omitempty"`
 }
 
 // AppendReply answers an AppendRequest once the entries are synced.
 type AppendReply struct {
 	Accepted bool  `cbor:"ok"`
 	Promised Epoch `cbor:"e"` // the greatest epoch the replica has promised
-	Last     Index `cbor:"l"` // last index the replica holds
+	// Last is the last index the replica holds, or, if it was not accepted, the
+	// last one that may agree with the sender's log.
+	Last   Index `cbor:"l"`
+	Voting bool  `cbor:"v"` // the replica counts towards a majority
 }
 
-// SealRequest makes a replica refuse epochs below Epoch.
+// EpochSpan tells the first index that was written under an epoch.
+type EpochSpan struct {
+	Epoch Epoch `cbor:"e"`
+	First Index `cbor:"f"`
+}
+
+// SealRequest makes a replica refuse epochs up to Epoch, except for appends of
+// its sender.
 type SealRequest struct {
 	Sender HostName `cbor:"s"`
 	Shard  ShardID  `cbor:"sh"`
 	Epoch  Epoch    `cbor:"e"`
+	// Form makes an empty replica count. It is sent when all replicas of a
+	// shard are empty.
+	Form bool `cbor:"fo,omitempty"`
 }
 
 // SealReply answers a SealRequest once the promise is synced.
@@ -194,6 +212,10 @@
 	First     Index `cbor:"f"` // first index still held
 	Last      Index `cbor:"l"`
 	LastEpoch Epoch `cbor:"le"`
+	// Voting is false on a replica that has lost its disk or never held the
+	// whole log. It does not count towards a majority.
+	Voting bool        `cbor:"v"`
+	Spans  []EpochSpan `cbor:"sp,omitempty"`
 }
 
 // ReadRequest asks a replica for entries of a shard, or of one program.
@@ -209,6 +231,10 @@
 type ReadReply struct {
 	Entries []JournalEntry `cbor:"e"`
 	Next    Index          `cbor:"n"` // where to go on; 0 at the end
+	// The standing of the replica at the moment of the read.
+	Promised Epoch `cbor:"pr"`
+	Last     Index `cbor:"l"`
+	Voting   bool  `cbor:"v"`
 }
 
 // GrantRequest asks a plan's home for a part of its budget.
