--- /dev/null
+++ b/internal/policy/fifo/fifo.go
@@ -0,0 +1,102 @@
+// Package fifo orders waiting calls by arrival. It is the baseline for fair.
+package fifo
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+)
+
+// asked bounds the calls that one Pop offers.
+const asked = 8
+
+func init() {
+	kernel.Register[zinniapond.Queue]("fifo", func(*kernel.Kernel) (zinniapond.Queue, error) {
+		return &Queue{}, nil
+	})
+}
+
+// Queue orders calls by arrival. Its zero value is ready for use.
+type Queue struct {
+	mu    sync.Mutex
+	order list.List // of zinniapond.Waiting
+	calls map[zinniapond.CallID]*list.Element
+}
+
+var _ zinniapond.Queue = (*Queue)(nil)
+
+// Push adds a call. A call that already waits is not added again.
+func (q *Queue) Push(_ time.Time, waiting zinniapond.Waiting) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.calls == nil {
+		q.calls = make(map[zinniapond.CallID]*list.Element)
+	}
+	if _, ok := q.calls[waiting.Call]; !ok {
+		q.calls[waiting.Call] = q.order.PushBack(waiting)
+	}
+}
+
+// Pop removes the first call in order that admit takes.
+func (q *Queue) Pop(_ time.Time, admit func(zinniapond.Waiting) bool) (zinniapond.Waiting, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.order.Front()
+	for i := 0; e != nil && i < asked; i++ {
+		if w := e.Value.(zinniapond.Waiting); admit(w) {
+			q.drop(e)
+			return w, true
+		}
+		e = e.Next()
+	}
+	return zinniapond.Waiting{}, false
+}
+
+// Remove takes a call out.
+func (q *Queue) Remove(call zinniapond.CallID) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e, ok := q.calls[call]
+	if ok {
+		q.drop(e)
+	}
+	return ok
+}
+
+// Expire removes the calls whose Until has passed.
+func (q *Queue) Expire(now time.Time) []zinniapond.Waiting {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var over []zinniapond.Waiting
+	for e := q.order.Front(); e != nil; {
+		next := e.Next()
+		if w := e.Value.(zinniapond.Waiting); !w.Until.IsZero() && !w.Until.After(now) {
+			q.drop(e)
+			over = append(over, w)
+		}
+		e = next
+	}
+	return over
+}
+
+// Charge does nothing: the order does not depend on received service.
+func (q *Queue) Charge(time.Time, zinniapond.PlanName, zinniapond.ProgramID, int, zinniapond.Tokens) {
+}
+
+// Forget does nothing: nothing is kept for programs.
+func (q *Queue) Forget(zinniapond.ProgramID) {}
+
+// Len returns the number of waiting calls.
+func (q *Queue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.calls)
+}
+
+func (q *Queue) drop(e *list.Element) {
+	delete(q.calls, e.Value.(zinniapond.Waiting).Call)
+	q.order.Remove(e)
+}
--- /dev/null
+++ b/internal/policy/least/least.go
@@ -0,0 +1,92 @@
+// Package least chooses the backend server with the fewest of this host's own
+// requests in flight. It is a baseline for prefix.
+package least
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+)
+
+func init() {
+	kernel.Register[zinniapond.Router]("least", func(*kernel.Kernel) (zinniapond.Router, error) {
+		return &Router{}, nil
+	})
+}
+
+// Router chooses the server with the fewest requests in flight. Its zero value
+// is ready for use.
+type Router struct {
+	mu      sync.Mutex
+	servers []zinniapond.Backend
+	flying  map[netip.AddrPort]int
+}
+
+var _ zinniapond.Router = (*Router)(nil)
+
+// Update sets the servers that may receive new work.
+func (r *Router) Update(_ time.Time, servers []zinniapond.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers = slices.Clone(servers)
+}
+
+// Pick returns the free server with the fewest requests in flight. The search
+// starts at a place given by the call, so that hosts with equal counts do not
+// all choose the first server.
+func (r *Router) Pick(_ time.Time, need zinniapond.Need, free func(netip.AddrPort) bool) (zinniapond.Choice, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := uint64(len(r.servers))
+	if count == 0 {
+		return zinniapond.Choice{}, false
+	}
+	start := xxhash.Sum64String(string(need.Call)) % count
+	var best netip.AddrPort
+	for i := range count {
+		a := r.servers[(start+i)%count].Address
+		if slices.Contains(need.Exclude, a) || !free(a) {
+			continue
+		}
+		if !best.IsValid() || r.flying[a] < r.flying[best] {
+			best = a
+		}
+	}
+	return zinniapond.Choice{Backend: best, Reason: "fewest in flight"}, best.IsValid()
+}
+
+// Started counts a request in flight.
+func (r *Router) Started(_ time.Time, server netip.AddrPort, _ zinniapond.Need) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.flying == nil {
+		r.flying = make(map[netip.AddrPort]int)
+	}
+	r.flying[server]++
+}
+
+// Finished ends a request in flight.
+func (r *Router) Finished(_ time.Time, server netip.AddrPort, _ zinniapond.Need, _ zinniapond.Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.flying[server] > 1 {
+		r.flying[server]--
+	} else {
+		delete(r.flying, server)
+	}
+}
+
+// Report does nothing: only own requests count.
+func (r *Router) Report(time.Time, zinniapond.LoadReport) {}
+
+// Event does nothing: the choice does not depend on caches.
+func (r *Router) Event(time.Time, zinniapond.CacheEvent) {}
+
+// Estimate returns zero: no latency is observed.
+func (r *Router) Estimate(zinniapond.Need) time.Duration { return 0 }
