--- a/internal/policy/cache/cache.go
+++ b/internal/policy/cache/cache.go
@@ -86,22 +86,23 @@
 			change = -p.pins[at].Tokens
 			p.pins = slices.Delete(p.pins, at, at+1)
 		}
+		// What other servers hold is out of date with this call's answer.
+		for i := range p.pins {
+			p.pins[i].Expires = earlier(p.pins[i].Expires, now.Add(shortest))
+			l.remind(p.pins[i])
+		}
 		pause := l.expect(p.pause)
 		if pause >= worth || held <= 0 {
 			return
 		}
 		until = now.Add(max(min(patience*pause, worth), shortest))
-		p.pins = append(p.pins, zinniapond.Pin{Program: id, Backend: address, Tokens: held, Expires: until})
+		pin := zinniapond.Pin{Program: id, Backend: address, Tokens: held, Expires: until}
+		p.pins = append(p.pins, pin)
+		l.remind(pin)
 		change += held
 	})
 	l.hold(address, change)
-	if until.IsZero() {
-		return time.Time{}, false
-	}
-	l.mu.Lock()
-	l.due.add(expiry{at: until, program: id})
-	l.mu.Unlock()
-	return until, true
+	return until, !until.IsZero()
 }
 
 // Returned learns from the length of the pause. The pins outlast the call that
@@ -116,11 +117,11 @@
 		p.paused = time.Time{}
 		follow(&p.pause, pause)
 		l.mu.Lock()
-		defer l.mu.Unlock()
 		follow(&l.pause, pause)
+		l.mu.Unlock()
 		for i := range p.pins {
 			p.pins[i].Expires = now.Add(running)
-			l.due.add(expiry{at: p.pins[i].Expires, program: id})
+			l.remind(p.pins[i])
 		}
 	})
 }
@@ -224,6 +225,20 @@
 	return max(l.pause, time.Second)
 }
 
+// remind notes when to look at a pin again.
+func (l *Leases) remind(pin zinniapond.Pin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.due.add(expiry{at: pin.Expires, program: pin.Program})
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (l *Leases) hold(address netip.AddrPort, change zinniapond.Tokens) {
 	l.servers.Do(address, func(values map[netip.AddrPort]*server) {
 		of(values, address).held += change
--- /dev/null
+++ b/internal/policy/fair/fair_test.go
@@ -0,0 +1,188 @@
+package fair
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func any1(zinniapond.Waiting) bool { return true }
+
+func wait(id int, plan zinniapond.PlanName, class zinniapond.Class, weight int, at time.Time) zinniapond.Waiting {
+	return zinniapond.Waiting{
+		Call: zinniapond.CallID(fmt.Sprint("call-", id)), Program: zinniapond.ProgramID(fmt.Sprint("program-", id)),
+		Plan: plan, Weight: weight, Class: class, Cost: 100, Arrived: at, Until: at.Add(time.Hour),
+	}
+}
+
+func pop(t *testing.T, q *Queue, now time.Time) zinniapond.Waiting {
+	t.Helper()
+	w, ok := q.Pop(now, any1)
+	assert.True(t, ok, "queue is empty")
+	return w
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("guards against short urgent calls waiting behind batch work", func(t *testing.T) {
+		q := &Queue{}
+		for i := range 100 {
+			q.Push(begin, wait(i, "nightly", zinniapond.ClassBatch, 1, begin))
+		}
+		q.Push(begin, wait(100, "yard", zinniapond.ClassInteractive, 1, begin))
+		assert.Equal(t, pop(t, q, begin).Plan, "yard")
+	})
+	t.Run("guards against a straggler going before a new program of its plan", func(t *testing.T) {
+		q := &Queue{}
+		q.Charge(begin, "yard", "program-1", 1, 50_000)
+		q.Push(begin, wait(1, "yard", 0, 1, begin))
+		q.Push(begin, wait(2, "yard", 0, 1, begin.Add(time.Second)))
+		assert.Equal(t, pop(t, q, begin.Add(time.Second)).Program, "program-2")
+	})
+	t.Run("guards against a straggler that never finishes", func(t *testing.T) {
+		q := &Queue{}
+		q.Push(begin, wait(0, "yard", zinniapond.ClassInteractive, 1, begin))
+		q.Charge(begin, "yard", "program-0", 1, 1_000_000)
+		now := begin
+		for i := 1; ; i++ {
+			now = now.Add(100 * time.Millisecond)
+			q.Push(now, wait(i, "yard", zinniapond.ClassInteractive, 1, now))
+			if pop(t, q, now).Program == "program-0" {
+				break
+			}
+			assert.True(t, now.Sub(begin) <= ageing+time.Second, "straggler still waits after %s", now.Sub(begin))
+		}
+	})
+	t.Run("guards against asking admit about every waiting call", func(t *testing.T) {
+		q := &Queue{}
+		for i := range 100 {
+			q.Push(begin, wait(i, "yard", 0, 1, begin))
+		}
+		count := 0
+		_, ok := q.Pop(begin, func(zinniapond.Waiting) bool { count++; return false })
+		assert.True(t, !ok && count == asked, "asked %d times", count)
+		assert.Equal(t, q.Len(), 100)
+		assert.Equal(t, pop(t, q, begin).Call, "call-0")
+	})
+	t.Run("guards against memory kept for ended programs", func(t *testing.T) {
+		q := &Queue{}
+		for i := range 10 {
+			q.Push(begin, wait(i, "yard", 0, 1, begin))
+			w := pop(t, q, begin)
+			if i%2 == 0 {
+				q.Forget(w.Program)
+				q.Charge(begin, w.Plan, w.Program, 1, 10)
+			} else {
+				q.Charge(begin, w.Plan, w.Program, 1, 10)
+				q.Forget(w.Program)
+			}
+		}
+		assert.Equal(t, len(q.programs), 0)
+	})
+}
+
+func TestShares(t *testing.T) {
+	weights := map[zinniapond.PlanName]int{"small": 1, "middle": 3, "large": 6}
+	q := &Queue{}
+	served := map[zinniapond.PlanName]float64{}
+	id, total := 0, 0.0
+	fill := func(plan zinniapond.PlanName) {
+		id++
+		w := wait(id, plan, zinniapond.ClassStandard, weights[plan], begin)
+		w.Cost = zinniapond.Tokens(50 + id%7*40)
+		q.Push(begin, w)
+	}
+	for range 20 {
+		for _, p := range []zinniapond.PlanName{"small", "middle", "large"} {
+			fill(p)
+		}
+	}
+	for range 3000 {
+		w := pop(t, q, begin)
+		real := w.Cost + zinniapond.Tokens(id%3*50) // the estimate is too low
+		q.Charge(begin, w.Plan, w.Program, w.Weight, real)
+		q.Forget(w.Program)
+		served[w.Plan] += float64(real)
+		total += float64(real)
+		fill(w.Plan)
+	}
+	t.Run("guards against a plan taking more than its share", func(t *testing.T) {
+		for p, w := range weights {
+			share, due := served[p]/total, float64(w)/10
+			assert.True(t, share > due*0.95 && share < due*1.05, "%s has %.3f of the service, is due %.3f", p, share, due)
+		}
+	})
+}
+
+// TestOracle compares the queue with a plain list of what waits.
+func TestOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := &Queue{}
+		now, next := begin, 0
+		waits := map[zinniapond.CallID]zinniapond.Waiting{}
+		take := func(w zinniapond.Waiting) {
+			_, ok := waits[w.Call]
+			assert.True(t, ok, "%s came out twice or was never put in", w.Call)
+			delete(waits, w.Call)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				w := wait(next, zinniapond.PlanName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "plan")),
+					zinniapond.Class(rapid.IntRange(0, 2).Draw(t, "class")), 1, now)
+				w.Program = zinniapond.ProgramID(string(w.Plan) + fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "program")))
+				w.Until = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "until")) * time.Second)
+				q.Push(now, w)
+				q.Push(now, w) // again: must not be doubled
+				waits[w.Call] = w
+			},
+			"pop": func(t *rapid.T) {
+				refuse := rapid.IntRange(0, asked).Draw(t, "refuse")
+				w, ok := q.Pop(now, func(zinniapond.Waiting) bool { refuse--; return refuse < 0 })
+				if ok {
+					// Past ageing, the oldest of a plan is served first.
+					for _, o := range waits {
+						if o.Plan == w.Plan && now.Sub(o.Arrived) > ageing*time.Duration(levels)+time.Second {
+							assert.True(t, refuse < -1 || !w.Arrived.After(o.Arrived) || now.Sub(w.Arrived) >= ageing, "%s passed over %s", w.Call, o.Call)
+						}
+					}
+					take(w)
+					if rapid.Bool().Draw(t, "charge") {
+						q.Charge(now, w.Plan, w.Program, w.Weight, zinniapond.Tokens(rapid.IntRange(0, 500).Draw(t, "served")))
+					}
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := zinniapond.CallID(fmt.Sprint("call-", rapid.IntRange(1, next+1).Draw(t, "id")))
+				_, ok := waits[id]
+				assert.Equal(t, q.Remove(id), ok)
+				delete(waits, id)
+			},
+			"forget": func(t *rapid.T) {
+				q.Forget(zinniapond.ProgramID(rapid.SampledFrom([]string{"a0", "b1", "c2"}).Draw(t, "program")))
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "seconds")) * time.Second)
+				for _, w := range q.Expire(now) {
+					assert.True(t, !w.Until.After(now), "%s expired early", w.Call)
+					take(w)
+				}
+				for _, w := range waits {
+					assert.True(t, w.Until.After(now), "%s did not expire", w.Call)
+				}
+			},
+			"": func(t *rapid.T) { assert.Equal(t, q.Len(), len(waits)) },
+		})
+		for len(waits) > 0 {
+			w, ok := q.Pop(now, any1)
+			assert.True(t, ok, "%d calls lost", len(waits))
+			take(w)
+		}
+	})
+}
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -36,7 +36,7 @@
 	address    netip.AddrPort
 	dataCentre zinniapond.DataCentre
 
-	listed     atomic.Bool // may receive new work
+	listed atomic.Bool // may receive new work
 
 	mu      sync.Mutex
 	flights []flight
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// finish runs the engine until the attempts have ended and returns their ends.
+func finish(s *Server, now time.Time, until time.Time) map[zinniapond.AttemptID]time.Duration {
+	ends := map[zinniapond.AttemptID]time.Duration{}
+	s.Advance(until, func(at time.Time, a zinniapond.AttemptID, _ zinniapond.Usage, ended bool) {
+		if ended {
+			ends[a] = at.Sub(now)
+		}
+	})
+	return ends
+}
+
+func TestModel(t *testing.T) {
+	need := zinniapond.Need{Program: "p", Prompt: 800, Most: 60, Prefix: []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}}
+	t.Run("guards against a wrong speed", func(t *testing.T) {
+		s := &Server{Knee: 1e9}
+		s.Begin(begin, "a", need)
+		took := finish(s, begin, begin.Add(time.Minute))["a"]
+		assert.True(t, took > 1090*time.Millisecond && took < 1110*time.Millisecond, "took %s", took)
+	})
+	t.Run("guards against a slowed server that is not slow", func(t *testing.T) {
+		s := &Server{Knee: 1e9}
+		s.Set(begin, 10, false, false)
+		s.Begin(begin, "a", need)
+		took := finish(s, begin, begin.Add(time.Minute))["a"]
+		assert.True(t, took > 10900*time.Millisecond && took < 11100*time.Millisecond, "took %s", took)
+	})
+	t.Run("guards against urgent requests waiting behind others", func(t *testing.T) {
+		s := &Server{Slots: 1}
+		for i, class := range []zinniapond.Class{2, 2, 0} {
+			n := need
+			n.Class = class
+			s.Begin(begin, zinniapond.AttemptID(fmt.Sprint(i)), n)
+		}
+		ends := finish(s, begin, begin.Add(time.Minute))
+		assert.True(t, ends["0"] < ends["2"] && ends["2"] < ends["1"], "ends %v", ends)
+	})
+	t.Run("guards against an unlimited cache and unseen evictions", func(t *testing.T) {
+		s := &Server{Memory: 10 * blockTokens, Lag: time.Second}
+		for i := range 3 {
+			n := need
+			n.Program = zinniapond.ProgramID(fmt.Sprint("p", i))
+			n.Prefix = []uint64{uint64(10 * i), uint64(10*i + 1), uint64(10*i + 2), uint64(10*i + 3), uint64(10*i + 4)}
+			s.Begin(begin.Add(time.Duration(i)*time.Minute), zinniapond.AttemptID(fmt.Sprint(i)), n)
+			finish(s, begin, begin.Add(time.Duration(i+1)*time.Minute))
+		}
+		assert.Equal(t, s.Held("p0"), 0)
+		assert.Equal(t, s.Held("p2"), 5*blockTokens)
+		events := s.Events(begin.Add(time.Hour), 16)
+		assert.Equal(t, len(events), 5) // 15 blocks added, then 5 dropped
+		assert.True(t, events[0].Dropped, "no eviction told")
+		s.Release(begin.Add(time.Hour), "p2")
+		assert.Equal(t, s.Held("p2"), 0)
+	})
+	t.Run("guards against events without gaps and reports without lag", func(t *testing.T) {
+		s := &Server{Gap: 0.5, Lag: 2 * time.Second, Seed: 3}
+		s.Begin(begin, "a", need)
+		finish(s, begin, begin.Add(time.Second))
+		assert.Equal(t, len(s.Events(begin.Add(time.Second), 0)), 0)
+		events := s.Events(begin.Add(time.Minute), 0)
+		assert.True(t, len(events) > 0 && len(events) < 12, "%d events", len(events))
+		assert.True(t, len(s.Report(begin.Add(time.Second)).Programs) == 0, "report has no lag")
+	})
+}
+
+func post(t *testing.T, base, path, id, body string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader(body))
+	assert.NoError(t, err)
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Program", "p")
+	a, err := http.DefaultClient.Do(r)
+	assert.NoError(t, err)
+	defer a.Body.Close()
+	all, err := io.ReadAll(a.Body)
+	assert.NoError(t, err)
+	return a, string(all)
+}
+
+func TestHTTP(t *testing.T) {
+	s := &Server{Prefill: 1e6, Decode: 5000, Model: "m", Fences: true}
+	web := httptest.NewServer(s)
+	t.Cleanup(web.Close)
+	chat := func(t *testing.T, id, prompt string) string {
+		t.Helper()
+		_, body := post(t, web.URL, "/v1/chat/completions", id, fmt.Sprintf(`{"messages":[{"role":"user","content":%q}],"max_tokens":32}`, prompt))
+		var a chatAnswer
+		assert.NoError(t, json.Unmarshal([]byte(body), &a))
+		return a.Choices[0].Message.Content
+	}
+	t.Run("guards against answers that do not tell prompts apart", func(t *testing.T) {
+		one, two := chat(t, "1", "drum 1"), chat(t, "2", "drum 2")
+		assert.True(t, one != two && one != "", "answers %q and %q", one, two)
+		assert.Equal(t, chat(t, "3", "drum 1"), one)
+	})
+	t.Run("guards against a stream that differs from the whole answer", func(t *testing.T) {
+		_, body := post(t, web.URL, "/v1/chat/completions", "4", `{"messages":[{"role":"user","content":"drum 1"}],"max_tokens":32,"stream":true}`)
+		var got string
+		lines := bufio.NewScanner(strings.NewReader(body))
+		for lines.Scan() {
+			line, ok := strings.CutPrefix(lines.Text(), "data: {")
+			if !ok {
+				continue
+			}
+			var a chatAnswer
+			assert.NoError(t, json.Unmarshal([]byte("{"+line), &a))
+			got += a.Choices[0].Delta.Content
+		}
+		assert.Equal(t, got, chat(t, "1", "drum 1"))
+		assert.Contains(t, body, "data: [DONE]")
+	})
+	t.Run("guards against obeying an old order", func(t *testing.T) {
+		_, body := post(t, web.URL, "/orders", "", `{"kind":"load","model":"n","fence":7}`)
+		assert.Contains(t, body, `"model":"n"`)
+		a, _ := post(t, web.URL, "/orders", "", `{"kind":"load","model":"m","fence":6}`)
+		assert.Equal(t, a.StatusCode, http.StatusConflict)
+	})
+	t.Run("guards against new work on a leaving server", func(t *testing.T) {
+		post(t, web.URL, "/control", "", `{"leaving":true}`)
+		a, _ := post(t, web.URL, "/v1/chat/completions", "9", `{"messages":[]}`)
+		assert.Equal(t, a.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, a.Header.Get("X-Leaving"), "true")
+		post(t, web.URL, "/control", "", `{"leaving":false}`)
+	})
+	t.Run("guards against a cancelled request that runs on", func(t *testing.T) {
+		post(t, web.URL, "/control", "", `{"hang":true}`)
+		done := make(chan int)
+		go func() {
+			a, err := http.Post(web.URL+"/v1/chat/completions", "", strings.NewReader(`{"messages":[{"role":"user","content":"x"}]}`))
+			if err != nil {
+				done <- 0
+				return
+			}
+			a.Body.Close()
+			done <- a.StatusCode
+		}()
+		id := ""
+		assert.Eventually(t, 5*time.Second, "the request runs", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, j := range s.batch.running {
+				id = string(j.attempt)
+			}
+			return id != ""
+		})
+		_, body := post(t, web.URL, "/cancel", "", fmt.Sprintf(`{"request":%q}`, id))
+		assert.Contains(t, body, "true")
+		assert.Equal(t, <-done, http.StatusConflict)
+		post(t, web.URL, "/control", "", `{"hang":false}`)
+	})
+}
