--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,7 @@
 package zinniapond
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -117,6 +118,15 @@
 	Allowed string `cbor:"a,omitempty" json:"allowed,omitempty"`
 }
 
+// String returns the fault in the form of a compiler message.
+func (f ListFault) String() string {
+	s := fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Problem)
+	if f.Allowed != "" {
+		s += "; allowed: " + f.Allowed
+	}
+	return s
+}
+
 // BackendState is the standing of a backend server on the platform's list.
 type BackendState string
 
--- /dev/null
+++ b/internal/files/config/config.go
@@ -0,0 +1,188 @@
+// Package config reads a host's settings.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/files/lines"
+)
+
+// Loader reads settings files.
+type Loader struct{}
+
+// Load reads the file. The error lists every fault with file and line. Paths
+// in the file are relative to its folder.
+func (l *Loader) Load(path string) (*zinniapond.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, faults := l.Parse(path, string(text))
+	if len(faults) == 0 {
+		return s, nil
+	}
+	errs := make([]error, 0, len(faults))
+	for _, f := range faults {
+		errs = append(errs, errors.New(f.String()))
+	}
+	return nil, fmt.Errorf("read settings: %w", errors.Join(errs...))
+}
+
+// Parse reads the text of a settings file. file is used in faults and to
+// resolve relative paths.
+func (l *Loader) Parse(file, text string) (*zinniapond.Settings, []zinniapond.ListFault) {
+	s := &zinniapond.Settings{File: file, Plugins: make(map[string]string)}
+	t := lines.Read(file, text)
+	r := &reader{text: t, settings: s, folder: filepath.Dir(file)}
+	fields := r.fields()
+	r.unknown(fields)
+	for _, f := range fields {
+		r.apply(f)
+	}
+	r.plugins()
+	r.together()
+	if faults := t.Faults(); len(faults) > 0 {
+		sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+		return nil, faults
+	}
+	return s, nil
+}
+
+// reader fills settings from a text.
+type reader struct {
+	text     *lines.Text
+	settings *zinniapond.Settings
+	folder   string
+}
+
+// apply sets one field from the text or from its default.
+func (r *reader) apply(f field) {
+	v, ok := r.text.Value(f.section, f.key)
+	switch {
+	case ok && v != "":
+	case f.usual != "":
+		v = f.usual
+	case f.needed:
+		r.text.Fault(r.text.Line(f.section, f.key), fmt.Sprintf("[%s] %s is not set", f.section, f.key), f.allowed)
+		return
+	default:
+		return
+	}
+	if err := f.set(v); err != nil {
+		problem := fmt.Sprintf("[%s] %s: %v", f.section, f.key, err)
+		r.text.Fault(r.text.Line(f.section, f.key), problem, f.allowed)
+	}
+}
+
+// unknown reports sections and keys that no field has: a misspelt key would
+// otherwise leave its default in force unnoticed.
+func (r *reader) unknown(fields []field) {
+	known := make(map[string][]string)
+	for _, f := range fields {
+		known[f.section] = append(known[f.section], f.key)
+	}
+	names := []string{"plugins"}
+	for n := range known {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, section := range r.text.Sections() {
+		if section == "plugins" {
+			continue
+		}
+		keys, ok := known[section]
+		if !ok {
+			r.text.Fault(r.text.Line(section, ""), fmt.Sprintf("unknown section [%s]", section), strings.Join(names, ", "))
+			continue
+		}
+		for _, key := range r.text.Keys(section) {
+			if !contains(keys, key) {
+				r.text.Fault(r.text.Line(section, key), fmt.Sprintf("[%s] has no key %s", section, key), strings.Join(keys, ", "))
+			}
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// usualPlugins are the implementations used where the settings name none and
+// the kernel has more than one.
+var usualPlugins = map[string]string{"queue": "fair", "router": "prefix"}
+
+// pluginNames are the interfaces whose implementation the settings may choose.
+var pluginNames = []string{
+	"budget", "cacheleases", "control", "detector", "directory", "journal", "limiter", "mounter",
+	"peers", "placer", "queue", "retrier", "roster", "router", "scheduler",
+}
+
+func (r *reader) plugins() {
+	for name, usual := range usualPlugins {
+		r.settings.Plugins[name] = usual
+	}
+	for _, key := range r.text.Keys("plugins") {
+		v, _ := r.text.Value("plugins", key)
+		switch {
+		case !contains(pluginNames, key):
+			r.text.Fault(r.text.Line("plugins", key), fmt.Sprintf("[plugins] has no interface %s", key), strings.Join(pluginNames, ", "))
+		case v == "":
+			r.text.Fault(r.text.Line("plugins", key), fmt.Sprintf("[plugins] %s is empty", key), "name of an implementation")
+		default:
+			r.settings.Plugins[key] = v
+		}
+	}
+}
+
+// together checks what holds between fields.
+func (r *reader) together() {
+	s := r.settings
+	fault := func(section, key, problem, allowed string) {
+		r.text.Fault(r.text.Line(section, key), problem, allowed)
+	}
+	c := s.Control
+	if c.Session != 0 && c.Session <= c.Lease {
+		fault("control", "session", fmt.Sprintf("session %s is not above lease %s: a host could be fenced while its lease holds", c.Session, c.Lease), "more than [control] lease")
+	}
+	if c.Fetch != 0 && c.Fetch >= c.Lease && c.Lease != 0 {
+		fault("control", "fetch", fmt.Sprintf("fetch %s is not below lease %s: an election would outlast each lease", c.Fetch, c.Lease), "less than [control] lease")
+	}
+	if s.Data == "" && (s.HasRole(zinniapond.RoleStore) || s.HasRole(zinniapond.RoleControl)) {
+		fault("node", "data", "roles store and control need [node] data", "path of a folder")
+	}
+	if c.Bootstrap && !s.HasRole(zinniapond.RoleControl) {
+		fault("control", "bootstrap", "bootstrap needs the role control", "true only on control hosts")
+	}
+	for _, v := range c.Voters {
+		if v.Name == s.Host && s.Peers.IsValid() && v.Peers != s.Peers {
+			fault("control", "voters", fmt.Sprintf("voter %s has %s, but [listen] peers is %s", v.Name, v.Peers, s.Peers), "the address of [listen] peers")
+		}
+	}
+	if s.HasRole(zinniapond.RoleEntry) {
+		if !s.Callers.IsValid() && !r.set("listen", "callers") {
+			fault("listen", "callers", "role entry needs [listen] callers", "IP:PORT")
+		}
+		if !s.Operators.IsValid() && !r.set("listen", "operators") {
+			fault("listen", "operators", "role entry needs [listen] operators", "IP:PORT")
+		}
+	}
+	if (s.Security.Certificate == "") != (s.Security.Key == "") {
+		fault("security", "certificate", "certificate and key go together", "both or neither")
+	}
+}
+
+func (r *reader) set(section, key string) bool {
+	v, ok := r.text.Value(section, key)
+	return ok && v != ""
+}
