--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -168,7 +168,7 @@
 	if x.read > AnswerMost {
 		return 0, fmt.Errorf("answer has more than %d bytes", AnswerMost)
 	}
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		err = x.cause(err)
 	}
 	return n, err
--- /dev/null
+++ b/internal/entry/admin/admin.go
@@ -0,0 +1,299 @@
+// Package admin is the HTTP interface for operators.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/entry/gate"
+	"zinniapond.example/zinniapond/internal/entry/keys"
+	"zinniapond.example/zinniapond/internal/entry/reply"
+	"zinniapond.example/zinniapond/internal/files/lists"
+)
+
+func init() {
+	kernel.Register("admin", func(k *kernel.Kernel) (zinniapond.Frontend, error) { return build(k) })
+}
+
+func build(k *kernel.Kernel) (*Frontend, error) {
+	s := k.Settings
+	f := &Frontend{
+		Host: s.Host, Operator: s.Security.OperatorHash, Read: s.Limits.Read, Clock: k.Now,
+		Logger: k.Logger.Named("admin"),
+	}
+	var err error
+	if f.Directory, err = kernel.Find[zinniapond.Directory](k); err != nil {
+		return nil, err
+	}
+	if f.Control, err = kernel.Find[zinniapond.Control](k); err != nil {
+		return nil, err
+	}
+	if f.Detector, err = kernel.Find[zinniapond.Detector](k); err != nil {
+		return nil, err
+	}
+	if f.Scheduler, err = kernel.Find[zinniapond.Scheduler](k); err != nil {
+		return nil, err
+	}
+	if f.Peers, err = kernel.Find[zinniapond.Peers](k); err != nil {
+		return nil, err
+	}
+	mounter, err := kernel.Find[zinniapond.Mounter](k)
+	if err != nil {
+		return nil, err
+	}
+	if err := mounter.Mount("Status", &status{f}); err != nil {
+		return nil, fmt.Errorf("mount status: %w", err)
+	}
+	f.Gate = &gate.Gate{
+		Listen: s.Operators, Certificate: s.Security.Certificate, Key: s.Security.Key,
+		Limits: s.Limits, Drain: s.Drain, Logger: f.Logger, Handler: f,
+	}
+	return f, nil
+}
+
+const (
+	// bodyMost bounds a change: both lists for 21,000 plans take about 20 MB.
+	bodyMost = 64 << 20
+	// proposeLimit bounds a change: an election and a commit fit into it.
+	proposeLimit = 10 * time.Second
+)
+
+var changeForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+// Frontend serves operators. Its exported fields are set before Run.
+type Frontend struct {
+	Host      zinniapond.HostName
+	Operator  [32]byte // SHA-256 of the operators' key
+	Scheduler zinniapond.Scheduler
+	Directory zinniapond.Directory
+	Control   zinniapond.Control
+	Detector  zinniapond.Detector
+	Peers     zinniapond.Peers
+	Read      time.Duration // time to send a body
+	Clock     func() time.Time
+	Logger    hclog.Logger
+	Gate      *gate.Gate
+
+	parser lists.Parser
+}
+
+// Address is where it listens.
+func (f *Frontend) Address() netip.AddrPort { return f.Gate.Address() }
+
+// Run serves operators until ctx is done.
+func (f *Frontend) Run(ctx context.Context) error {
+	if err := f.Gate.Run(ctx); err != nil {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+const paths = "GET or PUT /v1/lists, GET /v1/status, POST /v1/hosts/NAME/drain, GET /v1/programs/ID, GET /debug/vars"
+
+// ServeHTTP answers one request.
+func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if key, ok := keys.Bearer(r.Header); !ok || !keys.Matches(f.Operator, key) {
+		fault := reply.Of(fmt.Errorf("check operator: %w", zinniapond.ErrKey))
+		fault.Hint = "send the operators' key as Authorization: Bearer KEY; its hash is [security] operator-hash"
+		fault.Outcome = ""
+		fault.Write(w)
+		return
+	}
+	if err := f.route(w, r); err != nil {
+		fault := reply.Of(err)
+		if fault.Status == http.StatusInternalServerError {
+			f.Logger.Error("request failed", "path", r.URL.Path, "error", err)
+		}
+		fault.Outcome = ""
+		fault.Write(w)
+	}
+}
+
+func (f *Frontend) route(w http.ResponseWriter, r *http.Request) error {
+	program, ofProgram := strings.CutPrefix(r.URL.Path, "/v1/programs/")
+	host, ofHost := strings.CutPrefix(r.URL.Path, "/v1/hosts/")
+	host, drain := strings.CutSuffix(host, "/drain")
+	switch r.Method + " " + r.URL.Path {
+	case "GET /v1/lists":
+		return f.lists(w)
+	case "PUT /v1/lists":
+		return f.change(w, r)
+	case "GET /v1/status":
+		return f.status(w, r)
+	case "GET /debug/vars":
+		expvar.Handler().ServeHTTP(w, r)
+		return nil
+	}
+	switch {
+	case ofProgram && r.Method == http.MethodGet:
+		h, err := f.Scheduler.View(r.Context(), f.Clock(), zinniapond.ProgramID(program))
+		if err != nil {
+			return err
+		}
+		reply.Write(w, http.StatusOK, h)
+		return nil
+	case ofHost && drain && r.Method == http.MethodPost:
+		return f.drain(w, r, zinniapond.HostName(host))
+	}
+	return &zinniapond.Error{
+		Step: "find path", Hint: "paths: " + paths,
+		Err: fmt.Errorf("%w: %s %s", zinniapond.ErrNotFound, r.Method, r.URL.Path),
+	}
+}
+
+// lists sends the lists that this host has in force.
+func (f *Frontend) lists(w http.ResponseWriter) error {
+	if !f.Directory.Fresh(f.Clock()) {
+		// A change made from old lists would only meet a conflict.
+		return &zinniapond.Error{Step: "read lists", Host: f.Host, Err: zinniapond.ErrStale}
+	}
+	reply.Write(w, http.StatusOK, f.Directory.View().Lists)
+	return nil
+}
+
+// changeBody is the body of PUT /v1/lists.
+type changeBody struct {
+	Expect *zinniapond.Version `json:"expect"`
+	Change zinniapond.ChangeID `json:"change"`
+	Plans  *string             `json:"plans"`
+	Usage  *string             `json:"usage"`
+}
+
+const changeHint = `send {"expect": VERSION, "change": ID, "plans": TEXT, "usage": TEXT}`
+
+func decodeChange(text []byte) (zinniapond.Command, error) {
+	malformed := func(problem string) (zinniapond.Command, error) {
+		return zinniapond.Command{}, &zinniapond.Error{
+			Step: "decode change", Hint: changeHint, Err: fmt.Errorf("%w: %s", zinniapond.ErrMalformed, problem),
+		}
+	}
+	var b changeBody
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	// A misspelt field must not pass for an absent one.
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&b); err != nil {
+		return malformed(err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return malformed("more than one JSON value")
+	}
+	switch {
+	case b.Expect == nil:
+		return malformed("expect is missing")
+	case !changeForm.MatchString(string(b.Change)):
+		return malformed(fmt.Sprintf("change id %.80q; ids have 1 to 128 letters, digits and . _ : -", b.Change))
+	case b.Plans == nil || b.Usage == nil:
+		return malformed("plans or usage is missing; both texts belong to a change")
+	}
+	return zinniapond.Command{
+		Kind: zinniapond.CommandLists, Change: b.Change, Expect: *b.Expect, Plans: *b.Plans, Usage: *b.Usage,
+	}, nil
+}
+
+// change proposes new lists. It is answered once they are accepted or refused.
+func (f *Frontend) change(w http.ResponseWriter, r *http.Request) error {
+	control := http.NewResponseController(w)
+	if f.Read > 0 {
+		_ = control.SetReadDeadline(f.Clock().Add(f.Read))
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return fmt.Errorf("read body: %w: limit is %d bytes", zinniapond.ErrTooLarge, bodyMost)
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return fmt.Errorf("read body: %w: body did not arrive whole: %w", zinniapond.ErrMalformed, err)
+	}
+	command, err := decodeChange(text)
+	if err != nil {
+		return err
+	}
+	if _, faults := f.parser.Parse(command.Expect+1, command.Plans, command.Usage); len(faults) > 0 {
+		refuse(w, faults)
+		return nil
+	}
+	result, err := f.propose(r.Context(), command)
+	if err != nil {
+		return err
+	}
+	f.Logger.Info("change of lists", "change", command.Change, "expect", command.Expect,
+		"accepted", result.Accepted, "version", result.Lists.Version)
+	switch {
+	case result.Accepted:
+		reply.Write(w, http.StatusOK, result)
+	case len(result.Faults) > 0:
+		refuse(w, result.Faults)
+	default:
+		fault := reply.Of(zinniapond.ErrConflict)
+		fault.Outcome = ""
+		fault.Message = fmt.Sprintf("change %s was made from version %d, but version %d is in force", command.Change, command.Expect, result.Lists.Version)
+		fault.Hint = "apply the change to the texts in detail.lists and send it with their version and a new change id"
+		fault.Detail = result
+		fault.Write(w)
+	}
+	return nil
+}
+
+func refuse(w http.ResponseWriter, faults []zinniapond.ListFault) {
+	reply.Fault{
+		Status: http.StatusUnprocessableEntity, Type: "lists",
+		Message: fmt.Sprintf("the lists have %d faults; nothing was changed", len(faults)),
+		Hint:    "correct the lines in detail", Detail: faults,
+	}.Write(w)
+}
+
+// propose hands a command to the control log. Where its outcome is not known,
+// the hint says how to find out.
+func (f *Frontend) propose(ctx context.Context, command zinniapond.Command) (zinniapond.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	result, err := f.Control.Propose(ctx, f.Clock(), command)
+	if err != nil {
+		var hint string
+		if command.Kind == zinniapond.CommandLists {
+			hint = "the change may have been accepted; send it again with the same change id to learn its outcome"
+		}
+		return result, &zinniapond.Error{Step: "propose change", Host: f.Host, Hint: hint, Err: err}
+	}
+	return result, nil
+}
+
+// drain has a host give its shards away and leave.
+func (f *Frontend) drain(w http.ResponseWriter, r *http.Request, host zinniapond.HostName) error {
+	member, ok := f.Directory.View().Members[host]
+	if !ok {
+		return fmt.Errorf("drain host: %w: no host %.80q", zinniapond.ErrNotFound, host)
+	}
+	if member.State == zinniapond.MemberLeft {
+		return fmt.Errorf("drain host: %w: %s has left", zinniapond.ErrConflict, host)
+	}
+	if member.State != zinniapond.MemberDraining {
+		member.State = zinniapond.MemberDraining
+		result, err := f.propose(r.Context(), zinniapond.Command{Kind: zinniapond.CommandMember, Member: &member})
+		if err != nil {
+			return err
+		}
+		if !result.Accepted {
+			return fmt.Errorf("drain host: %w: %s", zinniapond.ErrConflict, result.Reason)
+		}
+		f.Logger.Info("host drains", "host", host)
+	}
+	reply.Write(w, http.StatusAccepted, map[string]any{"host": host, "state": member.State})
+	return nil
+}
--- /dev/null
+++ b/internal/entry/reply/reply.go
@@ -0,0 +1,146 @@
+// Package reply writes JSON answers and errors to callers and operators.
+package reply
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"zinniapond.example/zinniapond"
+)
+
+// Fault is an error as it is shown to callers and operators.
+type Fault struct {
+	Status     int
+	Type       string
+	Message    string
+	Hint       string
+	Outcome    zinniapond.Outcome
+	RetryAfter time.Duration
+	// Detail is added to the error object; may be nil.
+	Detail any
+}
+
+// kinds maps reasons to statuses. The first match counts, so that an unknown
+// outcome is never covered by another reason.
+var kinds = []struct {
+	err     error
+	status  int
+	name    string
+	outcome zinniapond.Outcome
+	hint    string
+}{
+	{zinniapond.ErrUnknown, 502, "outcome_unknown", zinniapond.OutcomeUnknown, "the call may have run and is not sent again; look at its effect before you repeat it with a new key"},
+	{zinniapond.ErrMalformed, 400, "malformed", zinniapond.OutcomeNotRun, ""},
+	{zinniapond.ErrKey, 401, "key", zinniapond.OutcomeNotRun, "send a valid key as Authorization: Bearer KEY"},
+	{zinniapond.ErrForbidden, 403, "forbidden", zinniapond.OutcomeNotRun, "ask the operator to add it to the plan"},
+	{zinniapond.ErrTooLarge, 413, "too_large", zinniapond.OutcomeNotRun, "send a smaller body"},
+	{zinniapond.ErrReused, 422, "key_reused", zinniapond.OutcomeNotRun, "use a new Idempotency-Key for a different request"},
+	{zinniapond.ErrBudget, 429, "budget", zinniapond.OutcomeNotRun, "wait for the next budget window"},
+	{zinniapond.ErrNotFound, 404, "not_found", zinniapond.OutcomeNotRun, ""},
+	{zinniapond.ErrEnded, 410, "ended", zinniapond.OutcomeNotRun, "open a new program"},
+	{zinniapond.ErrOrder, 409, "order", zinniapond.OutcomeNotRun, "send the program's earlier calls first"},
+	{zinniapond.ErrConflict, 409, "conflict", zinniapond.OutcomeNotRun, "read the present version and try again"},
+	{zinniapond.ErrOverload, 503, "overloaded", zinniapond.OutcomeNotRun, "try again after the given time"},
+	{zinniapond.ErrStale, 503, "stale_configuration", zinniapond.OutcomeNotRun, "try again; another host may have a confirmed configuration"},
+	{zinniapond.ErrNotOwner, 503, "moving", zinniapond.OutcomeNotRun, "try again; the program is moving to another host"},
+	{zinniapond.ErrUnavailable, 503, "unavailable", zinniapond.OutcomeNotRun, "try again after the given time"},
+	{zinniapond.ErrNotSent, 503, "unavailable", zinniapond.OutcomeNotRun, "try again after the given time"},
+	// An append that was not acknowledged may still be found by the next owner,
+	// so that nothing is claimed about the call.
+	{zinniapond.ErrFenced, 503, "moving", zinniapond.OutcomeUnknown, "repeat the request with the same Idempotency-Key"},
+	{zinniapond.ErrNoQuorum, 503, "no_majority", zinniapond.OutcomeUnknown, "repeat the request with the same Idempotency-Key"},
+	{zinniapond.ErrNotLeader, 503, "no_leader", zinniapond.OutcomeUnknown, "repeat the request"},
+	{zinniapond.ErrBackend, 502, "backend", zinniapond.OutcomeUnknown, "repeat the request with the same Idempotency-Key"},
+	{context.DeadlineExceeded, 504, "timeout", zinniapond.OutcomeUnknown, "repeat the request with the same Idempotency-Key"},
+	{context.Canceled, 503, "cancelled", zinniapond.OutcomeUnknown, "repeat the request with the same Idempotency-Key"},
+}
+
+// usualRetry is sent as Retry-After where the error names no time: one lease
+// and one election fit into it.
+const usualRetry = 2 * time.Second
+
+// Of returns how the error is shown.
+func Of(err error) Fault {
+	f := Fault{Status: 500, Type: "internal", Outcome: zinniapond.OutcomeUnknown, Message: err.Error()}
+	for _, k := range kinds {
+		if errors.Is(err, k.err) {
+			f.Status, f.Type, f.Outcome, f.Hint = k.status, k.name, k.outcome, k.hint
+			break
+		}
+	}
+	var e *zinniapond.Error
+	if errors.As(err, &e) {
+		if e.Hint != "" {
+			f.Hint = e.Hint
+		}
+		f.RetryAfter = e.RetryAfter
+	}
+	if f.RetryAfter == 0 && (f.Status == 503 || f.Status == 429) {
+		f.RetryAfter = usualRetry
+	}
+	return f
+}
+
+// body is the JSON form of a fault, with the fields of OpenAI's errors.
+type body struct {
+	Error struct {
+		Message string             `json:"message"`
+		Type    string             `json:"type"`
+		Hint    string             `json:"hint,omitempty"`
+		Outcome zinniapond.Outcome `json:"outcome,omitempty"`
+		Detail  any                `json:"detail,omitempty"`
+	} `json:"error"`
+}
+
+// JSON returns the fault as a JSON object in one line.
+func (f Fault) JSON() []byte {
+	var b body
+	b.Error.Message, b.Error.Type, b.Error.Hint = f.Message, f.Type, f.Hint
+	b.Error.Outcome, b.Error.Detail = f.Outcome, f.Detail
+	text, err := json.Marshal(b)
+	if err != nil {
+		return []byte(`{"error":{"message":"error cannot be shown","type":"internal"}}`)
+	}
+	return text
+}
+
+// Write sends the fault as the whole answer.
+func (f Fault) Write(w http.ResponseWriter) {
+	h := w.Header()
+	if f.Outcome != "" {
+		h.Set("Zinniapond-Outcome", string(f.Outcome))
+	}
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", Seconds(f.RetryAfter))
+	}
+	if f.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(f.JSON())+1))
+	w.WriteHeader(f.Status)
+	// A failure to write means that the caller has gone.
+	_, _ = w.Write(append(f.JSON(), '\n'))
+}
+
+// Seconds returns d in whole seconds, rounded up, as Retry-After has it.
+func Seconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// Write sends v as JSON.
+func Write(w http.ResponseWriter, status int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		Of(err).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(text, '\n'))
+}
--- a/messages.go
+++ b/messages.go
@@ -240,3 +240,20 @@
 type HandoverReply struct {
 	Accepted bool `cbor:"ok"`
 }
+
+// StatusRequest asks a host what it has in force.
+type StatusRequest struct {
+	Sender HostName `cbor:"s"`
+}
+
+// StatusReply answers a StatusRequest.
+type StatusReply struct {
+	Host    HostName `cbor:"h" json:"host"`
+	Index   Index    `cbor:"i" json:"index"`
+	Version Version  `cbor:"v" json:"version"`
+	// Fresh tells whether the host's lease holds.
+	Fresh bool `cbor:"f" json:"fresh"`
+	// Age is the time since the host's state was known to be current.
+	Age      time.Duration `cbor:"a" json:"age"`
+	Declines []Decline     `cbor:"d,omitempty" json:"declines,omitempty"`
+}
