--- /dev/null
+++ b/internal/core/trace/trace.go
@@ -0,0 +1,119 @@
+// Package trace sets up OpenTelemetry and carries spans between hosts.
+package trace
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"zinniapond.example/zinniapond"
+)
+
+// Tracer starts spans and exports them where the settings say.
+type Tracer struct {
+	trace.Tracer
+	provider *sdk.TracerProvider
+	file     *os.File
+}
+
+// New returns the tracer of a host. Without a file and a collector its spans
+// cost nothing.
+func New(ctx context.Context, s *zinniapond.Settings) (*Tracer, error) {
+	t := &Tracer{Tracer: noop.NewTracerProvider().Tracer("")}
+	var options []sdk.TracerProviderOption
+	if s.Trace.File != "" {
+		file, err := os.OpenFile(s.Trace.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, fmt.Errorf("open trace file: %w", err)
+		}
+		t.file = file
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+		if err != nil {
+			return nil, errors.Join(err, file.Close())
+		}
+		options = append(options, sdk.WithBatcher(exporter))
+	}
+	if s.Trace.OTLP != "" {
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.Trace.OTLP))
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("set up OTLP to %s: %w", s.Trace.OTLP, err), t.Stop(ctx))
+		}
+		options = append(options, sdk.WithBatcher(exporter))
+	}
+	if options == nil {
+		return t, nil
+	}
+	options = append(options, sdk.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", "zinniapond"),
+		attribute.String("service.instance.id", string(s.Host)),
+		attribute.String("zinniapond.cluster", s.Cluster),
+	)))
+	t.provider = sdk.NewTracerProvider(options...)
+	t.Tracer = t.provider.Tracer("zinniapond")
+	return t, nil
+}
+
+// Stop exports what is left.
+func (t *Tracer) Stop(ctx context.Context) error {
+	var err error
+	if t.provider != nil {
+		err = t.provider.Shutdown(ctx)
+	}
+	if t.file != nil {
+		err = errors.Join(err, t.file.Close())
+	}
+	return err
+}
+
+const header = "traceparent"
+
+// Inject returns the traceparent of the span in ctx, or "" if there is none.
+func Inject(ctx context.Context) string {
+	c := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, c)
+	return c[header]
+}
+
+// Extract returns ctx with the span of a traceparent as its parent.
+func Extract(ctx context.Context, parent string) context.Context {
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{header: parent})
+}
+
+// Hop starts the span of one hop of a call and writes it into call.Trace, so
+// that the next hop's span becomes its child. tracer may be nil.
+func Hop(ctx context.Context, tracer trace.Tracer, name string, call *zinniapond.Call) (context.Context, trace.Span) {
+	if tracer == nil {
+		tracer = noop.NewTracerProvider().Tracer("")
+	}
+	if call.Trace != "" {
+		ctx = Extract(ctx, call.Trace)
+	}
+	ctx, span := tracer.Start(ctx, name, trace.WithAttributes(
+		attribute.String("zinniapond.call", string(call.ID)),
+		attribute.String("zinniapond.program", string(call.Program)),
+	))
+	if parent := Inject(ctx); parent != "" {
+		call.Trace = parent
+	}
+	return ctx, span
+}
+
+// End ends a span with the outcome of its step.
+func End(span trace.Span, err error) {
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
--- /dev/null
+++ b/internal/wire/peers/link.go
@@ -0,0 +1,146 @@
+package peers
+
+import (
+	"context"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/wire/codec"
+	"zinniapond.example/zinniapond/internal/wire/guard"
+)
+
+// link is one connection.
+type link struct {
+	client  *rpc.Client
+	codec   *codec.Codec
+	pending atomic.Int64
+}
+
+func (l *link) alive() bool {
+	select {
+	case <-l.codec.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// peer has the connections to one host.
+type peer struct {
+	pool    *Pool
+	address netip.AddrPort
+
+	mu     sync.Mutex
+	links  []*link
+	dial   *dial // in progress, or nil
+	closed bool
+}
+
+// dial is one attempt to connect, which several callers may wait for.
+type dial struct {
+	done   chan struct{}
+	cancel context.CancelFunc
+	err    error
+}
+
+func newPeer(p *Pool, address netip.AddrPort) *peer {
+	return &peer{pool: p, address: address}
+}
+
+// take returns a connection with its count of pending calls raised by one.
+func (v *peer) take(ctx context.Context) (*link, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		l, d, err := v.choose()
+		if l != nil || err != nil {
+			return l, err
+		}
+		select {
+		case <-d.done:
+			if d.err != nil {
+				return nil, d.err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// choose returns the connection with the fewest calls, or the dial to wait for.
+func (v *peer) choose() (*link, *dial, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed {
+		return nil, nil, zinniapond.ErrNotSent
+	}
+	var best *link
+	kept := v.links[:0]
+	for _, l := range v.links {
+		if !l.alive() {
+			continue
+		}
+		kept = append(kept, l)
+		if best == nil || l.pending.Load() < best.pending.Load() {
+			best = l
+		}
+	}
+	clear(v.links[len(kept):])
+	v.links = kept
+	busy := best == nil || best.pending.Load() >= int64(v.pool.Spread)
+	if v.dial == nil && busy && len(v.links) < v.pool.Width {
+		v.start()
+	}
+	if best == nil {
+		return nil, v.dial, nil
+	}
+	best.pending.Add(1)
+	return best, nil, nil
+}
+
+// start dials in the background: a caller that gives up must not end the dial
+// that others wait for.
+func (v *peer) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &dial{done: make(chan struct{}), cancel: cancel}
+	v.dial = d
+	go func() {
+		defer cancel()
+		c, err := v.pool.Guard.Dial(ctx, v.address, guard.Peers)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.dial = nil
+		defer close(d.done)
+		if err == nil && v.closed {
+			c.Close()
+			err = zinniapond.ErrNotSent
+		}
+		if d.err = err; err != nil {
+			return
+		}
+		l := &link{codec: codec.New(c, v.pool.Limit, v.pool.Beat, v.pool.Silence)}
+		l.client = rpc.NewClientWithCodec(l.codec)
+		v.links = append(v.links, l)
+	}()
+}
+
+func (v *peer) close() {
+	v.mu.Lock()
+	v.closed = true
+	links, d := v.links, v.dial
+	v.links = nil
+	v.mu.Unlock()
+	// The codec is closed and not the client: rpc.Client then reports the lost
+	// connection to pending calls, and ErrShutdown only to calls not yet sent.
+	for _, l := range links {
+		l.codec.Close()
+	}
+	if d != nil {
+		d.cancel()
+		<-d.done
+	}
+}
