--- /dev/null
+++ b/internal/nodecmd/run/run.go
@@ -0,0 +1,92 @@
+// Package run is the command that runs a host.
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/inject"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+	_ "zinniapond.example/zinniapond/internal/core/plugs" // registers the plug-ins
+	"zinniapond.example/zinniapond/internal/core/trace"
+)
+
+// Options are the options of `node run`.
+type Options struct {
+	Settings string `required:"" type:"path" help:"Settings file of this host."`
+}
+
+// exportTime bounds the export of the last spans.
+const exportTime = 2 * time.Second
+
+var errKilled = errors.New("stopped at once by a second signal")
+
+// Run runs the host until SIGTERM or SIGINT. A second signal ends it at once.
+func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
+	s, err := f.Load(o.Settings)
+	if err != nil {
+		return err
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name: string(s.Host), Level: hclog.LevelFromString(s.LogLevel), Output: f.Err, TimeFn: f.Clock,
+	})
+	tracer, err := trace.New(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), exportTime)
+		defer cancel()
+		if err := tracer.Stop(ctx); err != nil {
+			logger.Warn("spans lost", "error", err)
+		}
+	}()
+	k := &kernel.Kernel{Settings: s, Logger: logger, Tracer: tracer.Tracer, Clock: f.Clock}
+	return supervise(ctx, k)
+}
+
+// supervise runs the kernel and turns signals into its end.
+func supervise(ctx context.Context, k *kernel.Kernel) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- runKernel(ctx, k) }()
+	k.Logger.Info("host started", "cluster", k.Settings.Cluster, "roles", fmt.Sprint(k.Settings.Roles), "pid", os.Getpid())
+	select {
+	case err := <-done:
+		return err
+	case s := <-signals:
+		k.Logger.Info("stopping", "signal", s.String(), "drain", k.Settings.Drain)
+		cancel()
+	}
+	select {
+	case err := <-done:
+		k.Logger.Info("host stopped")
+		return err
+	case s := <-signals:
+		k.Logger.Warn("stopping at once", "signal", s.String())
+		return errKilled
+	}
+}
+
+// runKernel builds the stream interface before the roles. The kernel stops it
+// last, so that it still answers while the owner hands its shards over.
+func runKernel(ctx context.Context, k *kernel.Kernel) error {
+	if k.Settings.HasRole(zinniapond.RoleOwner) {
+		if _, err := kernel.FindNamed[zinniapond.Frontend](k, "stream"); err != nil {
+			return err
+		}
+	}
+	return k.Run(ctx)
+}
--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -101,6 +101,9 @@
 		return zinniapond.Answer{}, false, broken("relay call", peer, ctx, err)
 	}
 	defer response.Body.Close()
+	if err := checkType(response); err != nil {
+		return zinniapond.Answer{}, false, broken("relay call", peer, ctx, err)
+	}
 	answer, final, err := frame.Read(response.Body, sink, func(waiting bool) {
 		// While the sink writes to a slow caller, the peer is not at fault.
 		if waiting {
@@ -118,6 +121,14 @@
 	return answer, true, err
 }
 
+// checkType refuses what the server's handlers have not written.
+func checkType(r *http.Response) error {
+	if r.Header.Get("Content-Type") != frame.Content {
+		return fmt.Errorf("answer of type %.40q with status %d", r.Header.Get("Content-Type"), r.StatusCode)
+	}
+	return nil
+}
+
 // broken adds the reason for which the context ended.
 func broken(step string, peer netip.AddrPort, ctx context.Context, err error) error { //nolint:revive // the context is a detail here.
 	if cause := context.Cause(ctx); cause != nil {
@@ -142,13 +153,13 @@
 		return false, broken("relay "+path, peer, ctx, err)
 	}
 	defer response.Body.Close()
+	if err := checkType(response); err != nil {
+		return false, broken("relay "+path, peer, ctx, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, frame.Limit))
 	if err != nil {
 		return false, broken("relay "+path, peer, ctx, err)
 	}
-	if response.Header.Get("Content-Type") != frame.Content {
-		return false, broken("relay "+path, peer, ctx, fmt.Errorf("status %d", response.StatusCode))
-	}
 	return true, codec.Open(data, reply)
 }
 
