--- a/interfaces.go
+++ b/interfaces.go
@@ -94,6 +94,8 @@
 	Settle(now time.Time, reservation Reservation, used Tokens)
 	// Restore takes in a grant record of a shard that this host took over.
 	Restore(now time.Time, shard ShardID, record Record)
+	// Serve begins to grant under the epoch at which the shard is held now.
+	Serve(now time.Time, shard ShardID, epoch Epoch)
 	// Drop forgets the plans whose home shard was taken from this host.
 	Drop(shard ShardID)
 }
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -3,6 +3,20 @@
 package plugs
 
 import (
+	// Facing callers, operators and backend servers.
+	_ "zinniapond.example/zinniapond/internal/backend/openai"
+	_ "zinniapond.example/zinniapond/internal/backend/plain"
+	_ "zinniapond.example/zinniapond/internal/backend/roster"
+	_ "zinniapond.example/zinniapond/internal/entry/admin"
+	_ "zinniapond.example/zinniapond/internal/entry/caller"
+	_ "zinniapond.example/zinniapond/internal/entry/relay"
+
+	// State.
+	_ "zinniapond.example/zinniapond/internal/journal/store"
+	_ "zinniapond.example/zinniapond/internal/journal/writer"
+	_ "zinniapond.example/zinniapond/internal/program/ledger"
+	_ "zinniapond.example/zinniapond/internal/program/owner"
+
 	// Policies.
 	_ "zinniapond.example/zinniapond/internal/policy/cache"
 	_ "zinniapond.example/zinniapond/internal/policy/drift"
@@ -14,4 +28,9 @@
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
+
+	// Between hosts.
+	_ "zinniapond.example/zinniapond/internal/wire/peers"
+	_ "zinniapond.example/zinniapond/internal/wire/serve"
+	_ "zinniapond.example/zinniapond/internal/wire/stream"
 )
--- a/internal/program/owner/drain.go
+++ b/internal/program/owner/drain.go
@@ -41,7 +41,7 @@
 		return
 	}
 	a := h.wanted
-	a.Owner = h.target
+	a.Owner, a.Member = h.target, o.Directory.View().Members[h.target].Epoch
 	a.Epoch++
 	h.target = ""
 	h.moving = true
--- a/internal/program/owner/fakes_test.go
+++ b/internal/program/owner/fakes_test.go
@@ -247,6 +247,7 @@
 }
 func (*simple) Settle(time.Time, zinniapond.Reservation, zinniapond.Tokens) {}
 func (*simple) Restore(time.Time, zinniapond.ShardID, zinniapond.Record)    {}
+func (*simple) Serve(time.Time, zinniapond.ShardID, zinniapond.Epoch)       {}
 func (*simple) Drop(zinniapond.ShardID)                                     {}
 func (s *simple) Backends() []zinniapond.Backend                            { return s.servers }
 func (s *simple) Changed() <-chan struct{}                                  { return s.changed }
--- a/internal/program/owner/hold.go
+++ b/internal/program/owner/hold.go
@@ -41,14 +41,16 @@
 // applyAssignments takes over the shards that were assigned to this host and
 // drops those that were taken from it.
 func (o *Owner) applyAssignments(view *zinniapond.ControlView) {
+	member := view.Members[o.Settings.Host].Epoch
 	for id, a := range view.Assignments {
-		if a.Owner == o.Settings.Host {
+		// An assignment to an earlier process of this host is not for this one.
+		if a.Owner == o.Settings.Host && a.Member == member {
 			o.want(id, a)
 		}
 	}
 	var lost []*holding
 	o.holdings.Each(func(id zinniapond.ShardID, h *holding) bool {
-		if view.Assignments[id].Owner != o.Settings.Host {
+		if a := view.Assignments[id]; a.Owner != o.Settings.Host || a.Member != member {
 			lost = append(lost, h)
 		}
 		return true
@@ -112,6 +114,9 @@
 	defer h.epochLock.Unlock()
 	now := o.Clock()
 	first := h.epoch == 0
+	if first {
+		o.Budget.Drop(h.shard) // an earlier holding may have left records
+	}
 	loaded := make(map[zinniapond.ProgramID]*program)
 	err := o.Journal.Recover(h.life, now, a, func(r zinniapond.Record) error {
 		if first {
@@ -123,6 +128,7 @@
 		return fmt.Errorf("recover shard %d: %w", h.shard, err)
 	}
 	h.epoch = a.Epoch
+	o.Budget.Serve(now, h.shard, a.Epoch)
 	if !first {
 		return nil
 	}
