--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -33,4 +33,8 @@
 	_ "zinniapond.example/zinniapond/internal/wire/peers"
 	_ "zinniapond.example/zinniapond/internal/wire/serve"
 	_ "zinniapond.example/zinniapond/internal/wire/stream"
+
+	// The control log: the voters, and the observer of every host.
+	_ "zinniapond.example/zinniapond/internal/quorum/voter"
+	_ "zinniapond.example/zinniapond/internal/quorum/watch"
 )
