Join the parts and serve a first program end to end

The voter and the watcher check lists with the real parser, and commands load settings with the real loader.

--- a/internal/core/inject/inject.go
+++ b/internal/core/inject/inject.go
@@ -3,13 +3,13 @@
 package inject
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/files/config"
 )
 
 // Factory has the dependencies of the commands.
@@ -37,10 +37,8 @@
 func New() *Factory {
 	return &Factory{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv, Clock: time.Now,
-		Client: &http.Client{Timeout: requestTimeout},
-		Load: func(path string) (*zinniapond.Settings, error) {
-			return nil, fmt.Errorf("load settings %s: no loader in this build", path)
-		},
+		Client:   &http.Client{Timeout: requestTimeout},
+		Load:     new(config.Loader).Load,
 		Standins: make(map[string]func() (http.Handler, error)),
 	}
 }
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -11,7 +11,11 @@
 	_ "zinniapond.example/zinniapond/internal/entry/caller"
 	_ "zinniapond.example/zinniapond/internal/entry/relay"
 
-	// State.
+	// Control log: the voters, and the observer of every host.
+	_ "zinniapond.example/zinniapond/internal/quorum/voter"
+	_ "zinniapond.example/zinniapond/internal/quorum/watch"
+
+	// Programs and their journal.
 	_ "zinniapond.example/zinniapond/internal/journal/store"
 	_ "zinniapond.example/zinniapond/internal/journal/writer"
 	_ "zinniapond.example/zinniapond/internal/program/ledger"
@@ -33,8 +37,4 @@
 	_ "zinniapond.example/zinniapond/internal/wire/peers"
 	_ "zinniapond.example/zinniapond/internal/wire/serve"
 	_ "zinniapond.example/zinniapond/internal/wire/stream"
-
-	// The control log: the voters, and the observer of every host.
-	_ "zinniapond.example/zinniapond/internal/quorum/voter"
-	_ "zinniapond.example/zinniapond/internal/quorum/watch"
 )
--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -106,12 +106,6 @@
 	}
 }
 
-// wipe loses the disk of a halted host.
-func (c *cluster) wipe(host zinniapond.HostName) {
-	c.stores[host].synced = nil
-	assert.NoError(c.t, os.RemoveAll(c.stores[host].folder))
-}
-
 func (c *cluster) stop() {
 	for h := range c.stores {
 		c.halt(h, false)
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -9,7 +9,7 @@
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
-func lists(expect zinniapond.Version, change, plans string) zinniapond.Command {
+func listsCommand(expect zinniapond.Version, change, plans string) zinniapond.Command {
 	return zinniapond.Command{
 		Kind: zinniapond.CommandLists, Change: zinniapond.ChangeID(change), Expect: expect, Plans: plans,
 	}
@@ -32,7 +32,7 @@
 		t.Run("guards against a change that is accepted and not applied", func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			got, err := w.Propose(ctx, time.Now(), lists(0, "a", "x"))
+			got, err := w.Propose(ctx, time.Now(), listsCommand(0, "a", "x"))
 			assert.NoError(t, err)
 			assert.Equal(t, got.Accepted, true)
 			assert.Equal(t, got.Lists.Version, 1)
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -16,6 +16,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/files/lists"
 	"zinniapond.example/zinniapond/internal/fleet/state"
 )
 
@@ -35,7 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Watcher{Settings: k.Settings, Peers: peers, Clock: k.Clock, Logger: k.Logger.Named("watch")}, nil
+	return &Watcher{
+		Settings: k.Settings, Peers: peers, Clock: k.Clock, Logger: k.Logger.Named("watch"),
+		Parse: new(lists.Parser).Parse,
+	}, nil
 }
 
 // Watcher is one host's view of the control log. The exported fields are set
--- a/internal/wire/stream/stream.go
+++ b/internal/wire/stream/stream.go
@@ -123,7 +123,9 @@
 		s.Logger.Warn("closing streams in progress", "drain", s.Drain)
 		err = server.Close()
 	}
-	<-failed
+	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
+		s.Logger.Debug("accept ended", "error", err)
+	}
 	return err
 }
 
