--- a/internal/policy/fair/fair.go
+++ b/internal/policy/fair/fair.go
@@ -164,8 +164,8 @@
 }
 
 // Charge adds received service. Pop has charged the call's expected cost; the
-// first Charge of the program after it replaces this cost by the real one, so
-// each popped call needs one Charge, with zero if it did not run.
+// first Charge of the program after it replaces this cost by the real one. A
+// popped call that is never charged counts with its expected cost.
 func (q *Queue) Charge(_ time.Time, plan zinniapond.PlanName, id zinniapond.ProgramID, weight int, served zinniapond.Tokens) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -173,10 +173,10 @@
 	// A program that is already forgotten is charged to its plan alone.
 	p := q.programs[id]
 	change := debt{cost: float64(served)}
-	if p != nil && len(p.owed) > 0 {
-		change.tier = p.owed[0].tier
-		change.cost -= p.owed[0].cost
-		p.owed = p.owed[1:]
+	if p != nil && p.owed.tier != nil {
+		change.tier = p.owed.tier
+		change.cost -= p.owed.cost
+		p.owed = debt{}
 	} else {
 		change.tier = q.tier(plan, int(zinniapond.ClassStandard))
 		change.tier.weight = float64(max(weight, 1))
@@ -184,8 +184,8 @@
 	q.apply(p, change)
 }
 
-// Forget drops what is kept for an ended program. Its unsettled costs are
-// given back to the plan.
+// Forget drops what is kept for an ended program. Its unsettled cost is given
+// back to the plan.
 func (q *Queue) Forget(id zinniapond.ProgramID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -193,11 +193,10 @@
 	if !ok {
 		return
 	}
-	for _, d := range p.owed {
-		d.cost = -d.cost
-		q.apply(p, d)
+	if p.owed.tier != nil {
+		q.apply(p, debt{tier: p.owed.tier, cost: -p.owed.cost})
+		p.owed = debt{}
 	}
-	p.owed = nil
 	p.ended = true
 	if p.waits == 0 {
 		delete(q.programs, id)
@@ -331,7 +330,7 @@
 func (q *Queue) owe(t *tier, c *call) {
 	p := q.program(c.waiting.Program)
 	d := debt{tier: t, cost: float64(max(c.waiting.Cost, 1))}
-	p.owed = append(p.owed, d)
+	p.owed = d
 	q.apply(p, d)
 }
 
--- a/internal/policy/fair/nodes.go
+++ b/internal/policy/fair/nodes.go
@@ -31,8 +31,9 @@
 // program has the service that a program has received.
 type program struct {
 	served float64
-	// owed are costs charged at dispatch and not yet settled, in order.
-	owed  []debt
+	// owed is the cost charged at the last dispatch and not yet settled. One
+	// call of a program runs at a time, so there is at most one.
+	owed  debt
 	waits int  // calls that wait
 	ended bool // removed once no call waits
 	lanes [levels]*lane
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -140,19 +140,30 @@
 }
 
 // Advance brings the engine to now. It tells of the first token and of the end
-// of each request, with the instant.
-func (s *Server) Advance(now time.Time, tell func(at time.Time, attempt zinniapond.AttemptID, usage zinniapond.Usage, ended bool)) {
+// of each request, with the instant; the answer is empty before the end.
+func (s *Server) Advance(now time.Time, tell func(at time.Time, attempt zinniapond.AttemptID, usage zinniapond.Usage, answer string)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prepare()
 	s.advance(now, func(at time.Time, j *job) {
-		tell(at, j.attempt, j.usage, j.done)
-		if j.done {
-			delete(s.jobs, j.attempt)
+		if !j.done {
+			tell(at, j.attempt, j.usage, "")
+			return
 		}
+		delete(s.jobs, j.attempt)
+		tell(at, j.attempt, j.usage, s.Answer(j.need))
 	})
 }
 
+// Answer is the answer to a request begun by Begin: a function of its prompt.
+func (s *Server) Answer(need zinniapond.Need) string {
+	var sum uint64
+	if len(need.Prefix) > 0 {
+		sum = need.Prefix[len(need.Prefix)-1]
+	}
+	return text(sum+uint64(need.Prompt), 0, int(need.Most)) //nolint:gosec // sizes are not negative.
+}
+
 // Next returns the instant of the next first token or end of a request.
 func (s *Server) Next() (time.Time, bool) {
 	s.mu.Lock()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -20,8 +20,8 @@
 // finish runs the engine until the attempts have ended and returns their ends.
 func finish(s *Server, now time.Time, until time.Time) map[zinniapond.AttemptID]time.Duration {
 	ends := map[zinniapond.AttemptID]time.Duration{}
-	s.Advance(until, func(at time.Time, a zinniapond.AttemptID, _ zinniapond.Usage, ended bool) {
-		if ended {
+	s.Advance(until, func(at time.Time, a zinniapond.AttemptID, _ zinniapond.Usage, answer string) {
+		if answer != "" {
 			ends[a] = at.Sub(now)
 		}
 	})
