--- /dev/null
+++ b/internal/bench/load/figures.go
@@ -0,0 +1,212 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"zinniapond.example/zinniapond"
+)
+
+// shortTokens is the length of an answer up to which a call counts as short.
+const shortTokens = 14
+
+// figures collects what a run shows.
+type figures struct {
+	programs, usual, short *hdrhistogram.Histogram
+	count                  struct {
+		programs, calls, answered, refused, late, broken, unknown int
+		hedges, retries, doubled, mixed, reordered                int
+	}
+	known, cached, recomputed zinniapond.Tokens
+	heldEnded                 zinniapond.Tokens // most at one instant
+	plans                     map[zinniapond.PlanName]*planFigures
+	extra                     extra
+}
+
+// planFigures are those of one plan, at the crest if there is one.
+type planFigures struct {
+	kind      *kind
+	calls, in int
+	refused   int
+	served    float64
+	latency   *hdrhistogram.Histogram
+}
+
+func histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(max(d.Milliseconds(), 1)) // runs are shorter than the range
+}
+
+func newFigures() figures {
+	return figures{
+		programs: histogram(), usual: histogram(), short: histogram(),
+		plans: make(map[zinniapond.PlanName]*planFigures),
+	}
+}
+
+func (r *run) plan(k *kind) *planFigures {
+	p := r.plans[k.plan]
+	if p == nil {
+		p = &planFigures{kind: k, latency: histogram()}
+		r.plans[k.plan] = p
+	}
+	return p
+}
+
+// atCrest tells whether an instant is in the time whose figures count for the
+// plans: the crest without its first seconds, or all of a run without one.
+func (r *run) atCrest(at time.Time) bool {
+	if !r.Crest {
+		return true
+	}
+	since := at.Sub(begin)
+	return since > r.Length/3+10*time.Second && since < 2*r.Length/3
+}
+
+func (r *run) ended(now time.Time, f *flow) {
+	if f.parent != nil {
+		return // counted in its parent
+	}
+	record(r.programs, now.Sub(f.began))
+	if !f.script.straggler {
+		record(r.usual, now.Sub(f.began))
+	}
+}
+
+// finished counts an answered call.
+func (r *run) finished(now time.Time, c *call, a *attempt, seen zinniapond.Observation) {
+	r.count.answered++
+	if c.turn.service {
+		return
+	}
+	known := c.turn.known / blockTokens * blockTokens
+	r.known += known
+	r.cached += min(seen.Usage.Cached, known)
+	r.recomputed += max(known-seen.Usage.Cached, 0)
+	took := now.Sub(c.submitted)
+	if c.turn.generate <= shortTokens {
+		record(r.short, took)
+	}
+	p := r.plan(c.flow.script.kind)
+	if !r.atCrest(c.submitted) {
+		return
+	}
+	p.calls++
+	record(p.latency, took)
+	first := a.first.Sub(c.submitted) + 2*network
+	between := now.Sub(a.first) / time.Duration(max(c.turn.generate, 1))
+	if first <= firstTarget && between <= betweenTarget {
+		p.in++
+	}
+	p.served += float64(seen.Usage.Prompt - seen.Usage.Cached + seen.Usage.Generated)
+}
+
+func (r *run) refused(c *call) {
+	if !c.turn.service && r.atCrest(c.submitted) {
+		p := r.plan(c.flow.script.kind)
+		p.calls++
+		p.refused++
+	}
+}
+
+// sample looks for cache of programs that have ended longer ago than the
+// bound of any release: the expiry, the grace and two reports.
+func (r *run) sample(now time.Time) {
+	var held zinniapond.Tokens
+	for id, at := range r.endedAt {
+		if now.Sub(at) < 20*time.Second {
+			continue
+		}
+		var own zinniapond.Tokens
+		for _, n := range r.engines {
+			own += n.Held(id)
+		}
+		held += own
+		if own == 0 && now.Sub(at) > time.Minute {
+			delete(r.endedAt, id)
+		}
+	}
+	r.heldEnded = max(r.heldEnded, held)
+}
+
+// extra counts the work beyond first attempts, in spans of ten seconds.
+type extra struct {
+	spans map[int]*[2]int
+	total [2]int
+}
+
+func (x *extra) add(now time.Time, at int) {
+	if x.spans == nil {
+		x.spans = make(map[int]*[2]int)
+	}
+	key := int(now.Sub(begin) / (10 * time.Second))
+	if x.spans[key] == nil {
+		x.spans[key] = &[2]int{}
+	}
+	x.spans[key][at]++
+	x.total[at]++
+}
+
+func (x *extra) request(now time.Time) { x.add(now, 0) }
+func (x *extra) more(now time.Time)    { x.add(now, 1) }
+
+// worst returns the greatest share of extra work over six consecutive spans
+// with enough requests.
+func (x *extra) worst() float64 {
+	worst := 0.0
+	for key := range x.spans {
+		sum := [2]int{}
+		for i := range 6 {
+			if s := x.spans[key+i]; s != nil {
+				sum[0] += s[0]
+				sum[1] += s[1]
+			}
+		}
+		if sum[0] >= 200 {
+			worst = max(worst, float64(sum[1])/float64(sum[0]))
+		}
+	}
+	return worst
+}
+
+// sum returns the figures by name.
+func (r *run) sum() map[string]float64 {
+	quantile := func(h *hdrhistogram.Histogram, p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
+	lost := r.count.calls - r.count.answered - r.count.refused - r.count.unknown
+	m := map[string]float64{
+		"programs": float64(r.count.programs), "calls": float64(r.count.calls),
+		"program p50": quantile(r.programs, 50), "program p95": quantile(r.programs, 95), "program p99": quantile(r.programs, 99),
+		"usual p50": quantile(r.usual, 50), "usual p95": quantile(r.usual, 95), "usual p99": quantile(r.usual, 99),
+		"short p50": quantile(r.short, 50), "short p99": quantile(r.short, 99),
+		"recomputed": float64(r.recomputed), "known": float64(r.known), "held ended": float64(r.heldEnded),
+		"refused": float64(r.count.refused), "late": float64(r.count.late), "broken": float64(r.count.broken),
+		"unknown": float64(r.count.unknown), "lost": float64(lost), "doubled": float64(r.count.doubled),
+		"mixed": float64(r.count.mixed), "reordered": float64(r.count.reordered),
+		"hedges": float64(r.count.hedges), "retries": float64(r.count.retries),
+		"extra": float64(r.extra.total[1]) / math.Max(float64(r.extra.total[0]), 1), "extra worst": r.extra.worst(),
+	}
+	var served, weights float64
+	for name, p := range r.plans {
+		m["in target "+string(name)] = float64(p.in) / math.Max(float64(p.calls), 1)
+		m["refused "+string(name)] = float64(p.refused) / math.Max(float64(p.calls), 1)
+		m["call p99 "+string(name)] = quantile(p.latency, 99)
+		m["served "+string(name)] = p.served
+		if p.kind.class == zinniapond.ClassStandard {
+			served += p.served
+			weights += float64(p.kind.weight)
+		}
+	}
+	// Plans of one class that all want more than they get share by weight.
+	for _, p := range r.plans {
+		if p.kind.class == zinniapond.ClassStandard && served > 0 {
+			due := float64(p.kind.weight) / weights
+			m["share error"] = math.Max(m["share error"], math.Abs(p.served/served/due-1))
+		}
+	}
+	return m
+}
