--- a/internal/wire/serve/serve.go
+++ b/internal/wire/serve/serve.go
@@ -92,9 +92,7 @@
 	select {
 	case <-ctx.Done():
 		l.Close()
-		if err := <-failed; err != nil && !errors.Is(err, net.ErrClosed) {
-			s.Logger.Debug("accept ended", "error", err)
-		}
+		err = <-failed
 	case err = <-failed:
 		l.Close()
 	}
--- a/internal/wire/stream/stream.go
+++ b/internal/wire/stream/stream.go
@@ -123,8 +123,8 @@
 		s.Logger.Warn("closing streams in progress", "drain", s.Drain)
 		err = server.Close()
 	}
-	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
-		s.Logger.Debug("accept ended", "error", err)
+	if ended := <-failed; !errors.Is(ended, http.ErrServerClosed) {
+		err = errors.Join(err, ended)
 	}
 	return err
 }
