--- a/internal/benchcmd/run/run.go
+++ b/internal/benchcmd/run/run.go
@@ -12,6 +12,7 @@
 
 	"zinniapond.example/zinniapond/internal/bench/load"
 	"zinniapond.example/zinniapond/internal/bench/table"
+
 	// The experiments use the registered plug-ins.
 	_ "zinniapond.example/zinniapond/internal/core/plugs"
 )
