--- a/interfaces.go
+++ b/interfaces.go
@@ -12,7 +12,8 @@
 	Run(ctx context.Context) error
 }
 
-// RolePlugin does the work of one role of a host.
+// RolePlugin does the work of one role of a host, or a part of it. Parts are
+// registered under the role's name, a dot and a name of their own.
 type RolePlugin interface {
 	Runner
 	Role() Role
@@ -267,9 +268,9 @@
 
 // Demand is what a model's callers ask for.
 type Demand struct {
-	Model   PoolName
-	Busy    float64 // mean of replicas busy
-	Waiting int
+	Model   PoolName `cbor:"m"`
+	Busy    float64  `cbor:"b"` // mean of replicas busy
+	Waiting int      `cbor:"w"`
 }
 
 // Placer decides which replicas hold which model.
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -167,7 +168,7 @@
 		if !k.Settings.HasRole(role) {
 			continue
 		}
-		if _, err := FindNamed[zinniapond.RolePlugin](k, string(role)); err != nil {
+		if err := k.buildRole(role); err != nil {
 			return err
 		}
 	}
@@ -188,6 +189,23 @@
 	return cause
 }
 
+// buildRole builds the plug-in of a role and those that belong to it, whose
+// names begin with the role's name and a dot.
+func (k *Kernel) buildRole(role zinniapond.Role) error {
+	if _, err := FindNamed[zinniapond.RolePlugin](k, string(role)); err != nil {
+		return err
+	}
+	for _, n := range Names[zinniapond.RolePlugin]() {
+		if !strings.HasPrefix(n, string(role)+".") {
+			continue
+		}
+		if _, err := FindNamed[zinniapond.RolePlugin](k, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // running is one plug-in at work.
 type running struct {
 	cancel context.CancelFunc
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -11,7 +11,8 @@
 	_ "zinniapond.example/zinniapond/internal/entry/caller"
 	_ "zinniapond.example/zinniapond/internal/entry/relay"
 
-	// Control log: the voters, and the observer of every host.
+	// Control log: the voters, the observer of every host, orders to engines.
+	_ "zinniapond.example/zinniapond/internal/fleet/order"
 	_ "zinniapond.example/zinniapond/internal/quorum/voter"
 	_ "zinniapond.example/zinniapond/internal/quorum/watch"
 
--- a/internal/program/owner/drain.go
+++ b/internal/program/owner/drain.go
@@ -11,7 +11,7 @@
 // proposeLimit bounds one proposal of a hand-over.
 const proposeLimit = 3 * time.Second
 
-// handover is the receiver of the RPC method Owner.Handover.
+// handover is the receiver of the RPC methods Owner.Handover and Owner.Demand.
 type handover struct{ owner *Owner }
 
 // Handover notes who shall get a shard.
@@ -43,13 +43,14 @@
 	a := h.wanted
 	a.Owner, a.Member = h.target, o.Directory.View().Members[h.target].Epoch
 	a.Epoch++
+	self := o.Directory.View().Members[o.Settings.Host]
 	h.target = ""
 	h.moving = true
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(o.life, proposeLimit)
 	defer cancel()
 	result, err := o.Control.Propose(ctx, o.Clock(), zinniapond.Command{
-		Kind: zinniapond.CommandAssign, Assignments: []zinniapond.Assignment{a},
+		Kind: zinniapond.CommandAssign, Assignments: []zinniapond.Assignment{a}, Member: &self,
 	})
 	if err == nil && result.Accepted {
 		o.Logger.Info("handed over shard", "shard", h.shard, "to", a.Owner, "epoch", a.Epoch)
--- a/internal/program/owner/sweep.go
+++ b/internal/program/owner/sweep.go
@@ -191,6 +191,23 @@
 	return len(p.running) > 0
 }
 
+// callsPerReplica is how many calls at once count as one busy replica.
+const callsPerReplica = 16
+
+// Demand tells what this host's callers ask of the models.
+func (r *handover) Demand(_ zinniapond.DemandRequest, reply *zinniapond.DemandReply) error {
+	for _, name := range r.owner.poolNames() {
+		p, ok := r.owner.pools.Get(name)
+		if !ok {
+			continue
+		}
+		reply.Demand = append(reply.Demand, zinniapond.Demand{
+			Model: name, Busy: float64(p.Running()) / callsPerReplica, Waiting: p.Queue.Len(),
+		})
+	}
+	return nil
+}
+
 func (o *Owner) poolNames() []zinniapond.PoolName {
 	var names []zinniapond.PoolName
 	o.pools.Each(func(name zinniapond.PoolName, _ *pool.Pool) bool {
--- a/internal/program/pool/pool.go
+++ b/internal/program/pool/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -27,6 +28,7 @@
 
 	tickets shard.Map[zinniapond.CallID, chan zinniapond.Choice]
 	wake    chan struct{}
+	running atomic.Int64
 }
 
 // New returns a pool whose exported fields are still to be set.
@@ -89,6 +91,7 @@
 	if !ok || !p.Limiter.Acquire(now, choice.Backend) {
 		return zinniapond.Choice{}, false
 	}
+	p.running.Add(1)
 	p.Router.Started(now, choice.Backend, need)
 	return choice, true
 }
@@ -122,11 +125,15 @@
 
 // Release gives a place back and tells what the attempt showed.
 func (p *Pool) Release(now time.Time, server netip.AddrPort, need zinniapond.Need, seen zinniapond.Observation) {
+	p.running.Add(-1)
 	p.Limiter.Release(now, server, seen)
 	p.Router.Finished(now, server, need, seen)
 	p.Wake()
 }
 
+// Running returns the number of places in use.
+func (p *Pool) Running() int { return int(p.running.Load()) }
+
 // Update sets the servers that may receive new work.
 func (p *Pool) Update(now time.Time, servers []zinniapond.Backend) {
 	p.Router.Update(now, servers)
--- a/messages.go
+++ b/messages.go
@@ -310,6 +310,16 @@
 	To    HostName `cbor:"to"`
 }
 
+// DemandRequest asks a host what its callers ask of the models.
+type DemandRequest struct {
+	Sender HostName `cbor:"s"`
+}
+
+// DemandReply answers a DemandRequest.
+type DemandReply struct {
+	Demand []Demand `cbor:"d"`
+}
+
 // HandoverReply answers a HandoverRequest at once; the change of owner shows in
 // the control log.
 type HandoverReply struct {
