--- a/internal/bench/load/figures.go
+++ b/internal/bench/load/figures.go
@@ -12,6 +12,12 @@
 // shortTokens is the length of an answer up to which a call counts as short.
 const shortTokens = 14
 
+// The speeds of a stand-in engine with a full batch, in tokens per second.
+const (
+	prefill  = 8000.0
+	generate = 640.0
+)
+
 // figures collects what a run shows.
 type figures struct {
 	programs, usual, short *hdrhistogram.Histogram
@@ -19,10 +25,13 @@
 		programs, calls, answered, refused, late, broken, unknown int
 		hedges, retries, doubled, mixed, reordered                int
 	}
-	known, cached, recomputed zinniapond.Tokens
-	heldEnded                 zinniapond.Tokens // most at one instant
-	plans                     map[zinniapond.PlanName]*planFigures
-	extra                     extra
+	known, recomputed zinniapond.Tokens
+	// fresh and generated are the tokens of the answered calls of engines.
+	fresh, generated        zinniapond.Tokens
+	demanded, demandedFirst float64
+	heldEnded               zinniapond.Tokens // most at one instant
+	plans                   map[zinniapond.PlanName]*planFigures
+	extra                   extra
 }
 
 // planFigures are those of one plan, at the crest if there is one.
@@ -78,6 +87,39 @@
 	}
 }
 
+// demand is the work of the programs that arrive at the crest, or in all of a
+// run without one, by the capacity of all engines.
+func (r *run) demand(scripts []*script) (all, first float64) {
+	var fresh, generated [2]float64
+	span := 0.0
+	for at := time.Duration(0); at < r.Length; at += time.Second {
+		if r.atCrest(begin.Add(at)) {
+			span++
+		}
+	}
+	var add func(s *script)
+	add = func(s *script) {
+		for _, t := range s.turns {
+			if !t.service {
+				at := min(int(s.kind.class), 1)
+				fresh[at] += float64(t.prompt - max(t.known, s.kind.system))
+				generated[at] += float64(t.generate)
+			}
+			for _, c := range t.spawn {
+				add(c)
+			}
+		}
+	}
+	for _, s := range scripts {
+		if r.atCrest(begin.Add(s.arrive)) {
+			add(s)
+		}
+	}
+	capacity := span * float64(max(r.Engines, 1))
+	first = max(fresh[0]/prefill, generated[0]/generate) / capacity
+	return max((fresh[0]+fresh[1])/prefill, (generated[0]+generated[1])/generate) / capacity, first
+}
+
 // finished counts an answered call.
 func (r *run) finished(now time.Time, c *call, a *attempt, seen zinniapond.Observation) {
 	r.count.answered++
@@ -86,7 +128,8 @@
 	}
 	known := c.turn.known / blockTokens * blockTokens
 	r.known += known
-	r.cached += min(seen.Usage.Cached, known)
+	r.fresh += seen.Usage.Prompt - seen.Usage.Cached
+	r.generated += seen.Usage.Generated
 	r.recomputed += max(known-seen.Usage.Cached, 0)
 	took := now.Sub(c.submitted)
 	if c.turn.generate <= shortTokens {
@@ -184,6 +227,8 @@
 		"usual p50": quantile(r.usual, 50), "usual p95": quantile(r.usual, 95), "usual p99": quantile(r.usual, 99),
 		"short p50": quantile(r.short, 50), "short p99": quantile(r.short, 99),
 		"recomputed": float64(r.recomputed), "known": float64(r.known), "held ended": float64(r.heldEnded),
+		"load":   max(float64(r.fresh)/prefill, float64(r.generated)/generate) / r.Length.Seconds() / float64(max(r.Engines, 1)),
+		"demand": r.demanded, "demand first": r.demandedFirst,
 		"refused": float64(r.count.refused), "late": float64(r.count.late), "broken": float64(r.count.broken),
 		"unknown": float64(r.count.unknown), "lost": float64(lost), "doubled": float64(r.count.doubled),
 		"mixed": float64(r.count.mixed), "reordered": float64(r.count.reordered),
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -13,21 +13,28 @@
 )
 
 const (
-	// floor keeps enough calls at a server to observe its latency.
-	floor = 2
+	// floor keeps a call at a server, so that its latency stays observed.
+	floor = 1
 	// ceiling is above the batch of the largest engines in use.
 	ceiling = 256
-	start   = 8
+	// start is small, as all hosts start with it at the same server.
+	start = 4
 	// tolerance is the ratio of latency to its least value that does not
 	// count as queueing; prompts and batches differ by as much.
 	tolerance = 2
-	// smooth is the weight of one new limit.
-	smooth = 0.1
+	// headroom, times the square root of the limit, is tried beyond the limit.
+	// With it a server whose latency has doubled beyond the tolerance keeps
+	// one call for each host.
+	headroom = 0.5
+	// up and down are the weights of one new limit. A limit that is too high
+	// makes calls wait in the engine, where the plans' shares do not count.
+	up   = 0.1
+	down = 0.3
 	// recent is the weight of one observation in the latency.
 	recent = 0.2
-	// forget is the growth of the least latency by one observation, so that
-	// it can rise when the server's ordinary latency does.
-	forget = 0.002
+	// rise is the growth of the least latency in a minute, so that it follows
+	// when a server's ordinary latency rises, yet not during a crest.
+	rise = 0.05
 	// overhead is added to the tokens of a prompt, so that wholly cached
 	// prompts do not have an endless time for each token.
 	overhead = 256
@@ -51,6 +58,7 @@
 	limit  float64
 	least  float64 // time for each prompt token, in nanoseconds
 	mean   float64
+	seen   time.Time // when least was last adjusted
 }
 
 var _ zinniapond.Limiter = (*Limiter)(nil)
@@ -74,7 +82,7 @@
 }
 
 // Release gives the place back and adjusts the limit.
-func (l *Limiter) Release(_ time.Time, address netip.AddrPort, seen zinniapond.Observation) {
+func (l *Limiter) Release(now time.Time, address netip.AddrPort, seen zinniapond.Observation) {
 	l.do(address, func(s *server) {
 		busy := s.flying
 		s.flying = max(s.flying-1, 0)
@@ -84,7 +92,7 @@
 			s.limit = max(s.limit*0.9, floor)
 		case seen.First > 0:
 			fresh := max(seen.Usage.Prompt-seen.Usage.Cached, 0) + overhead
-			s.adjust(float64(seen.First)/float64(fresh), busy)
+			s.adjust(now, float64(seen.First)/float64(fresh), busy)
 		}
 	})
 }
@@ -102,17 +110,22 @@
 
 func (s *server) free() bool { return float64(s.flying)+1 <= s.limit }
 
-func (s *server) adjust(latency float64, busy int) {
+func (s *server) adjust(now time.Time, latency float64, busy int) {
 	if s.mean == 0 {
-		s.mean, s.least = latency, latency
+		s.mean, s.least, s.seen = latency, latency, now
 	}
 	s.mean += recent * (latency - s.mean)
-	s.least = min(s.least*(1+forget), s.mean)
+	grown := s.least * (1 + rise*min(now.Sub(s.seen).Minutes(), 1))
+	s.least, s.seen = min(grown, s.mean), now
 	gradient := min(max(tolerance*s.least/s.mean, 0.5), 1)
-	next := s.limit*gradient + math.Sqrt(s.limit)
-	// A limit that is not in use must not grow: nothing shows that it holds.
-	if next > s.limit && float64(busy) < s.limit/2 {
-		return
+	next := s.limit*gradient + headroom*math.Sqrt(s.limit)
+	weight := down
+	if next > s.limit {
+		// A limit that is not in use must not grow: nothing shows that it holds.
+		if float64(busy) < s.limit/2 {
+			return
+		}
+		weight = up
 	}
-	s.limit = min(max(s.limit+smooth*(next-s.limit), floor), ceiling)
+	s.limit = min(max(s.limit+weight*(next-s.limit), floor), ceiling)
 }
