--- /dev/null
+++ b/internal/test/tap/tap.go
@@ -0,0 +1,156 @@
+// Package tap is a TCP pass-through for tests. It can drop the bytes of open
+// connections, cut them, close one direction or slow them down.
+package tap
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Tap passes connections on to a target.
+type Tap struct {
+	// Pace is the pause after each block of at most 32 KiB, set before use.
+	Pace time.Duration
+
+	target   netip.AddrPort
+	listener net.Listener
+	address  netip.AddrPort
+
+	mu     sync.Mutex
+	pairs  map[*pair]struct{}
+	closed bool
+	group  sync.WaitGroup
+	opened atomic.Int64
+	bytes  atomic.Int64
+}
+
+// pair is one connection with its continuation to the target.
+type pair struct {
+	client, server *net.TCPConn
+	silent         atomic.Bool
+}
+
+const block = 32 << 10
+
+// New returns a pass-through to target that ends with the test.
+func New(t testing.TB, target netip.AddrPort) *Tap {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	tap := &Tap{
+		target: target, listener: l, address: l.Addr().(*net.TCPAddr).AddrPort(), pairs: make(map[*pair]struct{}),
+	}
+	tap.group.Go(tap.accept)
+	t.Cleanup(tap.Close)
+	return tap
+}
+
+// Address is where the pass-through listens.
+func (t *Tap) Address() netip.AddrPort { return t.address }
+
+// Opened is the number of connections so far.
+func (t *Tap) Opened() int64 { return t.opened.Load() }
+
+// Bytes is the number of bytes passed on so far, in both directions.
+func (t *Tap) Bytes() int64 { return t.bytes.Load() }
+
+// Silence drops all further bytes of the connections that are open now. They
+// stay open, and new connections work.
+func (t *Tap) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
+
+// Cut closes the connections that are open now.
+func (t *Tap) Cut() { t.each((*pair).close) }
+
+// HalfClose ends the direction from the target to the client of the connections
+// that are open now.
+func (t *Tap) HalfClose() { t.each(func(p *pair) { _ = p.client.CloseWrite() }) }
+
+// Close ends the pass-through. New connections are refused.
+func (t *Tap) Close() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.Cut()
+	t.group.Wait()
+}
+
+func (t *Tap) each(visit func(*pair)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p := range t.pairs {
+		visit(p)
+	}
+}
+
+func (t *Tap) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.opened.Add(1)
+		s, err := net.Dial("tcp", t.target.String())
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		p := &pair{client: c.(*net.TCPConn), server: s.(*net.TCPConn)}
+		t.mu.Lock()
+		closed := t.closed
+		t.pairs[p] = struct{}{}
+		t.mu.Unlock()
+		if closed {
+			p.close()
+		}
+		t.group.Go(func() { t.serve(p) })
+	}
+}
+
+func (t *Tap) serve(p *pair) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.pass(p, p.client, p.server)
+	}()
+	t.pass(p, p.server, p.client)
+	<-done
+	p.close()
+	t.mu.Lock()
+	delete(t.pairs, p)
+	t.mu.Unlock()
+}
+
+// pass copies one direction. Bytes of a silent pair are read and dropped, so
+// that the sender sees no back-pressure, as with a network that loses packets.
+func (t *Tap) pass(p *pair, from, to *net.TCPConn) {
+	buf := make([]byte, block)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.silent.Load() {
+			if t.Pace > 0 {
+				time.Sleep(t.Pace)
+			}
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				p.close()
+				return
+			}
+			t.bytes.Add(int64(n))
+		}
+		if err != nil {
+			_ = to.CloseWrite()
+			return
+		}
+	}
+}
+
+func (p *pair) close() {
+	_ = p.client.Close()
+	_ = p.server.Close()
+}
--- /dev/null
+++ b/internal/wire/codec/codec_test.go
@@ -0,0 +1,169 @@
+package codec
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestMarshal(t *testing.T) {
+	t.Run("guards against losing parts of a message", func(t *testing.T) {
+		want := zinniapond.Record{
+			Kind: zinniapond.RecordResult, Program: "p", At: time.Unix(1, 23456789).UTC(),
+			Answer: &zinniapond.Answer{
+				Call: "c", Outcome: zinniapond.OutcomeDone, Status: 200, Body: []byte{0, 1},
+				Backend: netip.MustParseAddrPort("[fd00::1]:8080"), Queued: 3 * time.Microsecond,
+				Attempts: []zinniapond.Attempt{{ID: "a", Started: time.Unix(2, 1).UTC()}},
+			},
+		}
+		data, err := Marshal(want)
+		assert.NoError(t, err)
+		var got zinniapond.Record
+		assert.NoError(t, Unmarshal(data, &got))
+		assert.Equal(t, got, want)
+	})
+}
+
+func TestErrors(t *testing.T) {
+	peer := netip.MustParseAddrPort("127.0.0.1:9")
+	for name, s := range sentinels {
+		t.Run("guards against losing the type of "+name, func(t *testing.T) {
+			sealed, err := Seal(nil, fmt.Errorf("step: %w", s))
+			assert.NoError(t, err)
+			got := Open(sealed, nil)
+			assert.ErrorIs(t, got, s)
+			assert.Equal(t, got.Error(), "step: "+s.Error())
+		})
+	}
+	t.Run("guards against losing the detail of an error", func(t *testing.T) {
+		sent := &zinniapond.Error{
+			Step: "reserve", Peer: peer, Host: "nord", Hint: "wait", RetryAfter: time.Second, Err: zinniapond.ErrBudget,
+		}
+		data, err := EncodeError(fmt.Errorf("run call: %w", sent))
+		assert.NoError(t, err)
+		got := DecodeError(data)
+		assert.ErrorIs(t, got, zinniapond.ErrBudget)
+		var detail *zinniapond.Error
+		assert.True(t, errors.As(got, &detail), "no detail in %v", got)
+		assert.Equal(t, []any{detail.Step, detail.Peer.String(), detail.Host, detail.Hint, detail.RetryAfter},
+			[]any{"reserve", peer.String(), zinniapond.HostName("nord"), "wait", time.Second})
+	})
+	t.Run("guards against taking a peer's failed dial for a request that was not sent", func(t *testing.T) {
+		data, err := EncodeError(fmt.Errorf("%w: refused", zinniapond.ErrNotSent))
+		assert.NoError(t, err)
+		got := DecodeError(data)
+		assert.True(t, !errors.Is(got, zinniapond.ErrNotSent), "ErrNotSent crossed the wire")
+	})
+	t.Run("guards against a root error that the wire does not know", func(t *testing.T) {
+		text, err := os.ReadFile("../../../errors.go")
+		assert.NoError(t, err)
+		assert.Equal(t, len(sentinels)+1, strings.Count(string(text), "= errors.New("))
+	})
+}
+
+func TestFrames(t *testing.T) {
+	t.Run("guards against memory for a length that never arrives", func(t *testing.T) {
+		frame := []byte{0, 255, 255, 255, 1, 2, 3}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := ReadFrame(bytes.NewReader(frame), 1<<24, nil)
+		runtime.ReadMemStats(&after)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		grown := after.TotalAlloc - before.TotalAlloc
+		assert.True(t, grown < 1<<20, "%d bytes allocated for 3", grown)
+	})
+	t.Run("guards against a frame above the limit", func(t *testing.T) {
+		_, err := ReadFrame(bytes.NewReader([]byte{0, 0, 1, 0}), 255, nil)
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+		_, err = AppendFrame(nil, 10, "more than ten bytes")
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+	})
+	t.Run("guards against a cut frame passing for the end of the stream", func(t *testing.T) {
+		_, err := ReadFrame(bytes.NewReader([]byte{0, 0, 0, 2, 1}), 255, nil)
+		assert.True(t, !errors.Is(err, io.EOF), "got %v", err)
+	})
+}
+
+// pair returns both ends of a TCP connection.
+func pair(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer l.Close()
+	one, err := net.Dial("tcp", l.Addr().String())
+	assert.NoError(t, err)
+	two, err := l.Accept()
+	assert.NoError(t, err)
+	t.Cleanup(func() {
+		one.Close()
+		two.Close()
+	})
+	return one, two
+}
+
+func TestCodec(t *testing.T) {
+	const beat, silence = 20 * time.Millisecond, 400 * time.Millisecond
+	t.Run("guards against an idle connection being taken for a silent one", func(t *testing.T) {
+		one, two := pair(t)
+		a, b := New(one, 0, beat, silence), New(two, 0, beat, silence)
+		defer a.Close()
+		defer b.Close()
+		go func() { _ = a.ReadResponseHeader(new(rpc.Response)) }()
+		read := make(chan error, 1)
+		go func() {
+			var r rpc.Request
+			read <- b.ReadRequestHeader(&r)
+		}()
+		select {
+		case err := <-read:
+			t.Fatalf("connection ended: %v", err)
+		case <-time.After(2 * silence):
+		}
+		assert.NoError(t, a.WriteRequest(&rpc.Request{ServiceMethod: "m", Seq: 1}, "body"))
+		assert.NoError(t, <-read)
+		var body string
+		assert.NoError(t, b.ReadRequestBody(&body))
+		assert.Equal(t, body, "body")
+	})
+	t.Run("guards against waiting for ever on a silent connection", func(t *testing.T) {
+		one, _ := pair(t)
+		a := New(one, 0, beat, silence)
+		err := a.ReadResponseHeader(new(rpc.Response))
+		assert.Contains(t, err.Error(), "silent")
+		<-a.Done()
+	})
+	t.Run("guards against a writer blocked by a peer that does not read", func(t *testing.T) {
+		one, _ := pair(t)
+		a := New(one, 0, time.Hour, silence)
+		err := a.WriteRequest(&rpc.Request{Seq: 1}, make([]byte, 30<<20))
+		assert.True(t, err != nil, "30 MiB written to a peer that does not read")
+		<-a.Done()
+	})
+	t.Run("guards against a reply above the limit leaving its caller without answer", func(t *testing.T) {
+		one, two := pair(t)
+		a, b := New(one, 1000, beat, silence), New(two, 1000, beat, silence)
+		defer a.Close()
+		defer b.Close()
+		assert.NoError(t, b.WriteResponse(&rpc.Response{Seq: 7}, make([]byte, 2000)))
+		var r rpc.Response
+		assert.NoError(t, a.ReadResponseHeader(&r))
+		assert.Equal(t, r.Seq, 7)
+		assert.Contains(t, r.Error, "limit 1000")
+	})
+}
--- a/internal/wire/codec/fault.go
+++ b/internal/wire/codec/fault.go
@@ -34,6 +34,7 @@
 	"backend":     zinniapond.ErrBackend,
 	"corrupt":     zinniapond.ErrCorrupt,
 	"unavailable": zinniapond.ErrUnavailable,
+	"cap":         zinniapond.ErrCap,
 }
 
 // fault is an error on the wire.
