--- a/internal/test/tap/tap.go
+++ b/internal/test/tap/tap.go
@@ -144,7 +144,9 @@
 			t.bytes.Add(int64(n))
 		}
 		if err != nil {
-			_ = to.CloseWrite()
+			if !p.silent.Load() { // the end of a silent connection is lost too
+				_ = to.CloseWrite()
+			}
 			return
 		}
 	}
--- a/internal/wire/peers/link.go
+++ b/internal/wire/peers/link.go
@@ -33,10 +33,9 @@
 	pool    *Pool
 	address netip.AddrPort
 
-	mu     sync.Mutex
-	links  []*link
-	dial   *dial // in progress, or nil
-	closed bool
+	mu    sync.Mutex
+	links []*link
+	dial  *dial // in progress, or nil
 }
 
 // dial is one attempt to connect, which several callers may wait for.
@@ -75,8 +74,10 @@
 func (v *peer) choose() (*link, *dial, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.closed {
+	select {
+	case <-v.pool.closed:
 		return nil, nil, zinniapond.ErrNotSent
+	default:
 	}
 	var best *link
 	kept := v.links[:0]
@@ -115,7 +116,7 @@
 		defer v.mu.Unlock()
 		v.dial = nil
 		defer close(d.done)
-		if err == nil && v.closed {
+		if err == nil && ctx.Err() != nil {
 			c.Close()
 			err = zinniapond.ErrNotSent
 		}
@@ -128,9 +129,9 @@
 	}()
 }
 
+// close ends the connections. The pool has been marked as closed before.
 func (v *peer) close() {
 	v.mu.Lock()
-	v.closed = true
 	links, d := v.links, v.dial
 	v.links = nil
 	v.mu.Unlock()
--- /dev/null
+++ b/internal/wire/peers/peers_test.go
@@ -0,0 +1,326 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/tap"
+	"zinniapond.example/zinniapond/internal/wire/guard"
+	"zinniapond.example/zinniapond/internal/wire/serve"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// The tests use a shorter beat and silence than the defaults to be quick. The
+// silence is long against the pauses of a busy machine.
+const (
+	beat    = 50 * time.Millisecond
+	silence = time.Second
+)
+
+// echo is the receiver under test.
+type echo struct {
+	entered chan struct{} // Wait reports here that it runs
+	release chan struct{} // Wait returns when it is closed
+}
+
+func (*echo) Say(request *zinniapond.FetchRequest, reply *zinniapond.FetchReply) error {
+	reply.Leader = request.Sender
+	return nil
+}
+
+func (*echo) Data(request []byte, reply *[]byte) error {
+	*reply = request
+	return nil
+}
+
+func (*echo) Grow(size int, reply *[]byte) error {
+	*reply = make([]byte, size)
+	return nil
+}
+
+func (*echo) Fail(_ string, _ *string) error {
+	return fmt.Errorf("append: %w", zinniapond.ErrFenced)
+}
+
+func (e *echo) Wait(_ string, reply *string) error {
+	e.entered <- struct{}{}
+	<-e.release
+	*reply = "late"
+	return nil
+}
+
+func newGuard(host zinniapond.HostName) *guard.Guard {
+	return guard.New(&zinniapond.Settings{
+		Cluster: "test", Host: host, Security: zinniapond.SecuritySettings{Secret: []byte("secret of the tests")},
+	})
+}
+
+// lines collects a log.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+type fixture struct {
+	echo   *echo
+	server *serve.Server
+	stop   func() error
+	log    *lines
+}
+
+func startServer(t testing.TB, change func(*serve.Server)) *fixture {
+	t.Helper()
+	f := &fixture{
+		echo: &echo{entered: make(chan struct{}, 8), release: make(chan struct{})}, log: new(lines),
+	}
+	s := serve.New(newGuard("server"), netip.MustParseAddrPort("127.0.0.1:0"), hclog.New(&hclog.LoggerOptions{Output: f.log}))
+	s.Beat, s.Silence = beat, silence
+	if change != nil {
+		change(s)
+	}
+	assert.NoError(t, s.Mount("Echo", f.echo))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	f.server = s
+	f.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	})
+	t.Cleanup(func() { assert.NoError(t, f.stop()) })
+	return f
+}
+
+func startPool(t testing.TB, change func(*Pool)) *Pool {
+	t.Helper()
+	p := New(newGuard("client"))
+	p.Beat, p.Silence = beat, silence
+	if change != nil {
+		change(p)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return p
+}
+
+// say makes a call that must succeed.
+func say(t testing.TB, p *Pool, peer netip.AddrPort) {
+	t.Helper()
+	var reply zinniapond.FetchReply
+	assert.NoError(t, p.Call(context.Background(), peer, "Echo.Say", &zinniapond.FetchRequest{Sender: "nord"}, &reply))
+	assert.Equal(t, reply.Leader, "nord")
+}
+
+// wait starts a call that does not return until the fixture releases it.
+func wait(f *fixture, p *Pool, peer netip.AddrPort) chan error {
+	done := make(chan error, 1)
+	go func() {
+		var reply string
+		done <- p.Call(context.Background(), peer, "Echo.Wait", "", &reply)
+	}()
+	<-f.echo.entered
+	return done
+}
+
+func TestCall(t *testing.T) {
+	f := startServer(t, nil)
+	p := startPool(t, nil)
+	peer := f.server.Address()
+	t.Run("guards against a lost or changed message", func(t *testing.T) { say(t, p, peer) })
+	t.Run("guards against losing the type of a method's error", func(t *testing.T) {
+		var reply string
+		err := p.Call(context.Background(), peer, "Echo.Fail", "", &reply)
+		assert.ErrorIs(t, err, zinniapond.ErrFenced)
+		assert.Contains(t, err.Error(), peer.String())
+	})
+	t.Run("guards against an unknown method ending the connection", func(t *testing.T) {
+		var reply string
+		err := p.Call(context.Background(), peer, "Echo.None", "", &reply)
+		assert.Contains(t, err.Error(), "can't find service")
+		say(t, p, peer)
+	})
+	t.Run("guards against a request of another type reaching the method", func(t *testing.T) {
+		var reply zinniapond.FetchReply
+		err := p.Call(context.Background(), peer, "Echo.Say", "text", &reply)
+		assert.ErrorIs(t, err, zinniapond.ErrMalformed)
+	})
+	t.Run("guards against a refused connection being taken for a lost answer", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		free := l.Addr().(*net.TCPAddr).AddrPort()
+		l.Close()
+		assert.ErrorIs(t, p.Call(context.Background(), free, "Echo.Say", "", new(string)), zinniapond.ErrNotSent)
+	})
+	t.Run("guards against a late answer changing the caller's reply", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		reply := "untouched"
+		go func() { done <- p.Call(ctx, peer, "Echo.Wait", "", &reply) }()
+		<-f.echo.entered
+		cancel()
+		err := <-done
+		assert.ErrorIs(t, err, context.Canceled)
+		assert.True(t, !errors.Is(err, zinniapond.ErrNotSent), "the request was sent")
+		close(f.echo.release)
+		say(t, p, peer)
+		assert.Equal(t, reply, "untouched")
+	})
+	t.Run("guards against a call without deadline waiting for ever", func(t *testing.T) {
+		f := startServer(t, nil)
+		defer close(f.echo.release)
+		p := startPool(t, func(p *Pool) { p.Deadline = 50 * time.Millisecond })
+		assert.ErrorIs(t, <-wait(f, p, f.server.Address()), context.DeadlineExceeded)
+	})
+}
+
+func TestSize(t *testing.T) {
+	f := startServer(t, func(s *serve.Server) { s.Limit = 1 << 20 })
+	p := startPool(t, func(p *Pool) { p.Limit = 1 << 20 })
+	peer := f.server.Address()
+	t.Run("guards against sending what the peer would refuse", func(t *testing.T) {
+		var reply []byte
+		err := p.Call(context.Background(), peer, "Echo.Data", make([]byte, 1<<20), &reply)
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+		say(t, p, peer)
+	})
+	t.Run("guards against a reply above the limit ending the connection", func(t *testing.T) {
+		var reply []byte
+		err := p.Call(context.Background(), peer, "Echo.Grow", 1<<20, &reply)
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+		say(t, p, peer)
+	})
+	t.Run("guards against accepting a message above the limit from a faulty peer", func(t *testing.T) {
+		wide := startPool(t, func(p *Pool) { p.Limit = 8 << 20 })
+		var reply []byte
+		err := wide.Call(context.Background(), peer, "Echo.Data", make([]byte, 4<<20), &reply)
+		assert.True(t, err != nil, "4 MiB accepted by a server with a limit of 1 MiB")
+	})
+}
+
+func TestBrokenConnections(t *testing.T) {
+	f := startServer(t, nil)
+	defer close(f.echo.release)
+	t.Run("guards against calls hanging on a silent connection", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		p := startPool(t, func(p *Pool) { p.Deadline = time.Minute })
+		one, two := wait(f, p, link.Address()), wait(f, p, link.Address())
+		began := time.Now()
+		link.Silence()
+		for _, done := range []chan error{one, two} {
+			err := <-done
+			assert.Contains(t, err.Error(), "silent")
+			assert.True(t, !errors.Is(err, zinniapond.ErrNotSent), "the request was sent")
+		}
+		assert.True(t, time.Since(began) < 3*silence, "noticed after %s", time.Since(began))
+		say(t, p, link.Address()) // dials afresh
+		assert.Equal(t, link.Opened(), 2)
+	})
+	t.Run("guards against a half-closed connection being used again", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		p := startPool(t, func(p *Pool) { p.Deadline = time.Minute })
+		done := wait(f, p, link.Address())
+		link.HalfClose()
+		assert.ErrorIs(t, <-done, io.ErrUnexpectedEOF)
+		say(t, p, link.Address())
+	})
+	t.Run("guards against a call failing because the connection was cut while idle", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		p := startPool(t, nil)
+		for range 20 {
+			say(t, p, link.Address())
+			v, _ := p.peers.Get(link.Address())
+			v.mu.Lock()
+			old := v.links[0]
+			v.mu.Unlock()
+			link.Cut()
+			<-old.codec.Done()
+		}
+	})
+	t.Run("guards against cutting a large message to a slow peer", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		// 8 MiB each way in blocks of 32 KiB take longer than the silence.
+		link.Pace = 3 * time.Millisecond
+		p := startPool(t, func(p *Pool) { p.Deadline = time.Minute })
+		began := time.Now()
+		var reply []byte
+		assert.NoError(t, p.Call(context.Background(), link.Address(), "Echo.Data", make([]byte, 8<<20), &reply))
+		assert.Equal(t, len(reply), 8<<20)
+		assert.True(t, time.Since(began) > silence, "took %s, too quick to show anything", time.Since(began))
+	})
+	t.Run("guards against one busy connection carrying every call", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		p := startPool(t, func(p *Pool) { p.Spread, p.Width = 2, 3 })
+		assert.Eventually(t, 5*time.Second, "3 connections", func() bool {
+			wait(f, p, link.Address())
+			return link.Opened() == 3
+		})
+	})
+}
+
+func TestStop(t *testing.T) {
+	t.Run("guards against a graceful stop cutting calls in progress", func(t *testing.T) {
+		f := startServer(t, func(s *serve.Server) { s.Grace = time.Minute })
+		p := startPool(t, nil)
+		done := wait(f, p, f.server.Address())
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.stop() }()
+		assert.Eventually(t, 5*time.Second, "listener closed", func() bool {
+			c, err := net.Dial("tcp", f.server.Address().String())
+			if err == nil {
+				c.Close()
+			}
+			return err != nil
+		})
+		close(f.echo.release)
+		assert.NoError(t, <-done)
+		assert.NoError(t, <-stopped)
+	})
+	t.Run("guards against a stop that waits for ever for a call", func(t *testing.T) {
+		f := startServer(t, func(s *serve.Server) { s.Grace = 10 * time.Millisecond })
+		p := startPool(t, nil)
+		done := wait(f, p, f.server.Address())
+		assert.NoError(t, f.stop())
+		assert.True(t, <-done != nil, "call succeeded without answer")
+		close(f.echo.release)
+	})
+	t.Run("guards against calls after the stop of the pool", func(t *testing.T) {
+		f := startServer(t, nil)
+		p := New(newGuard("client"))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		assert.NoError(t, p.Run(ctx))
+		assert.ErrorIs(t, p.Call(context.Background(), f.server.Address(), "Echo.Say", "", new(string)), zinniapond.ErrNotSent)
+	})
+}
