--- /dev/null
+++ b/internal/wire/guard/guard_test.go
@@ -0,0 +1,288 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newGuard(cluster, secret string) *Guard {
+	return New(&zinniapond.Settings{
+		Cluster: cluster, Host: "nord", Security: zinniapond.SecuritySettings{Secret: []byte(secret)},
+	})
+}
+
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// listen accepts connections and answers each with one byte.
+func listen(t *testing.T, g *Guard) (netip.AddrPort, *lines) {
+	t.Helper()
+	log := new(lines)
+	l, err := g.Listen(netip.MustParseAddrPort("127.0.0.1:0"), Peers, hclog.New(&hclog.LoggerOptions{Output: log}))
+	assert.NoError(t, err)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Write([]byte{1})
+			c.Close()
+		}
+	})
+	t.Cleanup(func() {
+		assert.NoError(t, l.Close())
+		group.Wait()
+	})
+	return l.Addr().(*net.TCPAddr).AddrPort(), log
+}
+
+// admitted tells whether a dial reaches what is behind the listener.
+func admitted(t *testing.T, g *Guard, address netip.AddrPort, purpose string) error {
+	t.Helper()
+	c, err := g.Dial(context.Background(), address, purpose)
+	if err != nil {
+		assert.ErrorIs(t, err, zinniapond.ErrNotSent)
+		return err
+	}
+	defer c.Close()
+	_, err = io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func TestHandshake(t *testing.T) {
+	address, log := listen(t, newGuard("rennbach", "right secret"))
+	logged := func(t *testing.T, reason string) {
+		t.Helper()
+		assert.Eventually(t, 5*time.Second, "log of "+reason, func() bool { return strings.Contains(log.String(), reason) })
+	}
+	t.Run("guards against refusing a host of the cluster", func(t *testing.T) {
+		assert.NoError(t, admitted(t, newGuard("rennbach", "right secret"), address, Peers))
+	})
+	t.Run("guards against a host with another secret", func(t *testing.T) {
+		assert.True(t, admitted(t, newGuard("rennbach", "wrong secret"), address, Peers) != nil, "admitted")
+		logged(t, "wrong secret")
+	})
+	t.Run("guards against a host of another cluster with the same secret", func(t *testing.T) {
+		assert.True(t, admitted(t, newGuard("tengerweb", "right secret"), address, Peers) != nil, "admitted")
+		logged(t, "tengerweb")
+	})
+	t.Run("guards against a connection meant for another listener", func(t *testing.T) {
+		assert.True(t, admitted(t, newGuard("rennbach", "right secret"), address, Streams) != nil, "admitted")
+		logged(t, "connection for")
+	})
+	t.Run("guards against a stranger that speaks another protocol", func(t *testing.T) {
+		c, err := net.Dial("tcp", address.String())
+		assert.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		assert.NoError(t, err)
+		got, _ := io.ReadAll(c)
+		assert.Equal(t, len(got), 0)
+		logged(t, "no greeting")
+	})
+	t.Run("guards against a replayed handshake", func(t *testing.T) {
+		recorded := record(t, address)
+		c, err := net.Dial("tcp", address.String())
+		assert.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write(recorded)
+		assert.NoError(t, err)
+		got, _ := io.ReadAll(c)
+		// The challenge comes, and nothing after it.
+		assert.True(t, len(got) < 100, "%d bytes after a replayed proof", len(got))
+	})
+}
+
+// record returns what a host of the cluster sends in its handshake.
+func record(t *testing.T, address netip.AddrPort) []byte {
+	t.Helper()
+	raw, err := net.Dial("tcp", address.String())
+	assert.NoError(t, err)
+	defer raw.Close()
+	tee := &recorder{Conn: raw}
+	_, err = newGuard("rennbach", "right secret").open(context.Background(), tee, Peers)
+	assert.NoError(t, err)
+	return tee.sent.Bytes()
+}
+
+type recorder struct {
+	net.Conn
+	sent bytes.Buffer
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.sent.Write(p)
+	return r.Conn.Write(p)
+}
+
+func TestImpostor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer l.Close()
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	t.Run("guards against a listener that does not know the secret", func(t *testing.T) {
+		impostor := newGuard("rennbach", "wrong secret")
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			var h hello
+			var p proof
+			ch := challenge{Nonce: nonce()}
+			if read(c, &h) == nil && write(c, ch) == nil && read(c, &p) == nil {
+				// It repeats the client's own proof, the best it has, and its own.
+				_ = write(c, p)
+				_ = write(c, proof{Sum: impostor.sum("server", nil, h, ch)})
+			}
+		}()
+		err := admitted(t, newGuard("rennbach", "right secret"), address, Peers)
+		assert.Contains(t, err.Error(), "another secret")
+	})
+	t.Run("guards against a silent listener holding a caller", func(t *testing.T) {
+		g := newGuard("rennbach", "right secret")
+		g.Timeout = 100 * time.Millisecond
+		assert.ErrorIs(t, admitted(t, g, address, Peers), zinniapond.ErrNotSent)
+	})
+}
+
+func TestStrangers(t *testing.T) {
+	g := newGuard("rennbach", "right secret")
+	g.Timeout = 300 * time.Millisecond
+	address, log := listen(t, g)
+	t.Run("guards against silent strangers holding connections and locking hosts out", func(t *testing.T) {
+		for range handshakes + 20 {
+			c, err := net.Dial("tcp", address.String())
+			assert.NoError(t, err)
+			defer c.Close()
+		}
+		assert.Eventually(t, 5*time.Second, "a host admitted after the strangers' time is up", func() bool {
+			return admitted(t, newGuard("rennbach", "right secret"), address, Peers) == nil
+		})
+		assert.Contains(t, log.String(), "too many open handshakes")
+		assert.True(t, strings.Count(log.String(), "\n") < 30, "log flooded:\n%s", log.String())
+	})
+}
+
+// authority signs certificates for tests.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	der  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NoError(t, err)
+	cert := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, cert, cert, &key.PublicKey, key)
+	assert.NoError(t, err)
+	return &authority{key: key, cert: cert, der: der}
+}
+
+// issue writes a certificate for loopback, its key and the authority to folder.
+func (a *authority) issue(t *testing.T, folder string, serial int64) zinniapond.SecuritySettings {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NoError(t, err)
+	cert := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
+	assert.NoError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NoError(t, err)
+	s := zinniapond.SecuritySettings{
+		Secret: []byte("right secret"), Certificate: filepath.Join(folder, "cert.pem"),
+		Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "authority.pem"),
+	}
+	// An older and a newer certificate never have the same stamp in a test.
+	stamp := time.Now().Add(time.Duration(serial) * time.Second)
+	for path, b := range map[string]*pem.Block{
+		s.Certificate: {Type: "CERTIFICATE", Bytes: der}, s.Key: {Type: "PRIVATE KEY", Bytes: private},
+		s.Authority: {Type: "CERTIFICATE", Bytes: a.der},
+	} {
+		assert.NoError(t, os.WriteFile(path, pem.EncodeToMemory(b), 0o600))
+		assert.NoError(t, os.Chtimes(path, stamp, stamp))
+	}
+	return s
+}
+
+func TestTLS(t *testing.T) {
+	folder := t.TempDir()
+	first := newAuthority(t)
+	settings := &zinniapond.Settings{Cluster: "rennbach", Host: "nord", Security: first.issue(t, folder, 1)}
+	address, _ := listen(t, New(settings))
+	t.Run("guards against refusing a host with a certificate of the authority", func(t *testing.T) {
+		assert.NoError(t, admitted(t, New(settings), address, Peers))
+	})
+	t.Run("guards against a host without TLS", func(t *testing.T) {
+		assert.True(t, admitted(t, newGuard("rennbach", "right secret"), address, Peers) != nil, "admitted")
+	})
+	t.Run("guards against a certificate of another authority", func(t *testing.T) {
+		other := &zinniapond.Settings{Cluster: "rennbach", Host: "nord", Security: newAuthority(t).issue(t, t.TempDir(), 1)}
+		assert.True(t, admitted(t, New(other), address, Peers) != nil, "admitted")
+	})
+	t.Run("guards against a restart being needed for new certificates", func(t *testing.T) {
+		old := New(settings)
+		assert.NoError(t, admitted(t, old, address, Peers))
+		newAuthority(t).issue(t, folder, 2)
+		// Both sides have read the first authority's files; with either side on
+		// them the handshake would fail.
+		assert.NoError(t, admitted(t, old, address, Peers))
+	})
+	t.Run("guards against a half-written file ending service", func(t *testing.T) {
+		g := New(settings)
+		assert.NoError(t, admitted(t, g, address, Peers))
+		assert.NoError(t, os.WriteFile(settings.Security.Certificate, []byte("half"), 0o600))
+		assert.NoError(t, admitted(t, g, address, Peers))
+		assert.True(t, errors.Is(admitted(t, New(settings), address, Peers), zinniapond.ErrNotSent), "certificate read from a broken file")
+	})
+}
