--- /dev/null
+++ b/internal/entry/relay/fakes_test.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/wire/guard"
+	"zinniapond.example/zinniapond/internal/wire/stream"
+)
+
+const (
+	beat    = 50 * time.Millisecond
+	silence = time.Second
+)
+
+func newGuard(host zinniapond.HostName) *guard.Guard {
+	return guard.New(&zinniapond.Settings{
+		Cluster: "test", Host: host, Security: zinniapond.SecuritySettings{Secret: []byte("secret of the tests")},
+	})
+}
+
+// directory is a Directory whose shards all have one owner.
+type directory struct {
+	mu      sync.Mutex
+	view    *zinniapond.ControlView
+	changed chan struct{}
+}
+
+func newDirectory() *directory {
+	return &directory{view: &zinniapond.ControlView{}, changed: make(chan struct{})}
+}
+
+// assign makes host the owner, reached at address.
+func (d *directory) assign(host zinniapond.HostName, address netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	epoch := zinniapond.Epoch(len(d.view.Assignments)) + d.view.Assignments[0].Epoch + 1
+	d.view = &zinniapond.ControlView{
+		Shards:      1,
+		Members:     map[zinniapond.HostName]zinniapond.Member{host: {Name: host, Epoch: epoch, Streams: address}},
+		Assignments: map[zinniapond.ShardID]zinniapond.Assignment{0: {Owner: host, Epoch: epoch}},
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *directory) View() *zinniapond.ControlView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+func (d *directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (*directory) Catalog() *zinniapond.Catalog { return nil }
+func (*directory) Fresh(time.Time) bool         { return true }
+func (*directory) Confirmed() time.Time         { return time.Time{} }
+
+// journal is what the owners of a shard share: the answers of finished runs.
+type journal struct {
+	mu   sync.Mutex
+	runs map[zinniapond.CallID]int
+}
+
+// owner is a Scheduler that streams the call's body back in parts.
+type owner struct {
+	journal *journal
+	part    int
+	// stall makes Submit wait on resume once it has sent that many bytes in
+	// all; negative for never.
+	stall   int64
+	stalled chan struct{}
+	resume  chan struct{}
+	err     error // returned instead of running
+
+	mu    sync.Mutex
+	asked int
+}
+
+func newOwner(j *journal) *owner {
+	return &owner{journal: j, part: 7, stall: -1, stalled: make(chan struct{}, 16), resume: make(chan struct{})}
+}
+
+func (o *owner) Submit(ctx context.Context, _ time.Time, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
+	o.mu.Lock()
+	o.asked++
+	err, stall := o.err, o.stall
+	o.mu.Unlock()
+	if err != nil {
+		return zinniapond.Answer{}, err
+	}
+	if call.Delivered == 0 && call.Stream {
+		o.journal.mu.Lock()
+		o.journal.runs[call.ID]++
+		o.journal.mu.Unlock()
+	}
+	answer := zinniapond.Answer{Call: call.ID, Outcome: zinniapond.OutcomeDone, Status: 200, Body: call.Body}
+	if !call.Stream {
+		return answer, nil
+	}
+	if call.Delivered > 0 && xxhash.Sum64(call.Body[:call.Delivered]) != call.DeliveredSum {
+		return answer, fmt.Errorf("resume: %w", zinniapond.ErrUnknown)
+	}
+	if err := sink.Begin(200, []zinniapond.Field{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
+		return answer, err
+	}
+	for at := call.Delivered; at < int64(len(call.Body)); {
+		if stall >= 0 && at >= stall {
+			o.stalled <- struct{}{}
+			select {
+			case <-ctx.Done():
+				return answer, ctx.Err()
+			case <-o.resume:
+				stall = -1
+			}
+		}
+		end := min(at+int64(o.part), int64(len(call.Body)))
+		if err := sink.Write(call.Body[at:end]); err != nil {
+			return answer, err
+		}
+		at = end
+	}
+	answer.Body = nil
+	return answer, nil
+}
+
+// set changes what Submit does from the next call on.
+func (o *owner) set(stall int64, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stall, o.err = stall, err
+}
+
+func (o *owner) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.asked
+}
+
+func (o *owner) Open(context.Context, time.Time, zinniapond.Program) error { return o.refusal() }
+
+func (o *owner) End(context.Context, time.Time, zinniapond.ProgramID, string) error {
+	return o.refusal()
+}
+
+func (o *owner) View(_ context.Context, _ time.Time, program zinniapond.ProgramID) (zinniapond.History, error) {
+	return zinniapond.History{Program: zinniapond.Program{ID: program}, Owner: "owner"}, o.refusal()
+}
+
+func (o *owner) refusal() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asked++
+	return o.err
+}
+
+// serveOwner runs a stream interface in front of an owner.
+func serveOwner(t testing.TB, o zinniapond.Scheduler) netip.AddrPort {
+	t.Helper()
+	s := stream.New(newGuard("owner"), netip.MustParseAddrPort("127.0.0.1:0"), hclog.NewNullLogger())
+	s.Owner = func() (zinniapond.Scheduler, error) { return o, nil }
+	s.Beat, s.Drain = beat, time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return s.Address()
+}
+
+func newRelay(t testing.TB, d *directory) *Relay {
+	t.Helper()
+	r := New("entry", d, newGuard("entry"), hclog.NewNullLogger())
+	r.Client.Silence = silence
+	t.Cleanup(r.Client.Close)
+	return r
+}
+
+// buffer is a caller's end of an answer.
+type buffer struct {
+	bytes.Buffer
+	begun int
+	each  func() // called before each part
+}
+
+func (b *buffer) Begin(int, []zinniapond.Field) error {
+	b.begun++
+	return nil
+}
+
+func (b *buffer) Write(part []byte) error {
+	if b.each != nil {
+		b.each()
+	}
+	_, err := b.Buffer.Write(part)
+	return err
+}
