--- a/interfaces.go
+++ b/interfaces.go
@@ -12,7 +12,8 @@
 	Run(ctx context.Context) error
 }
 
-// RolePlugin does the work of one role of a host.
+// RolePlugin does the work of one role of a host, or a part of it. Parts are
+// registered under the role's name, a dot and a name of their own.
 type RolePlugin interface {
 	Runner
 	Role() Role
@@ -94,6 +95,8 @@
 	Settle(now time.Time, reservation Reservation, used Tokens)
 	// Restore takes in a grant record of a shard that this host took over.
 	Restore(now time.Time, shard ShardID, record Record)
+	// Serve begins to grant under the epoch at which the shard is held now.
+	Serve(now time.Time, shard ShardID, epoch Epoch)
 	// Drop forgets the plans whose home shard was taken from this host.
 	Drop(shard ShardID)
 }
@@ -265,9 +268,9 @@
 
 // Demand is what a model's callers ask for.
 type Demand struct {
-	Model   PoolName
-	Busy    float64 // mean of replicas busy
-	Waiting int
+	Model   PoolName `cbor:"m"`
+	Busy    float64  `cbor:"b"` // mean of replicas busy
+	Waiting int      `cbor:"w"`
 }
 
 // Placer decides which replicas hold which model.
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -3,11 +3,24 @@
 package plugs
 
 import (
-	// Messages between hosts.
+	// Facing callers, operators and backend servers.
+	_ "zinniapond.example/zinniapond/internal/backend/openai"
+	_ "zinniapond.example/zinniapond/internal/backend/plain"
+	_ "zinniapond.example/zinniapond/internal/backend/roster"
+	_ "zinniapond.example/zinniapond/internal/entry/admin"
+	_ "zinniapond.example/zinniapond/internal/entry/caller"
 	_ "zinniapond.example/zinniapond/internal/entry/relay"
-	_ "zinniapond.example/zinniapond/internal/wire/peers"
-	_ "zinniapond.example/zinniapond/internal/wire/serve"
-	_ "zinniapond.example/zinniapond/internal/wire/stream"
+
+	// Control log: the voters, the observer of every host, orders to engines.
+	_ "zinniapond.example/zinniapond/internal/fleet/order"
+	_ "zinniapond.example/zinniapond/internal/quorum/voter"
+	_ "zinniapond.example/zinniapond/internal/quorum/watch"
+
+	// Programs and their journal.
+	_ "zinniapond.example/zinniapond/internal/journal/store"
+	_ "zinniapond.example/zinniapond/internal/journal/writer"
+	_ "zinniapond.example/zinniapond/internal/program/ledger"
+	_ "zinniapond.example/zinniapond/internal/program/owner"
 
 	// Policies.
 	_ "zinniapond.example/zinniapond/internal/policy/cache"
@@ -20,4 +33,9 @@
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
+
+	// Between hosts.
+	_ "zinniapond.example/zinniapond/internal/wire/peers"
+	_ "zinniapond.example/zinniapond/internal/wire/serve"
+	_ "zinniapond.example/zinniapond/internal/wire/stream"
 )
--- a/messages.go
+++ b/messages.go
@@ -81,8 +81,9 @@
 	Entries []LogEntry
 	// Snapshot, if any, replaces everything up to its index.
 	Snapshot *Snapshot
-	// Sequence orders the changes of one process.
+	// Sequence and Cuts order the changes of one process.
 	Sequence uint64
+	Cuts     uint64
 }
 
 // FetchRequest asks the control leader for records; it is also the heartbeat
@@ -309,6 +310,16 @@
 	To    HostName `cbor:"to"`
 }
 
+// DemandRequest asks a host what its callers ask of the models.
+type DemandRequest struct {
+	Sender HostName `cbor:"s"`
+}
+
+// DemandReply answers a DemandRequest.
+type DemandReply struct {
+	Demand []Demand `cbor:"d"`
+}
+
 // HandoverReply answers a HandoverRequest at once; the change of owner shows in
 // the control log.
 type HandoverReply struct {
