--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -32,8 +32,11 @@
 	view    zinniapond.ControlView
 	changed chan struct{}
 	cut     map[[2]zinniapond.HostName]bool
+	// delay holds calls back or drops them; may be nil.
+	delay func(host zinniapond.HostName, method string) error
 	// single makes stores sync each append alone.
 	single bool
+	writers []*Writer
 	// keep makes stores remember what a crash would leave.
 	keep bool
 }
@@ -49,7 +52,7 @@
 
 func newCluster(t testing.TB, hosts ...zinniapond.HostName) *cluster {
 	c := &cluster{
-		t: t, folder: t.TempDir(), stores: make(map[zinniapond.HostName]*disk),
+		t: t, keep: true, folder: t.TempDir(), stores: make(map[zinniapond.HostName]*disk),
 		changed: make(chan struct{}), cut: make(map[[2]zinniapond.HostName]bool),
 	}
 	c.view = zinniapond.ControlView{
@@ -76,6 +79,8 @@
 		s.Synced = func() {
 			data, err := os.ReadFile(filepath.Join(d.folder, "journal.db"))
 			if err == nil {
+				c.mu.Lock()
+				defer c.mu.Unlock()
 				d.synced = data
 			}
 		}
@@ -93,7 +98,7 @@
 func (c *cluster) halt(host zinniapond.HostName, crash bool) {
 	c.mu.Lock()
 	d := c.stores[host]
-	s := d.store
+	s, synced := d.store, d.synced
 	d.store = nil
 	c.mu.Unlock()
 	if s == nil {
@@ -101,8 +106,10 @@
 	}
 	d.stop()
 	assert.NoError(c.t, <-d.done)
-	if crash && d.synced != nil {
-		assert.NoError(c.t, os.WriteFile(filepath.Join(d.folder, "journal.db"), d.synced, 0o600))
+	if crash && synced != nil {
+		// What was synced after the crash began is lost with it.
+		d.synced = synced
+		assert.NoError(c.t, os.WriteFile(filepath.Join(d.folder, "journal.db"), synced, 0o600))
 	}
 }
 
@@ -113,6 +120,9 @@
 }
 
 func (c *cluster) stop() {
+	for _, w := range c.writers {
+		w.stop()
+	}
 	for h := range c.stores {
 		c.halt(h, false)
 	}
@@ -189,6 +199,11 @@
 		return errCut
 	}
 	var err error
+	if l.c.delay != nil {
+		if err = l.c.delay(host, method); err != nil {
+			return err
+		}
+	}
 	switch method {
 	case "Journal.Append":
 		err = s.Append(request.(*zinniapond.AppendRequest), reply.(*zinniapond.AppendReply))
@@ -210,9 +225,20 @@
 		Logger: hclog.NewNullLogger(), Clock: time.Now, Wait: wait,
 	}
 	w.context()
+	c.writers = append(c.writers, w)
 	return w
 }
 
+// reach leaves a host only the links to the given ones.
+func (c *cluster) reach(from zinniapond.HostName, hosts ...zinniapond.HostName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for h := range c.stores {
+		c.cut[[2]zinniapond.HostName{from, h}] = !slices.Contains(hosts, h)
+		c.cut[[2]zinniapond.HostName{h, from}] = !slices.Contains(hosts, h)
+	}
+}
+
 func record(kind zinniapond.RecordKind, program string, number int) zinniapond.Record {
 	r := zinniapond.Record{Kind: kind, Program: zinniapond.ProgramID(program), At: time.Unix(int64(number), 1)}
 	r.Reason = program + "/" + strconv.Itoa(number)
