Bound what late calls of lower classes take from the first class

Cause: ageing raised standard calls into the first class after 10 s. At a crest of four times capacity nearly all of them are late, so they competed with the first class by plan weight and took its places. Ruled out: the router (robin shows the same) and waiting in the engines (9 of 160 calls). Change: late calls go first within their plan, and one call in eight is of a lower class with late calls; classes keep their order otherwise.

--- a/internal/bench/load/figures.go
+++ b/internal/bench/load/figures.go
@@ -32,6 +32,8 @@
 	heldEnded               zinniapond.Tokens // most at one instant
 	plans                   map[zinniapond.PlanName]*planFigures
 	extra                   extra
+	// Sums over the sampled seconds of the crest.
+	samples, inBatch, inEngine, inQueue float64
 }
 
 // planFigures are those of one plan, at the crest if there is one.
@@ -177,6 +179,22 @@
 	r.heldEnded = max(r.heldEnded, held)
 }
 
+// watch samples where calls wait.
+func (r *run) watch(now time.Time) {
+	if !r.atCrest(now) || now.Sub(begin) > r.Length {
+		return
+	}
+	r.samples++
+	for _, n := range r.engines {
+		report := n.Report(now)
+		r.inBatch += float64(report.Running)
+		r.inEngine += float64(report.Waiting)
+	}
+	for _, h := range r.hosts {
+		r.inQueue += float64(h.engines.queue.Len())
+	}
+}
+
 // extra counts the work beyond first attempts, in spans of ten seconds.
 type extra struct {
 	spans map[int]*[2]int
@@ -227,7 +245,8 @@
 		"usual p50": quantile(r.usual, 50), "usual p95": quantile(r.usual, 95), "usual p99": quantile(r.usual, 99),
 		"short p50": quantile(r.short, 50), "short p99": quantile(r.short, 99),
 		"recomputed": float64(r.recomputed), "known": float64(r.known), "held ended": float64(r.heldEnded),
-		"load":   max(float64(r.fresh)/prefill, float64(r.generated)/generate) / r.Length.Seconds() / float64(max(r.Engines, 1)),
+		"load":     max(float64(r.fresh)/prefill, float64(r.generated)/generate) / r.Length.Seconds() / float64(max(r.Engines, 1)),
+		"in batch": r.inBatch / math.Max(r.samples, 1), "in engine": r.inEngine / math.Max(r.samples, 1), "in queue": r.inQueue / math.Max(r.samples, 1),
 		"demand": r.demanded, "demand first": r.demandedFirst,
 		"refused": float64(r.count.refused), "late": float64(r.count.late), "broken": float64(r.count.broken),
 		"unknown": float64(r.count.unknown), "lost": float64(lost), "doubled": float64(r.count.doubled),
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -124,6 +124,7 @@
 		r.every(offset, 5*time.Second, h.ask)
 	}
 	r.every(0, 10*time.Second, r.sample)
+	r.every(0, time.Second, r.watch)
 }
 
 func (r *run) arrangeFaults() {
--- a/internal/benchcmd/run/groups.go
+++ b/internal/benchcmd/run/groups.go
@@ -8,7 +8,7 @@
 
 // The columns of the tables.
 var (
-	latency = []string{"demand", "load", "program p50", "program p95", "program p99", "usual p99", "known", "recomputed", "held ended", "refused", "hedges", "retries"}
+	latency = []string{"demand", "load", "in batch", "in engine", "in queue", "program p50", "program p95", "program p99", "usual p99", "known", "recomputed", "held ended", "refused", "hedges", "retries"}
 	answers = []string{"calls", "lost", "doubled", "mixed", "reordered", "unknown", "refused", "late", "hedges", "retries", "extra", "extra worst"}
 	shorts  = []string{"load", "short p50", "short p99", "program p99", "refused"}
 )
@@ -18,7 +18,7 @@
 	if workload == "tengerweb" {
 		plans = []string{"status", "shops", "repair", "free", "crawl"}
 	}
-	columns := []string{"demand", "demand first", "load"}
+	columns := []string{"demand", "demand first", "load", "in batch", "in engine", "in queue"}
 	for _, p := range plans {
 		columns = append(columns, "in target "+p, "refused "+p)
 	}
--- a/internal/policy/fair/fair.go
+++ b/internal/policy/fair/fair.go
@@ -1,5 +1,7 @@
 // Package fair orders waiting calls by class, then by each plan's weighted
-// share, then by the service that each program has received.
+// share, then by the service that each program has received. Calls that have
+// waited long go first within their plan, and their class gets some of the
+// places that would go to higher classes.
 package fair
 
 import (
@@ -11,13 +13,17 @@
 )
 
 const (
-	// ageing is the wait after which a call rises by one class.
+	// ageing is the wait after which a call is late.
 	ageing = 10 * time.Second
+	// lateTurn is the number of calls of which one is of a lower class that has
+	// late calls. Late calls that competed with the first class by weight took
+	// its places at a crest, when all lower calls are late.
+	lateTurn = 8
 	// asked bounds the calls that one Pop offers, so that a Pop whose calls
 	// cannot be placed stays cheap.
 	asked = 8
-	// risen bounds the calls that one operation raises by ageing. Without the
-	// bound, a burst of 140,000 calls would rise within a single Pop.
+	// risen bounds the calls that become late in one operation. Without the
+	// bound, a burst of 140,000 calls would do so within a single Pop.
 	risen = 64
 )
 
@@ -38,6 +44,7 @@
 	programs map[zinniapond.ProgramID]*program
 	tiers    map[zinniapond.PlanName]*[levels]*tier
 	levels   [levels]level
+	turns    int // calls given out since the last turn of late calls
 	due      heap[*call]
 	until    heap[*call]
 }
@@ -91,7 +98,7 @@
 		waiting: waiting, number: q.numbers,
 		level:  min(int(waiting.Class), levels-1),
 		due:    waiting.Arrived.Add(ageing),
-		inLane: -1, inLate: -1, inDue: -1, inUntil: -1,
+		inLane: -1, inLate: -1, inLevel: -1, inDue: -1, inUntil: -1,
 	}
 	q.calls[waiting.Call] = c
 	q.program(waiting.Program).waits++
@@ -107,7 +114,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.prepare()
-	q.raise(now)
+	q.age(now)
 	var refused [asked]*call
 	count := 0
 	defer func() {
@@ -129,6 +136,9 @@
 			continue
 		}
 		q.levels[t.level].virtual = max(q.levels[t.level].virtual, begin)
+		if q.turns++; q.turns >= lateTurn {
+			q.turns = 0
+		}
 		q.owe(t, c)
 		q.drop(c)
 		return c.waiting, true
@@ -233,6 +243,11 @@
 
 // first returns the tier that is served next, or nil.
 func (q *Queue) first() *tier {
+	if q.turns >= lateTurn-1 {
+		if l := q.late(); l > 0 {
+			return q.levels[l].tiers.top()
+		}
+	}
 	for i := range q.levels {
 		if q.levels[i].tiers.size() > 0 {
 			return q.levels[i].tiers.top()
@@ -241,6 +256,18 @@
 	return nil
 }
 
+// late returns the level with the call that has been late for longest.
+func (q *Queue) late() int {
+	at := 0
+	for i := range q.levels {
+		l := q.levels[i].late
+		if l.size() > 0 && (q.levels[at].late.size() == 0 || earlier(l.top(), q.levels[at].late.top())) {
+			at = i
+		}
+	}
+	return at
+}
+
 // insert puts a call into the tier of its plan and level.
 func (q *Queue) insert(c *call) {
 	p := q.program(c.waiting.Program)
@@ -248,6 +275,7 @@
 	t.weight = float64(max(c.waiting.Weight, 1))
 	if c.late {
 		t.late.push(c)
+		q.levels[c.level].late.push(c)
 	} else {
 		l := p.lanes[c.level]
 		if l == nil {
@@ -278,6 +306,7 @@
 	t := q.tier(c.waiting.Plan, c.level)
 	if c.inLate >= 0 {
 		t.late.remove(c.inLate)
+		q.levels[c.level].late.remove(c.inLevel)
 	} else {
 		l := c.lane
 		l.calls.remove(c.inLane)
@@ -309,19 +338,13 @@
 	}
 }
 
-// raise moves calls that have aged to a higher level, a bounded number at once.
-func (q *Queue) raise(now time.Time) {
+// age makes calls late that have waited long, a bounded number at once.
+func (q *Queue) age(now time.Time) {
 	for i := 0; i < risen && q.due.size() > 0 && !q.due.top().due.After(now); i++ {
 		c := q.due.top()
 		q.extract(c)
-		if c.level > 0 {
-			c.level--
-			c.due = c.due.Add(ageing)
-			q.due.fix(c.inDue)
-		} else {
-			c.late = true
-			q.due.remove(c.inDue)
-		}
+		c.late = true
+		q.due.remove(c.inDue)
 		q.insert(c)
 	}
 }
--- a/internal/policy/fair/nodes.go
+++ b/internal/policy/fair/nodes.go
@@ -14,11 +14,11 @@
 	waiting zinniapond.Waiting
 	number  uint64 // order of arrival, to break ties
 	level   int
-	late    bool // has aged past level 0
+	late    bool
 	lane    *lane
-	due     time.Time // next rise by ageing
+	due     time.Time // when it becomes late
 
-	inLane, inLate, inDue, inUntil int
+	inLane, inLate, inLevel, inDue, inUntil int
 }
 
 // lane has the waiting calls of one program at one level.
@@ -60,6 +60,7 @@
 // level has the tiers of one class that have waiting calls.
 type level struct {
 	tiers heap[*tier] // by virtual service
+	late  heap[*call] // by arrival
 	// virtual is that of the tier served last; a tier that begins to wait
 	// starts from it, so that idle time earns no credit.
 	virtual float64
@@ -73,15 +74,18 @@
 }
 
 func newLevel() level {
-	return level{tiers: heap[*tier]{
-		less: func(a, b *tier) bool {
-			if a.virtual != b.virtual {
-				return a.virtual < b.virtual
-			}
-			return a.plan < b.plan
+	return level{
+		tiers: heap[*tier]{
+			less: func(a, b *tier) bool {
+				if a.virtual != b.virtual {
+					return a.virtual < b.virtual
+				}
+				return a.plan < b.plan
+			},
+			place: func(t *tier, at int) { t.at = at },
 		},
-		place: func(t *tier, at int) { t.at = at },
-	}}
+		late: heap[*call]{less: earlier, place: func(c *call, at int) { c.inLevel = at }},
+	}
 }
 
 func newTier(plan zinniapond.PlanName, at int) *tier {
