Leave the last free server to the first class

Cause: at a crest all places hold long calls, so a short one waits for the end of some of them. Change: in pools of at least four servers, lower classes leave one free server to the first class.

--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -28,6 +28,11 @@
 	crowd = 1.0 / 16
 	// near is the ratio of expected times that count as equal.
 	near = 1.1
+	// reserved is the number of servers with a free place that lower classes
+	// leave to the first class, in pools of at least reserveFrom servers.
+	// Without it, a short urgent call waits for the end of some long one.
+	reserved    = 1
+	reserveFrom = 4
 	// sample bounds the servers that are compared for one call. All are
 	// compared in pools of this size; larger ones are sampled.
 	sample = 16
@@ -111,6 +116,9 @@
 	var space [sample + holders]option
 	options := r.gather(now, need, *list, random, space[:0])
 	eject(options)
+	if need.Class > zinniapond.ClassInteractive && len(*list) >= reserveFrom && !spare(options, free) {
+		return zinniapond.Choice{}, false
+	}
 	if c, ok := r.tryProbe(now, need, options, free); ok {
 		return c, true
 	}
@@ -205,6 +213,19 @@
 	}
 }
 
+// spare tells whether more servers are free than are reserved.
+func spare(options []option, free func(netip.AddrPort) bool) bool {
+	count := 0
+	for i := range options {
+		if o := &options[i]; !o.out && free(o.address) {
+			if count++; count > reserved {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // tryProbe sends a call to an ejected server whose probe is due.
 func (r *Router) tryProbe(now time.Time, need zinniapond.Need, options []option, free func(netip.AddrPort) bool) (zinniapond.Choice, bool) {
 	for i := range options {
