--- a/interfaces.go
+++ b/interfaces.go
@@ -289,6 +289,9 @@
 	Release(ctx context.Context, server netip.AddrPort, program ProgramID) error
 	// Load asks the server for its load report.
 	Load(ctx context.Context, server netip.AddrPort) (LoadReport, error)
+	// Events returns the server's cache events from the given sequence number
+	// on. Events may be missing; a gap shows in the numbers.
+	Events(ctx context.Context, server netip.AddrPort, from uint64) ([]CacheEvent, error)
 	// Order gives an order and returns what the server then says it holds.
 	Order(ctx context.Context, order Order) (PoolName, error)
 }
--- a/internal/backend/openai/openai.go
+++ b/internal/backend/openai/openai.go
@@ -189,6 +189,19 @@
 	return report, nil
 }
 
+// Events returns the server's cache events from the given sequence number on.
+func (c *Client) Events(ctx context.Context, server netip.AddrPort, from uint64) ([]zinniapond.CacheEvent, error) {
+	b, err := c.ask(ctx, server, http.MethodGet, "/events?from="+strconv.FormatUint(from, 10), nil)
+	if err != nil {
+		return nil, err
+	}
+	var events []zinniapond.CacheEvent
+	if err := json.Unmarshal(b, &events); err != nil {
+		return nil, zinniapond.Wrap("decode cache events", server, fmt.Errorf("%w: %w", zinniapond.ErrBackend, err))
+	}
+	return events, nil
+}
+
 // Order gives an order and returns what the server then says it holds. The
 // error wraps ErrFenced if the server has seen a newer order.
 func (c *Client) Order(ctx context.Context, order zinniapond.Order) (zinniapond.PoolName, error) {
--- a/internal/backend/plain/plain.go
+++ b/internal/backend/plain/plain.go
@@ -196,6 +196,11 @@
 	return zinniapond.LoadReport{}, zinniapond.Wrap("ask for load report", server, errNone)
 }
 
+// Events returns an error: a plain service has no cache.
+func (c *Client) Events(_ context.Context, server netip.AddrPort, _ uint64) ([]zinniapond.CacheEvent, error) {
+	return nil, zinniapond.Wrap("ask for cache events", server, errNone)
+}
+
 // Order returns an error: a plain service takes no orders.
 func (c *Client) Order(_ context.Context, order zinniapond.Order) (zinniapond.PoolName, error) {
 	return "", zinniapond.Wrap("give order", order.Backend, errNone)
--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -35,7 +35,7 @@
 	// delay holds calls back or drops them; may be nil.
 	delay func(host zinniapond.HostName, method string) error
 	// single makes stores sync each append alone.
-	single bool
+	single  bool
 	writers []*Writer
 	// keep makes stores remember what a crash would leave.
 	keep bool
--- a/internal/program/owner/attempt.go
+++ b/internal/program/owner/attempt.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"zinniapond.example/zinniapond"
+	hop "zinniapond.example/zinniapond/internal/core/trace"
 )
 
 // notSent is the error text of an attempt of which no byte reached the server.
@@ -129,6 +130,7 @@
 		x.pool.Release(now, choice.Backend, need, zinniapond.Observation{Cancelled: true})
 		return choice, false
 	}
+	x.owner.Stats.Add("hedges", 1)
 	choice.Reason = "hedge: " + choice.Reason
 	return choice, true
 }
@@ -138,6 +140,7 @@
 func (x *execution) launch(ctx context.Context, choice zinniapond.Choice, need zinniapond.Need, contest *race, results chan<- result) {
 	id := zinniapond.AttemptID(uuid.NewString())
 	now := x.owner.Clock()
+	x.owner.Stats.Add("attempts", 1)
 	x.attempts = append(x.attempts, zinniapond.Attempt{ID: id, Backend: choice.Backend, Started: now, Why: choice.Reason})
 	index := len(x.attempts) - 1
 	t := &try{execution: x, id: id, started: now, choice: choice, need: need, contest: contest, index: index}
@@ -166,6 +169,7 @@
 		attribute.String("attempt", string(t.id)), attribute.String("backend", choice.Backend.String()),
 		attribute.String("why", choice.Reason)))
 	defer span.End()
+	call.Trace = hop.Inject(ctx)
 	sink := &contestant{id: t.id, contest: t.contest, running: t.running, clock: o.Clock, started: t.started}
 	var out zinniapond.Sink
 	if call.Stream {
--- a/internal/program/owner/fakes_test.go
+++ b/internal/program/owner/fakes_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/program/pool"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
@@ -151,6 +152,10 @@
 	return zinniapond.LoadReport{}, nil
 }
 
+func (*client) Events(context.Context, netip.AddrPort, uint64) ([]zinniapond.CacheEvent, error) {
+	return nil, nil
+}
+
 func (*client) Order(context.Context, zinniapond.Order) (zinniapond.PoolName, error) { return "", nil }
 
 // simple is the plainest queue, router, limiter, retrier, detector, leases,
@@ -305,6 +310,7 @@
 		Logger: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), Clock: time.Now,
 		Directory: f.directory, Control: f.control, Journal: f.journal, Budget: f.simple, Roster: f.simple,
 		Retrier: f.simple, Detector: detector{}, Leases: f.simple,
+		Stats: new(stats.Set[string]),
 		Clients: map[zinniapond.Kind]zinniapond.BackendClient{
 			zinniapond.KindEngine: f.client, zinniapond.KindService: f.client,
 		},
--- a/internal/program/owner/hold.go
+++ b/internal/program/owner/hold.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"zinniapond.example/zinniapond"
 )
 
@@ -92,6 +95,7 @@
 		h.mu.Unlock()
 		err := o.seal(h, a)
 		if err == nil {
+			o.Stats.Add("shards.taken", 1)
 			o.Logger.Info("took over shard", "shard", h.shard, "epoch", a.Epoch)
 			continue
 		}
@@ -249,6 +253,9 @@
 
 // append makes records durable under the epoch at which the shard is held.
 func (o *Owner) append(ctx context.Context, now time.Time, h *holding, records ...zinniapond.Record) error {
+	ctx, span := o.Tracer.Start(ctx, "journal.append", trace.WithAttributes(
+		attribute.Int("shard", int(h.shard)), attribute.String("first", string(records[0].Kind))))
+	defer span.End()
 	h.epochLock.RLock()
 	defer h.epochLock.RUnlock()
 	return o.Journal.Append(ctx, now, h.shard, h.epoch, records...)
--- a/internal/program/owner/owner.go
+++ b/internal/program/owner/owner.go
@@ -14,6 +14,7 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/shard"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/program/pool"
 )
 
@@ -45,6 +46,7 @@
 	Retrier   zinniapond.Retrier
 	Detector  zinniapond.Detector
 	Leases    zinniapond.CacheLeases
+	Stats     *stats.Set[string]
 	Clients   map[zinniapond.Kind]zinniapond.BackendClient
 	// NewPool makes the pool of the given name.
 	NewPool func(zinniapond.PoolName) (*pool.Pool, error)
@@ -55,7 +57,8 @@
 	group    *errgroup.Group
 	life     context.Context // ends with Run, after the hand-over
 	cancel   context.CancelFunc
-	recent   shard.Map[recentServer, time.Time]
+	recent   shard.Map[recentServer, usage]
+	declines map[string]zinniapond.Decline // of the sweep before, by subject
 }
 
 // Role returns the role that Owner does.
@@ -66,6 +69,7 @@
 	finders := []func() error{
 		find(k, &o.Directory), find(k, &o.Control), find(k, &o.Journal), find(k, &o.Budget),
 		find(k, &o.Roster), find(k, &o.Retrier), find(k, &o.Detector), find(k, &o.Leases),
+		find(k, &o.Stats),
 	}
 	for _, f := range finders {
 		if err := f(); err != nil {
--- a/internal/program/owner/run.go
+++ b/internal/program/owner/run.go
@@ -203,7 +203,11 @@
 	if !call.Idempotent || errors.Is(r.err, zinniapond.ErrUnknown) {
 		return 0, false
 	}
-	return x.owner.Retrier.Retry(x.owner.Clock(), tries)
+	delay, ok := x.owner.Retrier.Retry(x.owner.Clock(), tries)
+	if ok {
+		x.owner.Stats.Add("retries", 1)
+	}
+	return delay, ok
 }
 
 // settle turns the last attempt into the call's answer and makes it durable.
@@ -261,7 +265,7 @@
 				Kind: zinniapond.RecordEnd, Program: call.Program, At: now, Reason: "single call",
 			})
 		}
-		err := o.append(x.holding.life, now, x.holding, records...)
+		err := o.append(context.WithoutCancel(ctx), now, x.holding, records...)
 		switch {
 		case err == nil:
 			return answer, nil
--- a/internal/program/owner/submit.go
+++ b/internal/program/owner/submit.go
@@ -121,6 +121,7 @@
 		return zinniapond.Answer{}, fmt.Errorf("read stored answer of call %s: %w", id, zinniapond.ErrUnknown)
 	}
 	answer.Repeated = true
+	o.Stats.Add("calls.repeated", 1)
 	if answer.Outcome == zinniapond.OutcomeUnknown {
 		answer.Status = http.StatusConflict
 		return *answer, nil
@@ -160,8 +161,10 @@
 	now := o.Clock()
 	if err != nil {
 		span.RecordError(err)
+		o.Stats.Add("calls.failed", 1)
 		o.Logger.Info("call did not finish", "program", r.call.Program, "call", r.call.ID, "error", err)
 	} else {
+		o.Stats.Add("calls."+string(answer.Outcome), 1)
 		o.Logger.Debug("call finished", "program", r.call.Program, "call", r.call.ID,
 			"outcome", answer.Outcome, "status", answer.Status, "backend", answer.Backend, "attempts", len(answer.Attempts))
 	}
--- a/internal/program/owner/sweep.go
+++ b/internal/program/owner/sweep.go
@@ -27,6 +27,12 @@
 	server zinniapond.Backend
 }
 
+// usage is when a server was used last and which of its cache events is next.
+type usage struct {
+	last time.Time
+	next uint64
+}
+
 // served keeps what a successful attempt leaves behind: service received,
 // latency and cache.
 func (o *Owner) served(now time.Time, t *try, seen zinniapond.Observation) {
@@ -42,7 +48,11 @@
 		return
 	}
 	if b, ok := o.backend(choice); ok {
-		o.recent.Set(recentServer{pool: call.Pool, server: b}, now)
+		o.recent.Do(recentServer{pool: call.Pool, server: b}, func(m map[recentServer]usage) {
+			u := m[recentServer{pool: call.Pool, server: b}]
+			u.last = now
+			m[recentServer{pool: call.Pool, server: b}] = u
+		})
 	}
 	held := seen.Usage.Total()
 	if _, keep := o.Leases.Keep(now, call.Program, choice.Backend, held); !keep || call.Single {
@@ -75,6 +85,7 @@
 			now := o.Clock()
 			o.endOverdue(ctx, now)
 			o.releasePins(o.Leases.Expired(now))
+			o.tellDeclines(now)
 		case <-reports.C:
 			o.askReports(ctx, o.Clock())
 		}
@@ -122,8 +133,8 @@
 // askReports compares what the servers used lately hold with what is live.
 func (o *Owner) askReports(ctx context.Context, now time.Time) {
 	var servers, old []recentServer
-	o.recent.Each(func(s recentServer, at time.Time) bool {
-		if now.Sub(at) > recentFor {
+	o.recent.Each(func(s recentServer, u usage) bool {
+		if now.Sub(u.last) > recentFor {
 			old = append(old, s)
 		} else {
 			servers = append(servers, s)
@@ -152,6 +163,51 @@
 	}
 	report.Programs = o.mine(report.Programs)
 	o.releasePins(o.Leases.Sweep(now, report))
+	o.askEvents(ctx, s)
+}
+
+// askEvents passes the server's new cache events to the router.
+func (o *Owner) askEvents(ctx context.Context, s recentServer) {
+	p, ok := o.pools.Get(s.pool)
+	u, known := o.recent.Get(s)
+	if !ok || !known {
+		return
+	}
+	events, err := o.Clients[zinniapond.KindEngine].Events(ctx, s.server.Address, u.next)
+	if err != nil {
+		o.Logger.Debug("cache events not read", "backend", s.server.Address, "error", err)
+		return
+	}
+	now := o.Clock()
+	for _, e := range events {
+		e.Backend = s.server.Address
+		p.Router.Event(now, e)
+		u.next = max(u.next, e.Sequence+1)
+	}
+	o.recent.Do(s, func(m map[recentServer]usage) {
+		if have, ok := m[s]; ok {
+			have.next = u.next
+			m[s] = have
+		}
+	})
+}
+
+// tellDeclines logs each decline of service when it begins and when it ends.
+func (o *Owner) tellDeclines(now time.Time) {
+	present := make(map[string]zinniapond.Decline)
+	for _, d := range o.Detector.Declines(now) {
+		present[d.Subject] = d
+		if _, ok := o.declines[d.Subject]; !ok {
+			o.Stats.Add("declines", 1)
+			o.Logger.Warn("service degraded", "subject", d.Subject, "reason", d.Reason, "since", d.Since)
+		}
+	}
+	for subject, d := range o.declines {
+		if _, ok := present[subject]; !ok {
+			o.Logger.Info("service recovered", "subject", subject, "since", d.Since)
+		}
+	}
+	o.declines = present
 }
 
 // mine keeps the programs of shards that this host owns and in which no call
