Show the first answer of a call as such after the relay has asked twice

Cause: a release whose owner was killed was answered with 409 instead of 502. The relay asks the next owner with the same call id, which takes the second question for a repeated request. Ruled out: telling them apart at the owner; call ids are derived from the idempotency key, so a repetition has the same id. Change: the relay drops the mark of a repetition from an answer if it has asked an owner before for the same request. A true repetition whose own stream breaks is then answered with 502 instead of 409; both say that the outcome is unknown.

--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -324,3 +324,27 @@
 		ts.Fatalf("no answer to %s within %s", args[0], within)
 	}
 }
+
+// owner finds the owner of a program: owner PROGRAM HOST... asks the hosts in
+// turn and sets OWNER to it and OTHER, OTHER_CALLERS and OTHER_OPERATORS to
+// another of them.
+func owner(ts *testscript.TestScript, _ bool, args []string) {
+	var text string
+	var ok bool
+	eventually(ts, 20*time.Second, "owner of "+args[0], func() bool {
+		a := ask{key: operatorKey, method: "GET", status: 200, match: `"owner":"`}
+		a.url = "http://" + ts.Getenv(strings.ToUpper(args[1])+"_OPERATORS") + "/v1/programs/" + args[0]
+		text, ok = a.send()
+		return ok
+	})
+	found := regexp.MustCompile(`"owner":"([^"]+)"`).FindStringSubmatch(text)[1]
+	ts.Setenv("OWNER", found)
+	for _, h := range args[1:] {
+		if h != found {
+			ts.Setenv("OTHER", h)
+			ts.Setenv("OTHER_CALLERS", ts.Getenv(strings.ToUpper(h)+"_CALLERS"))
+			ts.Setenv("OTHER_OPERATORS", ts.Getenv(strings.ToUpper(h)+"_OPERATORS"))
+			return
+		}
+	}
+}
--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -85,7 +85,8 @@
 	stall   int64
 	stalled chan struct{}
 	resume  chan struct{}
-	err     error // returned instead of running
+	err     error              // returned instead of running
+	stored  *zinniapond.Answer // answers instead of running
 
 	mu    sync.Mutex
 	asked int
@@ -103,6 +104,9 @@
 	if err != nil {
 		return zinniapond.Answer{}, err
 	}
+	if o.stored != nil {
+		return *o.stored, nil
+	}
 	if call.Delivered == 0 && call.Stream {
 		o.journal.mu.Lock()
 		o.journal.runs[call.ID]++
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -215,7 +215,7 @@
 				return g
 			})
 			if got.final() {
-				return answer, got.err
+				return s.first(answer), got.err
 			}
 			err = got.err
 			s.failed(got, out)
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -170,6 +170,24 @@
 	})
 }
 
+// TestFirst guards against a caller's first answer being shown as a repetition
+// because the relay had to ask twice.
+func TestFirst(t *testing.T) {
+	j := &journal{runs: make(map[zinniapond.CallID]int)}
+	old, next := newOwner(j), newOwner(j)
+	old.stall = 0
+	next.stored = &zinniapond.Answer{Outcome: zinniapond.OutcomeUnknown, Status: 409, Repeated: true}
+	d := newDirectory()
+	d.assign("old", serveOwner(t, old))
+	nextAddress := serveOwner(t, next)
+	r := newRelay(t, d)
+	done := submit(r, newCall("c"), new(buffer))
+	<-old.stalled
+	d.assign("next", nextAddress)
+	assert.Equal(t, (<-done).answer, zinniapond.Answer{Outcome: zinniapond.OutcomeUnknown, Status: 502})
+	assert.Equal(t, (<-submit(r, newCall("c"), new(buffer))).answer, *next.stored)
+}
+
 // rewriter is an owner whose rerun gives another answer.
 type rewriter struct{ *owner }
 
--- a/internal/entry/relay/search.go
+++ b/internal/entry/relay/search.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,6 +94,18 @@
 	}
 }
 
+// first undoes the mark of a repetition if this search itself has asked before:
+// the owner sees the second question, the caller gets the first answer.
+func (s *search) first(answer zinniapond.Answer) zinniapond.Answer {
+	if s.reached && answer.Repeated {
+		answer.Repeated = false
+		if answer.Outcome == zinniapond.OutcomeUnknown {
+			answer.Status = http.StatusBadGateway
+		}
+	}
+	return answer
+}
+
 func (s *search) note(err error) { s.last = err }
 
 var errLate = errors.New("no owner answered in time")
@@ -134,12 +147,12 @@
 		// stands for a call that was not run.
 		e.Err = fmt.Errorf("%w: %v", zinniapond.ErrUnknown, cause) //nolint:errorlint // see above.
 		e.Hint = "ask again with the same idempotency key"
-		return zinniapond.Answer{Call: call, Outcome: zinniapond.OutcomeUnknown, Status: 502, Reason: cause.Error()}, e
+		return zinniapond.Answer{Call: call, Outcome: zinniapond.OutcomeUnknown, Status: http.StatusBadGateway, Reason: cause.Error()}, e
 	}
 	e.Err = fmt.Errorf("%w: %w", zinniapond.ErrOverload, cause)
 	e.Hint = "retry; the call was not run"
 	e.RetryAfter = time.Second
 	return zinniapond.Answer{
-		Call: call, Outcome: zinniapond.OutcomeNotRun, Status: 503, Reason: cause.Error(), RetryAfter: e.RetryAfter,
+		Call: call, Outcome: zinniapond.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: e.RetryAfter,
 	}, e
 }
