--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -88,6 +88,9 @@
 // if the error wraps ErrNotSent.
 func (c *Client) Submit(ctx context.Context, peer netip.AddrPort, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, bool, error) {
 	body, err := codec.Marshal(call)
+	if err == nil && len(body) > frame.Limit {
+		err = fmt.Errorf("call of %d bytes, limit %d: %w", len(body), frame.Limit, zinniapond.ErrTooLarge)
+	}
 	if err != nil {
 		return zinniapond.Answer{Call: call.ID, Outcome: zinniapond.OutcomeNotRun}, true, err
 	}
--- /dev/null
+++ b/internal/wire/stream/stream_test.go
@@ -0,0 +1,156 @@
+package stream
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/wire/client"
+	"zinniapond.example/zinniapond/internal/wire/codec"
+	"zinniapond.example/zinniapond/internal/wire/frame"
+	"zinniapond.example/zinniapond/internal/wire/guard"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// owner is a Scheduler whose Submit blocks until it is released.
+type owner struct {
+	zinniapond.Scheduler
+	entered chan zinniapond.Call
+	release chan struct{}
+	size    int // of the answer
+}
+
+func (o *owner) Submit(ctx context.Context, _ time.Time, call zinniapond.Call, _ zinniapond.Sink) (zinniapond.Answer, error) {
+	o.entered <- call
+	select {
+	case <-o.release:
+	case <-ctx.Done():
+		return zinniapond.Answer{Outcome: zinniapond.OutcomeUnknown}, ctx.Err()
+	}
+	return zinniapond.Answer{Outcome: zinniapond.OutcomeDone, Status: 200, Body: make([]byte, o.size)}, nil
+}
+
+func newGuard(host zinniapond.HostName) *guard.Guard {
+	return guard.New(&zinniapond.Settings{
+		Cluster: "test", Host: host, Security: zinniapond.SecuritySettings{Secret: []byte("secret of the tests")},
+	})
+}
+
+// start runs a server in front of o and returns it with its stop.
+func start(t *testing.T, o *owner) (*Server, func() error) {
+	t.Helper()
+	s := New(newGuard("owner"), netip.MustParseAddrPort("127.0.0.1:0"), hclog.NewNullLogger())
+	s.Owner = func() (zinniapond.Scheduler, error) { return o, nil }
+	s.Beat, s.Drain = 20*time.Millisecond, time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	return s, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func newOwner(size int) *owner {
+	return &owner{entered: make(chan zinniapond.Call, 4), release: make(chan struct{}), size: size}
+}
+
+func newClient(t *testing.T) *client.Client {
+	t.Helper()
+	c := client.New(newGuard("entry"), func() zinniapond.Epoch { return 7 })
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestServer(t *testing.T) {
+	t.Run("guards against a graceful stop interrupting a stream", func(t *testing.T) {
+		o := newOwner(10)
+		s, stop := start(t, o)
+		c := newClient(t)
+		got := make(chan error, 1)
+		go func() {
+			_, _, err := c.Submit(context.Background(), s.Address(), zinniapond.Call{ID: "c"}, nil)
+			got <- err
+		}()
+		<-o.entered
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop() }()
+		assert.Eventually(t, 5*time.Second, "listener closed", func() bool {
+			raw, err := net.Dial("tcp", s.Address().String())
+			if err == nil {
+				raw.Close()
+			}
+			return err != nil
+		})
+		close(o.release)
+		assert.NoError(t, <-got)
+		assert.NoError(t, <-stopped)
+	})
+	o := newOwner(frame.Limit)
+	s, stop := start(t, o)
+	defer func() { assert.NoError(t, stop()) }()
+	t.Run("guards against a caller that has gone holding its call", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newClient(t)
+		got := make(chan bool, 1)
+		go func() {
+			_, final, _ := c.Submit(ctx, s.Address(), zinniapond.Call{ID: "c"}, nil)
+			got <- final
+		}()
+		<-o.entered
+		cancel()
+		assert.True(t, !<-got, "final without an answer")
+	})
+	close(o.release)
+	t.Run("guards against an answer above the limit being reported as lost", func(t *testing.T) {
+		a, final, err := newClient(t).Submit(context.Background(), s.Address(), zinniapond.Call{ID: "c"}, nil)
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+		assert.True(t, final, "not final")
+		assert.Equal(t, a.Outcome, zinniapond.OutcomeDone)
+	})
+	t.Run("guards against sending a call above the limit", func(t *testing.T) {
+		_, final, err := newClient(t).Submit(context.Background(), s.Address(), zinniapond.Call{Body: make([]byte, frame.Limit)}, nil)
+		assert.ErrorIs(t, err, zinniapond.ErrTooLarge)
+		assert.True(t, final, "not final")
+	})
+	body, err := codec.Marshal(zinniapond.Call{ID: "forged"})
+	assert.NoError(t, err)
+	post := func(t *testing.T, dial func(context.Context, string, string) (net.Conn, error), sender string) (zinniapond.Answer, error) {
+		t.Helper()
+		transport := &http.Transport{DialContext: dial}
+		defer transport.CloseIdleConnections()
+		r, err := http.NewRequest(http.MethodPost, "http://"+s.Address().String()+"/call", bytes.NewReader(body))
+		assert.NoError(t, err)
+		r.Header.Set(frame.Sender, sender)
+		r.Header.Set(frame.Member, "7")
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			return zinniapond.Answer{}, err
+		}
+		defer response.Body.Close()
+		a, _, err := frame.Read(response.Body, nil, func(bool) {})
+		return a, err
+	}
+	t.Run("guards against a call from a stranger", func(t *testing.T) {
+		_, err := post(t, new(net.Dialer).DialContext, "entry")
+		assert.True(t, err != nil, "answered")
+		assert.Equal(t, len(o.entered), 1) // from the answer above the limit
+	})
+	t.Run("guards against a host that gives another's name", func(t *testing.T) {
+		_, err := post(t, func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return newGuard("entry").Dial(ctx, s.Address(), guard.Streams)
+		}, "other")
+		assert.ErrorIs(t, err, zinniapond.ErrForbidden)
+	})
+}
