Size the reserve of the first class by its calls in flight

Cause: of the first-class calls that miss the target at the crest, three in four wait in the hosts' queues; with one reserved server the first class uses 0.8 of the places that come free and queues like it. Change: lower classes leave the square root of the first class's calls in flight, in servers, at most a third of the pool.

--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -28,11 +28,10 @@
 	crowd = 1.0 / 16
 	// near is the ratio of expected times that count as equal.
 	near = 1.1
-	// reserved is the number of servers with a free place that lower classes
-	// leave to the first class, in pools of at least reserveFrom servers.
-	// Without it, a short urgent call waits for the end of some long one.
-	reserved    = 1
-	reserveFrom = 4
+	// reservable is the part of a pool, as a divisor, whose free places lower
+	// classes may have to leave to the first class. Without a reserve, a short
+	// urgent call waits for the end of some long one.
+	reservable = 3
 	// sample bounds the servers that are compared for one call. All are
 	// compared in pools of this size; larger ones are sampled.
 	sample = 16
@@ -57,6 +56,7 @@
 	cached  atomic.Pointer[view]
 	pool    speed
 	flying  atomic.Int64
+	urgent  atomic.Int64 // of the first class
 }
 
 var _ zinniapond.Router = (*Router)(nil)
@@ -116,7 +116,7 @@
 	var space [sample + holders]option
 	options := r.gather(now, need, *list, random, space[:0])
 	eject(options)
-	if need.Class > zinniapond.ClassInteractive && len(*list) >= reserveFrom && !spare(options, free) {
+	if need.Class > zinniapond.ClassInteractive && !r.spare(options, free) {
 		return zinniapond.Choice{}, false
 	}
 	if c, ok := r.tryProbe(now, need, options, free); ok {
@@ -213,14 +213,18 @@
 	}
 }
 
-// spare tells whether more servers are free than are reserved.
-func spare(options []option, free func(netip.AddrPort) bool) bool {
-	count := 0
+// spare tells whether more servers are free than are kept for the first class:
+// the square root of its calls in flight, as that is how much their number
+// swings.
+func (r *Router) spare(options []option, free func(netip.AddrPort) bool) bool {
+	reserved := int(math.Ceil(math.Sqrt(float64(r.urgent.Load() + 1))))
+	reserved = min(reserved, len(options)/reservable)
 	for i := range options {
 		if o := &options[i]; !o.out && free(o.address) {
-			if count++; count > reserved {
+			if reserved == 0 {
 				return true
 			}
+			reserved--
 		}
 	}
 	return false
@@ -277,6 +281,9 @@
 func (r *Router) Started(now time.Time, address netip.AddrPort, need zinniapond.Need) {
 	if s, ok := r.servers.Get(address); ok {
 		r.flying.Add(1)
+		if need.Class == zinniapond.ClassInteractive {
+			r.urgent.Add(1)
+		}
 		s.start(flight{call: need.Call, started: now, most: r.pool.cost(float64(need.Prompt), float64(need.Most))})
 	}
 }
@@ -292,6 +299,9 @@
 		return
 	}
 	r.flying.Add(-1)
+	if need.Class == zinniapond.ClassInteractive {
+		r.urgent.Add(-1)
+	}
 	switch {
 	case seen.Cancelled:
 		// The time until the cancellation is a lower bound of the latency.
