Weigh the cached part of a prompt by what its prefill costs the server

Cause: of the tokens recomputed, 23 of 26 million were because the router sent a call away from the server with its cache: single answers made a server look up to twice as slow as others, and the prefill counted as if it delayed only the call itself. Ruled out: eviction and leases (3 million). Change: slowness counts from twice the pool's median on; prefill counts four times; the load bound is rounded up by one more.

--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -32,6 +32,12 @@
 	// classes may have to leave to the first class. Without a reserve, a short
 	// urgent call waits for the end of some long one.
 	reservable = 3
+	// alike is the slowness, by the pool's median, up to which servers count
+	// as equally fast; single answers differ by as much.
+	alike = 2
+	// shared weighs the uncached part of a prompt: its prefill delays all
+	// requests of the server, not only this one.
+	shared = 4
 	// sample bounds the servers that are compared for one call. All are
 	// compared in pools of this size; larger ones are sampled.
 	sample = 16
@@ -102,8 +108,10 @@
 	*server
 	seen   glance
 	cached zinniapond.Tokens
-	score  float64
-	out    bool // ejected
+	// slowness is by the pool's median.
+	slowness float64
+	score    float64
+	out      bool // ejected
 }
 
 // Pick chooses the free server with the least expected time.
@@ -123,7 +131,7 @@
 		return c, true
 	}
 	mean := float64(r.flying.Load()+1) / float64(len(*list))
-	limit := math.Ceil(bound * mean)
+	limit := math.Ceil(bound*mean) + 1
 	// First the servers within the load bound, then any that is not ejected,
 	// then any at all.
 	for round := range 3 {
@@ -205,11 +213,15 @@
 		all = append(all, options[i].seen.slowness)
 	}
 	slices.Sort(all)
-	median := max(all[(len(all)-1)/2], 1)
+	median := max(all[(len(all)-1)/2], 0.1)
 	least := all[len(all)-1-len(all)/3] // the slowest that stays in any case
 	for i := range options {
 		o := &options[i]
-		o.out = o.seen.slowness > ejectAt*median && o.seen.slowness > least
+		o.out = o.seen.slowness > ejectAt*max(median, 1) && o.seen.slowness > least
+		o.slowness = o.seen.slowness / median
+		if o.slowness < alike {
+			o.slowness = 1
+		}
 	}
 }
 
@@ -249,13 +261,13 @@
 	var space [sample + holders]*option
 	able := space[:0]
 	least := math.Inf(1)
-	full := r.pool.expected(need, 0)
+	full := r.pool.expected(need, 0, 1)
 	for i := range options {
 		o := &options[i]
 		if !allowed(o) {
 			continue
 		}
-		o.score = o.seen.slowness * (r.pool.expected(need, o.cached) + crowd*o.seen.load*full)
+		o.score = o.slowness * (r.pool.expected(need, o.cached, shared) + crowd*o.seen.load*full)
 		if !r.pool.known() {
 			o.score = 1 + o.seen.load // nothing observed yet: fewest in flight
 		}
--- a/internal/policy/prefix/speed.go
+++ b/internal/policy/prefix/speed.go
@@ -70,13 +70,14 @@
 	return s.prefill*(fresh+overhead) + s.decode*generated
 }
 
-// expected returns the time of a call of which the given part is cached.
-func (s *speed) expected(need zinniapond.Need, cached zinniapond.Tokens) float64 {
+// expected returns the time of a call of which the given part is cached, with
+// the prefill weighted.
+func (s *speed) expected(need zinniapond.Need, cached zinniapond.Tokens, weight float64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.prefill*float64(max(need.Prompt-cached, 0)+overhead) + s.decode*s.filled*float64(need.Most)
+	return weight*s.prefill*float64(max(need.Prompt-cached, 0)+overhead) + s.decode*s.filled*float64(need.Most)
 }
 
 func (s *speed) estimate(need zinniapond.Need, cached zinniapond.Tokens) time.Duration {
-	return time.Duration(s.expected(need, cached))
+	return time.Duration(s.expected(need, cached, 1))
 }
