--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -28,11 +28,16 @@
 	crowd = 1.0 / 16
 	// near is the ratio of expected times that count as equal.
 	near = 1.1
-	// reserved is the number of servers with a free place that lower classes
-	// leave to the first class, in pools of at least reserveFrom servers.
-	// Without it, a short urgent call waits for the end of some long one.
-	reserved    = 1
-	reserveFrom = 4
+	// reservable is the part of a pool, as a divisor, whose free places lower
+	// classes may have to leave to the first class. Without a reserve, a short
+	// urgent call waits for the end of some long one.
+	reservable = 3
+	// alike is the slowness, by the pool's median, up to which servers count
+	// as equally fast; single answers differ by as much.
+	alike = 2
+	// shared weighs the uncached part of a prompt: its prefill delays all
+	// requests of the server, not only this one.
+	shared = 4
 	// sample bounds the servers that are compared for one call. All are
 	// compared in pools of this size; larger ones are sampled.
 	sample = 16
@@ -57,6 +62,7 @@
 	cached  atomic.Pointer[view]
 	pool    speed
 	flying  atomic.Int64
+	urgent  atomic.Int64 // of the first class
 }
 
 var _ zinniapond.Router = (*Router)(nil)
@@ -102,8 +108,10 @@
 	*server
 	seen   glance
 	cached zinniapond.Tokens
-	score  float64
-	out    bool // ejected
+	// slowness is by the pool's median.
+	slowness float64
+	score    float64
+	out      bool // ejected
 }
 
 // Pick chooses the free server with the least expected time.
@@ -116,14 +124,14 @@
 	var space [sample + holders]option
 	options := r.gather(now, need, *list, random, space[:0])
 	eject(options)
-	if need.Class > zinniapond.ClassInteractive && len(*list) >= reserveFrom && !spare(options, free) {
+	if need.Class > zinniapond.ClassInteractive && !r.spare(options, free) {
 		return zinniapond.Choice{}, false
 	}
 	if c, ok := r.tryProbe(now, need, options, free); ok {
 		return c, true
 	}
 	mean := float64(r.flying.Load()+1) / float64(len(*list))
-	limit := math.Ceil(bound * mean)
+	limit := math.Ceil(bound*mean) + 1
 	// First the servers within the load bound, then any that is not ejected,
 	// then any at all.
 	for round := range 3 {
@@ -205,22 +213,30 @@
 		all = append(all, options[i].seen.slowness)
 	}
 	slices.Sort(all)
-	median := max(all[(len(all)-1)/2], 1)
+	median := max(all[(len(all)-1)/2], 0.1)
 	least := all[len(all)-1-len(all)/3] // the slowest that stays in any case
 	for i := range options {
 		o := &options[i]
-		o.out = o.seen.slowness > ejectAt*median && o.seen.slowness > least
+		o.out = o.seen.slowness > ejectAt*max(median, 1) && o.seen.slowness > least
+		o.slowness = o.seen.slowness / median
+		if o.slowness < alike {
+			o.slowness = 1
+		}
 	}
 }
 
-// spare tells whether more servers are free than are reserved.
-func spare(options []option, free func(netip.AddrPort) bool) bool {
-	count := 0
+// spare tells whether more servers are free than are kept for the first class:
+// the square root of its calls in flight, as that is how much their number
+// swings.
+func (r *Router) spare(options []option, free func(netip.AddrPort) bool) bool {
+	reserved := int(math.Ceil(math.Sqrt(float64(r.urgent.Load() + 1))))
+	reserved = min(reserved, len(options)/reservable)
 	for i := range options {
 		if o := &options[i]; !o.out && free(o.address) {
-			if count++; count > reserved {
+			if reserved == 0 {
 				return true
 			}
+			reserved--
 		}
 	}
 	return false
@@ -245,13 +261,13 @@
 	var space [sample + holders]*option
 	able := space[:0]
 	least := math.Inf(1)
-	full := r.pool.expected(need, 0)
+	full := r.pool.expected(need, 0, 1)
 	for i := range options {
 		o := &options[i]
 		if !allowed(o) {
 			continue
 		}
-		o.score = o.seen.slowness * (r.pool.expected(need, o.cached) + crowd*o.seen.load*full)
+		o.score = o.slowness * (r.pool.expected(need, o.cached, shared) + crowd*o.seen.load*full)
 		if !r.pool.known() {
 			o.score = 1 + o.seen.load // nothing observed yet: fewest in flight
 		}
@@ -277,6 +293,9 @@
 func (r *Router) Started(now time.Time, address netip.AddrPort, need zinniapond.Need) {
 	if s, ok := r.servers.Get(address); ok {
 		r.flying.Add(1)
+		if need.Class == zinniapond.ClassInteractive {
+			r.urgent.Add(1)
+		}
 		s.start(flight{call: need.Call, started: now, most: r.pool.cost(float64(need.Prompt), float64(need.Most))})
 	}
 }
@@ -292,6 +311,9 @@
 		return
 	}
 	r.flying.Add(-1)
+	if need.Class == zinniapond.ClassInteractive {
+		r.urgent.Add(-1)
+	}
 	switch {
 	case seen.Cancelled:
 		// The time until the cancellation is a lower bound of the latency.
