--- a/internal/journal/store/store.go
+++ b/internal/journal/store/store.go
@@ -20,6 +20,9 @@
 // fileName is the file in the data folder.
 const fileName = "journal.db"
 
+// lockWait bounds the wait for a process before this one to unlock the file.
+const lockWait = time.Second
+
 func init() {
 	kernel.Register[zinniapond.RolePlugin]("store", build)
 }
@@ -60,7 +63,7 @@
 	pending []*job
 	closed  error // refuses new jobs when set
 
-	// states is used by the committing goroutine only.
+	// states is used in write transactions only, which exclude each other.
 	states map[zinniapond.ShardID]*standing
 
 	// Single commits each append alone, to measure what the group commit gains.
@@ -81,36 +84,55 @@
 func (s *Store) Role() zinniapond.Role { return zinniapond.RoleStore }
 
 // Open opens the file and checks every record in it. A damaged shard is dropped
-// and no longer counts until its owner has copied it anew from its peers.
+// and no longer counts until its owner has copied it anew from its peers. If the
+// file as a whole is damaged, it is moved aside and the host begins as one whose
+// disk was lost.
 func (s *Store) Open() error {
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return fmt.Errorf("open journal: %w", err)
 	}
 	s.wake = make(chan struct{}, 1)
-	s.states = make(map[zinniapond.ShardID]*standing)
 	path := filepath.Join(s.Folder, fileName)
-	db, err := bolt.Open(path, 0o600, &bolt.Options{
-		Timeout:        time.Second,
+	err := s.open(path)
+	if !errors.Is(err, zinniapond.ErrCorrupt) {
+		return err
+	}
+	s.Logger.Error("journal file is damaged and moved aside", "file", path, "err", err)
+	if err := os.Rename(path, path+".damaged"); err != nil {
+		return fmt.Errorf("open journal: %w", err)
+	}
+	return s.open(path)
+}
+
+func (s *Store) open(path string) error {
+	s.states = make(map[zinniapond.ShardID]*standing)
+	broken, err := s.check(path)
+	if err != nil {
+		return fmt.Errorf("check journal %s: %w", path, err)
+	}
+	s.db, err = bolt.Open(path, 0o600, &bolt.Options{
+		Timeout:        lockWait,
 		NoFreelistSync: true,
 		FreelistType:   bolt.FreelistMapType,
 	})
 	if err != nil {
 		return fmt.Errorf("open journal %s: %w", path, err)
 	}
-	s.db = db
-	err = db.Update(func(tx *bolt.Tx) error {
+	err = s.db.Update(func(tx *bolt.Tx) error {
 		for _, b := range buckets {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
 				return err
 			}
 		}
+		for shard := range broken {
+			if err := s.drop(tx, shard); err != nil {
+				return err
+			}
+		}
 		return nil
 	})
-	if err == nil {
-		err = s.check()
-	}
 	if err != nil {
-		return errors.Join(fmt.Errorf("open journal %s: %w", path, err), db.Close())
+		return errors.Join(fmt.Errorf("open journal %s: %w", path, err), s.db.Close())
 	}
 	return nil
 }
--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -35,8 +35,12 @@
 	// delay holds calls back or drops them; may be nil.
 	delay func(host zinniapond.HostName, method string) error
 	// single makes stores sync each append alone.
-	single bool
+	single  bool
 	writers []*Writer
+	// propose is called before a command is taken; may be nil. The answers to
+	// the first refuse commands are lost before they are taken.
+	propose func()
+	refuse  int
 	// keep makes stores remember what a crash would leave.
 	keep bool
 }
@@ -167,8 +171,15 @@
 }
 
 func (c *cluster) Propose(_ context.Context, _ time.Time, command zinniapond.Command) (zinniapond.CommandResult, error) {
+	if c.propose != nil {
+		c.propose()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refuse > 0 {
+		c.refuse--
+		return zinniapond.CommandResult{}, errCut
+	}
 	a := command.Assignments[0]
 	if a.Epoch != c.view.Assignments[0].Epoch+1 {
 		return zinniapond.CommandResult{Reason: "epoch"}, nil
--- a/internal/journal/writer/writer_test.go
+++ b/internal/journal/writer/writer_test.go
@@ -1,7 +1,10 @@
 package writer
 
 import (
+	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -69,3 +72,62 @@
 		assert.Equal(t, c.history(t, w, "p"), []string{"p/1", "p/2"})
 	})
 }
+
+func TestRepair(t *testing.T) {
+	t.Run("guards against a damaged replica not being rebuilt from its peers", func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.stop()
+		o, _ := c.takeover(t, "o", "a", "b", "c")
+		for n := range 20 {
+			o.put(t, "x", n)
+		}
+		assert.Eventually(t, testWait, "a has all", func() bool { return len(c.held(t, "a", "x")) == 20 })
+		c.halt("a", false)
+		path := filepath.Join(c.stores["a"].folder, "journal.db")
+		data, err := os.ReadFile(path)
+		assert.NoError(t, err)
+		assert.NoError(t, os.WriteFile(path, bytes.ReplaceAll(data, []byte("x/7"), []byte("x/8")), 0o600))
+		c.start("a")
+		assert.True(t, !c.votes(t, "a"), "a damaged replica counts")
+		assert.Eventually(t, testWait, "a is rebuilt", func() bool {
+			return c.votes(t, "a") && len(c.held(t, "a", "x")) == 20
+		})
+		assert.Equal(t, c.held(t, "a", "x"), c.held(t, "b", "x"))
+	})
+	t.Run("guards against a replica that missed the removal of ended programs losing live ones", func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.stop()
+		o, _ := c.takeover(t, "o", "a", "b", "c")
+		c.halt("c", false)
+		for n := range 10 {
+			o.put(t, "x", n)
+			o.put(t, "y", n)
+		}
+		put(t, o.Writer, o.epoch, record(zinniapond.RecordEnd, "y", 10))
+		o.put(t, "x", 10)
+		for _, h := range []zinniapond.HostName{"a", "b"} {
+			assert.NoError(t, c.stores[h].store.Compact(time.Now().Add(2*time.Hour)))
+		}
+		c.reach("o")
+		c.start("c")
+		p, seen := c.takeover(t, "p", "a", "c")
+		assert.Equal(t, len(seen), 11)
+		assert.Equal(t, c.history(t, p.Writer, "x"), seen)
+		assert.Equal(t, c.held(t, "c", "x"), seen)
+		assert.Equal(t, c.held(t, "c", "y"), nil)
+	})
+}
+
+// held returns what one replica has of a program.
+func (c *cluster) held(t testing.TB, host zinniapond.HostName, program zinniapond.ProgramID) []string {
+	t.Helper()
+	var reply zinniapond.ReadReply
+	assert.NoError(t, c.stores[host].store.Read(&zinniapond.ReadRequest{Program: program, From: 1}, &reply))
+	var texts []string
+	for _, e := range reply.Entries {
+		r, err := decode(e)
+		assert.NoError(t, err)
+		texts = append(texts, r.Reason)
+	}
+	return texts
+}
