--- a/internal/program/ledger/account.go
+++ b/internal/program/ledger/account.go
@@ -20,6 +20,7 @@
 	left    zinniapond.Tokens
 	span    time.Duration     // length of the window
 	budget  zinniapond.Tokens // of the plan when the grant was asked for
+	used    time.Time         // last reservation
 	asking  *request
 	// Amounts of at least refused are not asked for until again.
 	refused zinniapond.Tokens
@@ -40,10 +41,11 @@
 	defer a.mu.Unlock()
 	if a.span != plan.Window || a.budget > plan.Budget {
 		// The plan was changed; what was granted under it is no longer spent.
-		a.left, a.again = 0, time.Time{}
+		a.left, a.again, a.expires, a.window = 0, time.Time{}, time.Time{}, time.Time{}
 	}
 	if now.Before(a.expires) && amount <= a.left {
 		a.left -= amount
+		a.used = now
 		return zinniapond.Reservation{Plan: plan.Name, Window: a.window, Amount: amount}, nil, nil
 	}
 	if now.Before(a.again) && amount >= a.refused {
@@ -99,3 +101,17 @@
 		a.left += r.Amount - used
 	}
 }
+
+// idle takes back what is left of a grant that was not used for an eighth of
+// its window, so that other holders may have it. It is sent to the home once: a
+// second message would free the amount twice.
+func (a *account) idle(now time.Time) (time.Time, zinniapond.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.asking != nil || a.left <= 0 || !now.Before(a.expires) || now.Sub(a.used) < a.span/8 {
+		return time.Time{}, 0
+	}
+	amount := a.left
+	a.left = 0
+	return a.window, amount
+}
--- a/internal/program/ledger/home.go
+++ b/internal/program/ledger/home.go
@@ -44,18 +44,18 @@
 	return w
 }
 
-// current returns the start of the window at now and what is granted of it. A
+// current returns the start and the end of the window at now and what is granted
+// of it. A
 // window that was granted from by a host whose clock is ahead stays current,
 // so that no window is granted from twice. If the length of the windows has
 // changed, grants from shorter ones within the current one count.
-func (h *home) current(now time.Time, plan zinniapond.Plan) (time.Time, zinniapond.Tokens) {
-	start := now.UTC().Round(0).Truncate(plan.Window)
+func (h *home) current(now time.Time, plan zinniapond.Plan) (start, ends time.Time, granted zinniapond.Tokens) {
+	start = now.UTC().Round(0).Truncate(plan.Window)
 	for s := range h.plans[plan.Name] {
 		if s.After(start) {
 			start = s
 		}
 	}
-	var granted zinniapond.Tokens
 	for s, w := range h.plans[plan.Name] {
 		if !s.Before(start) {
 			granted += w.granted
@@ -63,16 +63,16 @@
 			delete(h.plans[plan.Name], s)
 		}
 	}
-	return start, granted
+	return start, start.Truncate(plan.Window).Add(plan.Window), granted
 }
 
 func (h *home) grant(now time.Time, plan zinniapond.Plan, request *zinniapond.GrantRequest) (zinniapond.Grant, zinniapond.Epoch, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	start, granted := h.current(now, plan)
+	start, ends, granted := h.current(now, plan)
 	g := zinniapond.Grant{
 		Plan: plan.Name, Holder: request.Sender, Window: start,
-		Left: start.Add(plan.Window).Sub(now),
+		Left: ends.Sub(now),
 	}
 	left := plan.Budget - granted
 	if !h.serving || request.Amount > left || request.Amount < 0 {
@@ -82,7 +82,7 @@
 	w := h.window(plan.Name, start)
 	w.granted += g.Amount
 	w.holders[request.Sender] += g.Amount
-	w.ends = start.Add(plan.Window)
+	w.ends = ends
 	return g, h.epoch, true
 }
 
@@ -91,10 +91,10 @@
 func (h *home) giveBack(now time.Time, plan zinniapond.Plan, request *zinniapond.GrantRequest) (zinniapond.Grant, zinniapond.Epoch, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	start, _ := h.current(now, plan)
+	start, ends, _ := h.current(now, plan)
 	g := zinniapond.Grant{
 		Plan: plan.Name, Holder: request.Sender, Window: start, Amount: -request.Amount,
-		Left: start.Add(plan.Window).Sub(now),
+		Left: ends.Sub(now),
 	}
 	w := h.plans[plan.Name][start]
 	if !h.serving || w == nil || !request.Window.Equal(start) || request.Amount <= 0 ||
--- a/internal/program/ledger/ledger.go
+++ b/internal/program/ledger/ledger.go
@@ -109,6 +109,41 @@
 	}
 }
 
+// Run returns unused grants until ctx is done.
+func (g *Ledger) Run(ctx context.Context) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			g.Return(ctx, g.Clock())
+		}
+	}
+}
+
+// Return gives unused grants back to their homes. A grant whose return is lost
+// stays unspent.
+func (g *Ledger) Return(ctx context.Context, now time.Time) {
+	var requests []*zinniapond.GrantRequest
+	g.accounts.Each(func(plan zinniapond.PlanName, a *account) bool {
+		if w, amount := a.idle(now); amount > 0 {
+			requests = append(requests, &zinniapond.GrantRequest{
+				Sender: g.Host, Plan: plan, Amount: amount, Return: true, Window: w,
+			})
+		}
+		return true
+	})
+	for _, r := range requests {
+		c, cancel := context.WithTimeout(ctx, g.wait())
+		if err := g.send(c, r, new(zinniapond.GrantReply)); err != nil {
+			g.Logger.Debug("unused grant not returned", "plan", r.Plan, "err", err)
+		}
+		cancel()
+	}
+}
+
 // unreachable is the refusal of a call whose plan's budget cannot be asked for.
 // The call was not run; the budget is not known to be used up.
 func unreachable(plan zinniapond.PlanName, err error) error {
