--- /dev/null
+++ b/internal/bench/commit/commit.go
@@ -0,0 +1,223 @@
+// Package commit measures the journal's append path and its recovery, with the
+// replicas in one process and their files on one disk.
+package commit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/journal/store"
+	"zinniapond.example/zinniapond/internal/journal/writer"
+)
+
+// Trial is a journal of several shards with all its replicas in this process.
+// It takes the place of the peers and the control state.
+type Trial struct {
+	Folder   string
+	Replicas int
+	Shards   int
+	// Single syncs each append alone.
+	Single bool
+	// Body is the size of a record's body.
+	Body int
+
+	view   zinniapond.ControlView
+	stores map[netip.AddrPort]*store.Store
+	writer *writer.Writer
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	syncs  atomic.Int64
+}
+
+// Result is what a trial has measured.
+type Result struct {
+	Appends  int64
+	Took     time.Duration
+	Syncs    int64 // of all replicas
+	Latency  *hdrhistogram.Histogram
+	Failures int64
+}
+
+// Start opens the replicas and recovers all shards.
+func (t *Trial) Start(ctx context.Context) error {
+	ctx, t.stop = context.WithCancel(ctx)
+	t.view = zinniapond.ControlView{
+		Shards: t.Shards, Members: make(map[zinniapond.HostName]zinniapond.Member),
+		Assignments: make(map[zinniapond.ShardID]zinniapond.Assignment),
+	}
+	t.stores = make(map[netip.AddrPort]*store.Store)
+	var hosts []zinniapond.HostName
+	for i := range t.Replicas {
+		h := zinniapond.HostName("store" + strconv.Itoa(i))
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)) //nolint:gosec // few replicas.
+		s := &store.Store{
+			Folder: filepath.Join(t.Folder, string(h)), Retention: time.Hour, Single: t.Single,
+			Logger: hclog.NewNullLogger(), Clock: time.Now, Synced: func() { t.syncs.Add(1) },
+		}
+		if err := s.Open(); err != nil {
+			return err
+		}
+		t.done.Go(func() { _ = s.Run(ctx) })
+		t.stores[a] = s
+		t.view.Members[h] = zinniapond.Member{Name: h, Peers: a}
+		hosts = append(hosts, h)
+	}
+	for s := range t.Shards {
+		shard := zinniapond.ShardID(s) //nolint:gosec // few shards.
+		t.view.Assignments[shard] = zinniapond.Assignment{Shard: shard, Owner: "owner", Replicas: hosts}
+	}
+	_, _, err := t.Recover(ctx)
+	return err
+}
+
+// Stop ends the trial and waits for the replicas.
+func (t *Trial) Stop() {
+	t.stop()
+	t.done.Wait()
+}
+
+// Recover makes a new owner recover all shards one after the other. It returns
+// the time taken and the number of records replayed.
+func (t *Trial) Recover(ctx context.Context) (time.Duration, int, error) {
+	t.writer = &writer.Writer{
+		Host: "owner", Replicas: t.Replicas, Peers: t, Directory: t, Control: t,
+		Logger: hclog.NewNullLogger(), Clock: time.Now, Wait: 30 * time.Second,
+	}
+	began, records := time.Now(), 0
+	for shard, a := range t.view.Assignments {
+		a.Epoch++
+		t.view.Assignments[shard] = a
+		err := t.writer.Recover(ctx, time.Now(), a, func(zinniapond.Record) error {
+			records++
+			return nil
+		})
+		if err != nil {
+			return 0, records, err
+		}
+	}
+	return time.Since(began), records, nil
+}
+
+// Fill appends an open record and the given number of turns, of two records
+// each, for each of many programs that do not end.
+func (t *Trial) Fill(ctx context.Context, programs, turns int) error {
+	var failure atomic.Value
+	var group sync.WaitGroup
+	next := make(chan int)
+	for range 512 {
+		group.Go(func() {
+			for p := range next {
+				id := zinniapond.ProgramID("program-" + strconv.Itoa(p))
+				if err := t.program(ctx, id, turns); err != nil {
+					failure.Store(err)
+				}
+			}
+		})
+	}
+	for p := range programs {
+		next <- p
+	}
+	close(next)
+	group.Wait()
+	err, _ := failure.Load().(error)
+	return err
+}
+
+func (t *Trial) program(ctx context.Context, id zinniapond.ProgramID, turns int) error {
+	if err := t.append(ctx, t.record(zinniapond.RecordOpen, id)); err != nil {
+		return err
+	}
+	for range turns {
+		intent, result := t.record(zinniapond.RecordIntent, id), t.record(zinniapond.RecordResult, id)
+		if err := errors.Join(t.append(ctx, intent), t.append(ctx, result)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Trial) record(kind zinniapond.RecordKind, id zinniapond.ProgramID) zinniapond.Record {
+	r := zinniapond.Record{Kind: kind, Program: id, At: time.Now()}
+	switch kind {
+	case zinniapond.RecordOpen:
+		r.Opened = &zinniapond.Program{ID: id, Plan: "plan", Customer: "customer", Opened: r.At}
+	case zinniapond.RecordIntent:
+		r.Call = &zinniapond.Call{ID: zinniapond.CallID(id), Program: id, Body: make([]byte, t.Body)}
+	case zinniapond.RecordResult:
+		r.Answer = &zinniapond.Answer{Call: zinniapond.CallID(id), Body: make([]byte, t.Body)}
+	}
+	return r
+}
+
+func (t *Trial) append(ctx context.Context, r zinniapond.Record) error {
+	shard := zinniapond.ShardOf(string(r.Program), t.Shards)
+	return t.writer.Append(ctx, time.Now(), shard, t.view.Assignments[shard].Epoch, r)
+}
+
+// Load lets programs append concurrently, each one record after the other, for
+// the given time.
+func (t *Trial) Load(ctx context.Context, programs int, span time.Duration) Result {
+	before := t.syncs.Load()
+	r := drive(programs, span, func(p, _ int) error {
+		return t.append(ctx, t.record(zinniapond.RecordIntent, zinniapond.ProgramID("load-"+strconv.Itoa(p))))
+	})
+	r.Syncs = t.syncs.Load() - before
+	return r
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+// Size returns the bytes on disk of one replica.
+func (t *Trial) Size() (int64, error) {
+	info, err := os.Stat(filepath.Join(t.Folder, "store0", "journal.db"))
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+// View returns the control state of the trial.
+func (t *Trial) View() *zinniapond.ControlView { return &t.view }
+
+// Catalog returns no lists.
+func (t *Trial) Catalog() *zinniapond.Catalog { return new(zinniapond.Catalog) }
+
+// Fresh always holds.
+func (t *Trial) Fresh(time.Time) bool { return true }
+
+// Confirmed returns the present time.
+func (t *Trial) Confirmed() time.Time { return time.Now() }
+
+// Changed returns a channel that is never closed.
+func (t *Trial) Changed() <-chan struct{} { return nil }
+
+// Propose refuses all commands.
+func (t *Trial) Propose(context.Context, time.Time, zinniapond.Command) (zinniapond.CommandResult, error) {
+	return zinniapond.CommandResult{}, nil
+}
+
+// Call calls a replica in this process.
+func (t *Trial) Call(_ context.Context, peer netip.AddrPort, method string, request, reply any) error {
+	s := t.stores[peer]
+	switch r := request.(type) {
+	case *zinniapond.AppendRequest:
+		return s.Append(r, reply.(*zinniapond.AppendReply))
+	case *zinniapond.SealRequest:
+		return s.Seal(r, reply.(*zinniapond.SealReply))
+	case *zinniapond.ReadRequest:
+		return s.Read(r, reply.(*zinniapond.ReadReply))
+	}
+	return fmt.Errorf("call %s: %w", method, zinniapond.ErrMalformed)
+}
--- /dev/null
+++ b/internal/bench/commit/commit_test.go
@@ -0,0 +1,83 @@
+package commit
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+const span = 3 * time.Second
+
+func trial(b *testing.B, replicas int, single bool) *Trial {
+	t := &Trial{Folder: b.TempDir(), Replicas: replicas, Shards: 64, Single: single, Body: 2048}
+	assert.NoError(b, t.Start(context.Background()))
+	b.Cleanup(t.Stop)
+	return t
+}
+
+func report(b *testing.B, r Result) {
+	assert.Equal(b, r.Failures, 0)
+	b.ReportMetric(float64(r.Appends)/r.Took.Seconds(), "appends/s")
+	b.ReportMetric(float64(r.Syncs)/r.Took.Seconds(), "commits/s")
+	b.ReportMetric(float64(r.Latency.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(r.Latency.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkAppend measures appends through the writer to three replicas.
+func BenchmarkAppend(b *testing.B) {
+	for _, single := range []bool{false, true} {
+		for _, programs := range []int{1, 8, 64, 512} {
+			b.Run(fmt.Sprintf("single=%t/programs=%d", single, programs), func(b *testing.B) {
+				report(b, trial(b, 3, single).Load(context.Background(), programs, span))
+			})
+		}
+	}
+}
+
+// BenchmarkEngine compares one store, on bbolt, with a bare segment log.
+func BenchmarkEngine(b *testing.B) {
+	for _, programs := range []int{1, 8, 64, 512} {
+		b.Run(fmt.Sprintf("bbolt/programs=%d", programs), func(b *testing.B) {
+			report(b, trial(b, 1, false).Replica(programs, span))
+		})
+		b.Run(fmt.Sprintf("wal/programs=%d", programs), func(b *testing.B) {
+			r, err := Segments(b.TempDir(), programs, 2048, span)
+			assert.NoError(b, err)
+			report(b, r)
+		})
+	}
+}
+
+// BenchmarkRecovery measures the time until a new owner has all live programs,
+// and what a live program costs in bytes on each disk and in memory.
+func BenchmarkRecovery(b *testing.B) {
+	for _, programs := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("live=%d", programs), func(b *testing.B) {
+			t := trial(b, 3, false)
+			before := heap()
+			assert.NoError(b, t.Fill(context.Background(), programs, 10))
+			used := heap() - before
+			size, err := t.Size()
+			assert.NoError(b, err)
+			took, records, err := t.Recover(context.Background())
+			assert.NoError(b, err)
+			assert.Equal(b, records, programs*21)
+			b.ReportMetric(float64(took.Milliseconds()), "ms")
+			b.ReportMetric(float64(size)/float64(programs), "disk-B/program")
+			b.ReportMetric(float64(used)/float64(programs), "heap-B/program")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc) //nolint:gosec // far below the limit.
+}
--- /dev/null
+++ b/internal/bench/commit/engine.go
@@ -0,0 +1,126 @@
+package commit
+
+import (
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/wal"
+
+	"zinniapond.example/zinniapond"
+)
+
+// Segments measures the append path of a segment log, tidwall/wal, with the
+// same group commit as the store: entries that arrive while a sync runs are
+// written and synced together. It keeps no index by program and removes
+// nothing, so it shows the least that a log of its own would cost.
+func Segments(folder string, programs, body int, span time.Duration) (Result, error) {
+	log, err := wal.Open(filepath.Join(folder, "wal"), &wal.Options{NoSync: true, SegmentSize: 64 << 20})
+	if err != nil {
+		return Result{}, err
+	}
+	type job struct {
+		data []byte
+		done chan struct{}
+	}
+	jobs := make(chan job, programs)
+	var failure error
+	var syncs int64
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		index := uint64(0)
+		for first := range jobs {
+			batch := []job{first}
+			for more := true; more; {
+				select {
+				case j, ok := <-jobs:
+					if more = ok; ok {
+						batch = append(batch, j)
+					}
+				default:
+					more = false
+				}
+			}
+			var entries wal.Batch
+			for _, j := range batch {
+				index++
+				entries.Write(index, j.data)
+			}
+			if err := log.WriteBatch(&entries); err != nil {
+				failure = err
+			}
+			if err := log.Sync(); err != nil {
+				failure = err
+			}
+			syncs++
+			for _, j := range batch {
+				close(j.done)
+			}
+		}
+	}()
+	r := drive(programs, span, func(int, int) error {
+		j := job{data: make([]byte, body), done: make(chan struct{})}
+		jobs <- j
+		<-j.done
+		return nil
+	})
+	close(jobs)
+	<-finished
+	r.Syncs = syncs
+	if err := log.Close(); err != nil {
+		return r, err
+	}
+	return r, failure
+}
+
+// Replica measures the append path of one store, without a writer. Each program
+// has a shard of its own.
+func (t *Trial) Replica(programs int, span time.Duration) Result {
+	s := t.stores[t.view.Members["store0"].Peers]
+	before := t.syncs.Load()
+	r := drive(programs, span, func(p, n int) error {
+		index := zinniapond.Index(n + 1) //nolint:gosec // not negative.
+		request := &zinniapond.AppendRequest{
+			Shard: zinniapond.ShardID(p + t.Shards), Epoch: 1, PrevIndex: index - 1, //nolint:gosec // few.
+			PrevEpoch: min(zinniapond.Epoch(n), 1), Last: index, //nolint:gosec // not negative.
+			Entries: []zinniapond.JournalEntry{{
+				Index: index, Epoch: 1, Kind: zinniapond.RecordIntent,
+				Program: zinniapond.ProgramID("program-" + strconv.Itoa(p)), Data: make([]byte, t.Body),
+			}},
+		}
+		return s.Append(request, new(zinniapond.AppendReply))
+	})
+	r.Syncs = t.syncs.Load() - before
+	return r
+}
+
+// drive calls work in a loop from many goroutines.
+func drive(programs int, span time.Duration, work func(program, number int) error) Result {
+	parts := make([]Result, programs)
+	began := time.Now()
+	var group sync.WaitGroup
+	for p := range programs {
+		parts[p].Latency = histogram()
+		group.Go(func() {
+			for n := 0; time.Since(began) < span; n++ {
+				at := time.Now()
+				if err := work(p, n); err != nil {
+					parts[p].Failures++
+					continue
+				}
+				parts[p].Appends++
+				_ = parts[p].Latency.RecordValue(time.Since(at).Microseconds())
+			}
+		})
+	}
+	group.Wait()
+	r := Result{Took: time.Since(began), Latency: histogram()}
+	for _, p := range parts {
+		r.Appends += p.Appends
+		r.Failures += p.Failures
+		r.Latency.Merge(p.Latency)
+	}
+	return r
+}
