--- a/internal/journal/store/store.go
+++ b/internal/journal/store/store.go
@@ -137,10 +137,13 @@
 	return nil
 }
 
+// stepPause lets waiting appends go first between two steps of a removal.
+const stepPause = time.Millisecond
+
 // Run commits appends and removes ended programs until ctx is done.
 func (s *Store) Run(ctx context.Context) error {
-	tick := time.NewTicker(s.sweep())
-	defer tick.Stop()
+	timer := time.NewTimer(s.sweep())
+	defer timer.Stop()
 	var failed error
 	for failed == nil {
 		select {
@@ -148,8 +151,13 @@
 			return s.close(nil)
 		case <-s.wake:
 			failed = s.commit()
-		case <-tick.C:
-			failed = s.Compact(s.Clock())
+		case <-timer.C:
+			var more bool
+			next := s.sweep()
+			if more, failed = s.step(s.Clock()); more {
+				next = stepPause
+			}
+			timer.Reset(next)
 		}
 	}
 	return s.close(failed)
--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -240,6 +241,24 @@
 	return w
 }
 
+// join starts the replacement of a lost store.
+func (c *cluster) join(lost, next zinniapond.HostName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Members = maps.Clone(c.view.Members)
+	for h, m := range c.view.Members {
+		m.State = zinniapond.MemberActive
+		if h == lost {
+			m.State = zinniapond.MemberFenced
+		}
+		c.view.Members[h] = m
+	}
+	a := c.view.Assignments[0]
+	a.Epoch++
+	a.Joining = next
+	c.set(a)
+}
+
 // reach leaves a host only the links to the given ones.
 func (c *cluster) reach(from zinniapond.HostName, hosts ...zinniapond.HostName) {
 	c.mu.Lock()
--- a/internal/journal/writer/log.go
+++ b/internal/journal/writer/log.go
@@ -87,7 +87,7 @@
 		return last, err
 	case <-ctx.Done():
 		return last, fmt.Errorf("append to journal shard %d: no answer from a majority: %w: %w",
-			l.shard, zinniapond.ErrNoQuorum, ctx.Err())
+			l.shard, zinniapond.ErrNoQuorum, context.Cause(ctx))
 	}
 }
 
--- a/internal/journal/writer/recover.go
+++ b/internal/journal/writer/recover.go
@@ -190,10 +190,14 @@
 }
 
 // settle appends the first record of the epoch and waits until it, and with it
-// everything before it, is on a majority, or on every replica of a new shard.
+// everything before it, is on a majority, or on every replica of a new shard. A
+// long copy to a replica may take as long as it makes progress.
 func (l *shardLog) settle(ctx context.Context, form bool) error {
-	ctx, cancel := context.WithTimeout(ctx, l.w.wait())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go l.watch(done, cancel)
 	index, err := l.append(ctx, []zinniapond.JournalEntry{{Kind: zinniapond.RecordEmpty}})
 	if err != nil || !form {
 		return err
@@ -210,6 +214,36 @@
 	return nil
 }
 
+// watch cancels a recovery that makes no progress.
+func (l *shardLog) watch(done <-chan struct{}, cancel context.CancelCauseFunc) {
+	tick := time.NewTicker(l.w.wait())
+	defer tick.Stop()
+	for before := l.progress(); ; {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		now := l.progress()
+		if now == before {
+			cancel(errors.New("recovery makes no progress"))
+			return
+		}
+		before = now
+	}
+}
+
+// progress grows with each entry that a replica has synced.
+func (l *shardLog) progress() zinniapond.Index {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum zinniapond.Index
+	for _, m := range l.members {
+		sum += m.match
+	}
+	return sum
+}
+
 func (l *shardLog) everywhere(index zinniapond.Index) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
