--- a/internal/journal/store/keep.go
+++ b/internal/journal/store/keep.go
@@ -22,23 +22,30 @@
 }
 
 // Compact removes the records of programs that ended, and the grants that were
-// over, more than the retention ago. Only committed records are removed. It is
-// called by Run, or instead of it.
+// over, more than the retention ago. Only committed records are removed. Run
+// does the same in steps.
 func (s *Store) Compact(now time.Time) error {
-	more := true
-	for more {
-		err := s.db.Update(func(tx *bolt.Tx) error {
-			var err error
-			more, err = s.compact(tx, now)
+	for more := true; more; {
+		var err error
+		if more, err = s.step(now); err != nil {
 			return err
-		})
-		if err != nil {
-			return fmt.Errorf("compact journal: %w", err)
 		}
 	}
 	return nil
 }
 
+// step removes a bounded number of records and tells whether there are more.
+func (s *Store) step(now time.Time) (more bool, err error) {
+	err = s.db.Update(func(tx *bolt.Tx) error {
+		more, err = s.compact(tx, now)
+		return err
+	})
+	if err != nil {
+		return false, fmt.Errorf("compact journal: %w", err)
+	}
+	return more, nil
+}
+
 func (s *Store) compact(tx *bolt.Tx, now time.Time) (bool, error) {
 	end := dueKey(now.Add(-s.Retention), 0, 0)
 	var keys [][]byte
@@ -127,61 +134,3 @@
 	}
 	return len(steps), nil
 }
-
-// check reads every record and drops the shards with damaged ones.
-func (s *Store) check() error {
-	broken := make(map[zinniapond.ShardID]bool)
-	err := s.db.View(func(tx *bolt.Tx) error {
-		c := tx.Bucket(metaBucket).Cursor()
-		for k, v := c.First(); k != nil; k, v = c.Next() {
-			if err := new(standing).decode(shardOf(k), v); err != nil {
-				s.Logger.Error("damaged journal shard", "shard", shardOf(k), "err", err)
-				broken[shardOf(k)] = true
-			}
-		}
-		c = tx.Bucket(logBucket).Cursor()
-		for k, v := c.First(); k != nil; k, v = c.Next() {
-			if broken[shardOf(k)] {
-				continue
-			}
-			if _, err := decodeEntry(k, v); err != nil {
-				s.Logger.Error("damaged journal record", "shard", shardOf(k), "err", err)
-				broken[shardOf(k)] = true
-			}
-		}
-		return nil
-	})
-	if err != nil || len(broken) == 0 {
-		return err
-	}
-	return s.db.Update(func(tx *bolt.Tx) error {
-		for shard := range broken {
-			if err := s.drop(tx, shard); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-}
-
-// drop removes a shard's log. The promise stays, unless it was damaged too; the
-// replica no longer counts, as one whose disk was lost.
-func (s *Store) drop(tx *bolt.Tx, shard zinniapond.ShardID) error {
-	st := new(standing)
-	if err := st.decode(shard, tx.Bucket(metaBucket).Get(shardKey(shard))); err != nil {
-		st = new(standing)
-	}
-	for _, b := range [][]byte{spanBucket, logBucket, stepBucket, liveBucket} {
-		c := tx.Bucket(b).Cursor()
-		prefix := shardKey(shard)
-		for k, _ := c.Seek(prefix); k != nil && shardOf(k) == shard; k, _ = c.Seek(prefix) {
-			if err := tx.Bucket(b).Delete(k); err != nil {
-				return err
-			}
-		}
-	}
-	next := &standing{promised: st.promised}
-	s.states[shard] = next
-	s.Logger.Warn("journal shard dropped, to be copied from its peers", "shard", shard)
-	return saveStanding(tx, shard, next)
-}
--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -37,6 +38,10 @@
 	// single makes stores sync each append alone.
 	single  bool
 	writers []*Writer
+	// propose is called before a command is taken; may be nil. The answers to
+	// the first refuse commands are lost before they are taken.
+	propose func()
+	refuse  int
 	// keep makes stores remember what a crash would leave.
 	keep bool
 }
@@ -167,8 +172,15 @@
 }
 
 func (c *cluster) Propose(_ context.Context, _ time.Time, command zinniapond.Command) (zinniapond.CommandResult, error) {
+	if c.propose != nil {
+		c.propose()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refuse > 0 {
+		c.refuse--
+		return zinniapond.CommandResult{}, errCut
+	}
 	a := command.Assignments[0]
 	if a.Epoch != c.view.Assignments[0].Epoch+1 {
 		return zinniapond.CommandResult{Reason: "epoch"}, nil
@@ -229,6 +241,24 @@
 	return w
 }
 
+// join starts the replacement of a lost store.
+func (c *cluster) join(lost, next zinniapond.HostName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Members = maps.Clone(c.view.Members)
+	for h, m := range c.view.Members {
+		m.State = zinniapond.MemberActive
+		if h == lost {
+			m.State = zinniapond.MemberFenced
+		}
+		c.view.Members[h] = m
+	}
+	a := c.view.Assignments[0]
+	a.Epoch++
+	a.Joining = next
+	c.set(a)
+}
+
 // reach leaves a host only the links to the given ones.
 func (c *cluster) reach(from zinniapond.HostName, hosts ...zinniapond.HostName) {
 	c.mu.Lock()
