Bound the time in which a refused request's body is read

Cause: the test of a caller that never ends its body did not finish in 600 s. The handler removed the read deadline on return, and net/http then read the rest of the body to reuse the connection. A refusal before the body was read had no deadline at all. Ruled out: ReadTimeout of the server, which ends requests that wait for their answer. Change: the gate sets the deadline for each request with a body; it is removed only once the body has arrived whole. Before: connection held for 600 s, until the test timed out. After: closed after the 100 ms that the test sets. Conclusion: one deadline for the body, whichever way the request ends.

--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -32,7 +32,7 @@
 func build(k *kernel.Kernel) (*Frontend, error) {
 	s := k.Settings
 	f := &Frontend{
-		Host: s.Host, Operator: s.Security.OperatorHash, Read: s.Limits.Read, Clock: k.Now,
+		Host: s.Host, Operator: s.Security.OperatorHash, Clock: k.Now,
 		Logger: k.Logger.Named("admin"),
 	}
 	var err error
@@ -60,7 +60,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: s.Operators, Certificate: s.Security.Certificate, Key: s.Security.Key,
-		Limits: s.Limits, Drain: s.Drain, Logger: f.Logger, Handler: f,
+		Limits: s.Limits, Drain: s.Drain, Clock: k.Now, Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
@@ -83,7 +83,6 @@
 	Control   zinniapond.Control
 	Detector  zinniapond.Detector
 	Peers     zinniapond.Peers
-	Read      time.Duration // time to send a body
 	Clock     func() time.Time
 	Logger    hclog.Logger
 	Gate      *gate.Gate
@@ -206,12 +205,7 @@
 
 // change proposes new lists. It is answered once they are accepted or refused.
 func (f *Frontend) change(w http.ResponseWriter, r *http.Request) error {
-	control := http.NewResponseController(w)
-	if f.Read > 0 {
-		_ = control.SetReadDeadline(f.Clock().Add(f.Read))
-	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return fmt.Errorf("read body: %w: limit is %d bytes", zinniapond.ErrTooLarge, bodyMost)
@@ -220,6 +214,7 @@
 		w.Header().Set("Connection", "close")
 		return fmt.Errorf("read body: %w: body did not arrive whole: %w", zinniapond.ErrMalformed, err)
 	}
+	gate.Whole(w)
 	command, err := decodeChange(text)
 	if err != nil {
 		return err
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -56,7 +56,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: k.Settings.Callers, Certificate: k.Settings.Security.Certificate, Key: k.Settings.Security.Key,
-		Limits: f.Limits, Drain: k.Settings.Drain, Logger: f.Logger, Handler: f,
+		Limits: f.Limits, Drain: k.Settings.Drain, Clock: k.Now, Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
@@ -135,7 +135,7 @@
 	var method methodError
 	if errors.As(err, &method) {
 		w.Header().Set("Allow", method.allowed)
-		fault.Status, fault.Type = http.StatusMethodNotAllowed, "method"
+		fault.Status, fault.Type, fault.Outcome = http.StatusMethodNotAllowed, "method", zinniapond.OutcomeNotRun
 		fault.Hint = "allowed: " + method.allowed
 	}
 	if fault.Status == http.StatusInternalServerError {
--- /dev/null
+++ b/internal/entry/caller/caller_test.go
@@ -0,0 +1,414 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/entry/gate"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// fake is the scheduler, the directory and the detector of a test.
+type fake struct {
+	zinniapond.Scheduler
+	zinniapond.Directory
+	submit   func(ctx context.Context, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error)
+	calls    chan zinniapond.Call
+	stale    bool
+	state    zinniapond.MemberState
+	catalog  *zinniapond.Catalog
+	declines []zinniapond.Decline
+	history  zinniapond.History
+}
+
+func (f *fake) Submit(ctx context.Context, _ time.Time, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
+	f.calls <- call
+	if f.submit != nil {
+		return f.submit(ctx, call, sink)
+	}
+	return done(`{"ok":true}`), nil
+}
+
+func (f *fake) Open(context.Context, time.Time, zinniapond.Program) error          { return nil }
+func (f *fake) End(context.Context, time.Time, zinniapond.ProgramID, string) error { return nil }
+func (f *fake) Catalog() *zinniapond.Catalog                                       { return f.catalog }
+func (f *fake) Fresh(time.Time) bool                                               { return !f.stale }
+func (f *fake) Declines(time.Time) []zinniapond.Decline                            { return f.declines }
+func (f *fake) Observe(time.Time, string, time.Duration, time.Duration, bool)      {}
+func (f *fake) View() *zinniapond.ControlView {
+	return &zinniapond.ControlView{Members: map[zinniapond.HostName]zinniapond.Member{"waschhalle-1": {State: f.state}}}
+}
+
+// scheduler hides the directory's View behind the scheduler's.
+type scheduler struct{ *fake }
+
+func (s scheduler) View(context.Context, time.Time, zinniapond.ProgramID) (zinniapond.History, error) {
+	return s.history, nil
+}
+
+func done(body string) zinniapond.Answer {
+	return zinniapond.Answer{
+		Outcome: zinniapond.OutcomeDone, Status: 200, Body: []byte(body),
+		Fields: []zinniapond.Field{{Name: "Content-Type", Value: "application/json"}},
+	}
+}
+
+func newFrontend(limits zinniapond.LimitSettings) (*Frontend, *fake) {
+	plan := zinniapond.Plan{
+		Name: "yard", Class: zinniapond.ClassInteractive, Wait: time.Second,
+		Models: []zinniapond.PoolName{"drum-7b"}, Services: []zinniapond.PoolName{"app"},
+		Customers: []zinniapond.Customer{
+			{Name: "rinse", KeyHash: sha256.Sum256([]byte("k1"))},
+			{Name: "office", KeyHash: sha256.Sum256([]byte("k2"))},
+			{Name: "gone", KeyHash: sha256.Sum256([]byte("k3")), Expires: time.Unix(1, 0)},
+		},
+	}
+	f := &fake{
+		calls: make(chan zinniapond.Call, 16), state: zinniapond.MemberActive,
+		catalog: &zinniapond.Catalog{
+			Version:  7,
+			Plans:    map[zinniapond.PlanName]zinniapond.Plan{"yard": plan},
+			Services: map[zinniapond.PoolName]zinniapond.ServiceRule{"app": {Service: "app", Idempotent: []string{"POST /quotes"}}},
+		},
+	}
+	return &Frontend{
+		Host: "waschhalle-1", Scheduler: scheduler{f}, Directory: f, Detector: f, Limits: limits,
+		Clock: time.Now, Logger: hclog.NewNullLogger(),
+	}, f
+}
+
+func serve(t *testing.T, limits zinniapond.LimitSettings) (string, *fake) {
+	frontend, f := newFrontend(limits)
+	s := httptest.NewServer(frontend)
+	t.Cleanup(s.Close)
+	return s.URL, f
+}
+
+const chatText = `{"model":"drum-7b","messages":[{"role":"user","content":"rinse <drum> 4?"}],"max_tokens":64}`
+
+// send makes a request; fields are pairs of a header name and a value.
+func send(t *testing.T, method, url, body string, fields ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer k1")
+	for i := 0; i < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	assert.NoError(t, err)
+	defer answer.Body.Close()
+	b, err := io.ReadAll(answer.Body)
+	assert.NoError(t, err)
+	return answer, string(b)
+}
+
+func TestChat(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Body: 1 << 20, Read: time.Second, Open: 8})
+	t.Run("guards against losing a part of the call", func(t *testing.T) {
+		answer, body := send(t, "POST", url+"/v1/chat/completions", chatText,
+			"Zinniapond-Program", "p1", "Zinniapond-Sequence", "3", "Zinniapond-Parent", "p0", "Idempotency-Key", "a")
+		assert.Equal(t, answer.StatusCode, 200)
+		assert.Equal(t, body, `{"ok":true}`)
+		assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), "done")
+		assert.Equal(t, answer.Header.Get("Zinniapond-Config"), "7")
+		c := <-f.calls
+		assert.Equal(t, len(c.ID), 32)
+		assert.Equal(t, c, zinniapond.Call{
+			ID: c.ID, Program: "p1", Parent: "p0", Sequence: 3, Key: "a", Plan: "yard", Customer: "rinse",
+			Kind: zinniapond.KindEngine, Pool: "drum-7b", Idempotent: true, Method: "POST", Path: "/v1/chat/completions",
+			Body: []byte(chatText), Digest: sha256.Sum256([]byte("POST /v1/chat/completions\n" + chatText)),
+			Prompt: 12, Most: 64, Prefix: []uint64{}, Wait: time.Second,
+		})
+	})
+	t.Run("guards against running a repeated request twice", func(t *testing.T) {
+		ids := map[zinniapond.CallID]bool{}
+		programs := map[zinniapond.ProgramID]bool{}
+		for _, fields := range [][]string{
+			{"Idempotency-Key", "b"},
+			{"Idempotency-Key", "b"},
+			{"Idempotency-Key", "b", "Authorization", "Bearer k2"},
+			{"Idempotency-Key", "b", "Zinniapond-Program", "p2"},
+			{},
+			{},
+		} {
+			send(t, "POST", url+"/v1/chat/completions", chatText, fields...)
+			c := <-f.calls
+			ids[c.ID], programs[c.Program] = true, true
+			assert.Equal(t, c.Single, c.Program != "p2")
+		}
+		assert.Equal(t, len(ids), 5)
+		assert.Equal(t, len(programs), 5)
+	})
+	t.Run("guards against hiding a decline in service", func(t *testing.T) {
+		f.declines = []zinniapond.Decline{{Subject: "pool other"}, {Subject: "pool drum-7b", Reason: "slow", Since: time.Unix(0, 0)}}
+		defer func() { f.declines = nil }()
+		answer, _ := send(t, "POST", url+"/v1/chat/completions", chatText)
+		<-f.calls
+		assert.Equal(t, answer.Header.Get("Zinniapond-Degraded"), "pool drum-7b: slow since 1970-01-01T00:00:00Z")
+	})
+}
+
+func TestStream(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Read: time.Second, Open: 8})
+	text := strings.Replace(chatText, "{", `{"stream":true,`, 1)
+	begin := func(s zinniapond.Sink) error {
+		if err := s.Begin(200, []zinniapond.Field{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
+			return err
+		}
+		return s.Write([]byte("data: {}\n\n"))
+	}
+	t.Run("guards against holding parts back until the end", func(t *testing.T) {
+		first := make(chan struct{})
+		f.submit = func(_ context.Context, c zinniapond.Call, s zinniapond.Sink) (zinniapond.Answer, error) {
+			assert.True(t, c.Stream, "not a stream")
+			if err := begin(s); err != nil {
+				return zinniapond.Answer{}, err
+			}
+			<-first
+			return done(""), s.Write([]byte("data: [DONE]\n\n"))
+		}
+		r, _ := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(text))
+		r.Header.Set("Authorization", "Bearer k1")
+		answer, err := http.DefaultTransport.RoundTrip(r)
+		assert.NoError(t, err)
+		defer answer.Body.Close()
+		part := make([]byte, 10)
+		_, err = io.ReadFull(answer.Body, part)
+		assert.NoError(t, err)
+		close(first)
+		rest, err := io.ReadAll(answer.Body)
+		assert.NoError(t, err)
+		assert.Equal(t, string(part)+string(rest), "data: {}\n\ndata: [DONE]\n\n")
+		assert.Equal(t, answer.Trailer.Get("Zinniapond-Outcome"), "done")
+	})
+	t.Run("guards against a broken stream that looks complete", func(t *testing.T) {
+		f.submit = func(_ context.Context, _ zinniapond.Call, s zinniapond.Sink) (zinniapond.Answer, error) {
+			_ = begin(s)
+			return zinniapond.Answer{}, zinniapond.ErrBackend
+		}
+		answer, body := send(t, "POST", url+"/v1/chat/completions", text)
+		assert.Contains(t, body, "data: {}\n\nevent: error\ndata: {\"error\":")
+		assert.Equal(t, answer.Trailer.Get("Zinniapond-Outcome"), "unknown")
+	})
+}
+
+func TestService(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Open: 8})
+	for _, c := range []struct {
+		name, method, path, want string
+		idempotent               bool
+	}{
+		{"guards against repeating a scrap order", "POST", "/scrap/4?why=rust", "/scrap/4?why=rust", false},
+		{"guards against not repeating a quote", "POST", "/quotes/9", "/quotes/9", true},
+		{"guards against a rule that matches a part of a name", "POST", "/quotes-final", "/quotes-final", false},
+		{"guards against a rule evaded by escapes", "POST", "/quotes/a%2Fb", "/quotes/a%2Fb", false},
+		{"guards against not repeating a GET", "GET", "", "/", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			answer, _ := send(t, c.method, url+"/services/app"+c.path, "b", "Content-Type", "text/plain", "Cookie", "secret")
+			assert.Equal(t, answer.StatusCode, 200)
+			got := <-f.calls
+			assert.Equal(t, got.Path, c.want)
+			assert.Equal(t, got.Idempotent, c.idempotent)
+			assert.Equal(t, got.Kind, zinniapond.KindService)
+			assert.Equal(t, got.Fields, []zinniapond.Field{{Name: "Content-Type", Value: "text/plain"}})
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Body: 200, Open: 8})
+	chat := "POST /v1/chat/completions"
+	for _, c := range []struct {
+		name, target, body string
+		fields             []string
+		status             int
+		kind               string
+	}{
+		{"no key", chat, chatText, []string{"Authorization", "Basic k1"}, 401, "key"},
+		{"unknown key", chat, chatText, []string{"Authorization", "Bearer k9"}, 401, "key"},
+		{"expired key", chat, chatText, []string{"Authorization", "Bearer k3"}, 401, "key"},
+		{"model outside the plan", chat, strings.Replace(chatText, "drum", "oil", 1), nil, 403, "forbidden"},
+		{"service outside the plan", "GET /services/bank/x", "", nil, 403, "forbidden"},
+		{"not JSON", chat, "{", nil, 400, "malformed"},
+		{"null", chat, "null", nil, 400, "malformed"},
+		{"no messages", chat, `{"model":"drum-7b","messages":[]}`, nil, 400, "malformed"},
+		{"message without role", chat, `{"model":"drum-7b","messages":[{}]}`, nil, 400, "malformed"},
+		{"no model", chat, `{"messages":[{"role":"user"}]}`, nil, 400, "malformed"},
+		{"negative max_tokens", chat, strings.Replace(chatText, "64", "-1", 1), nil, 400, "malformed"},
+		{"several choices", chat, strings.Replace(chatText, "{", `{"n":2,`, 1), nil, 400, "malformed"},
+		{"bad sequence", chat, chatText, []string{"Zinniapond-Program", "p", "Zinniapond-Sequence", "0"}, 400, "malformed"},
+		{"sequence without program", chat, chatText, []string{"Zinniapond-Sequence", "1"}, 400, "malformed"},
+		{"bad program id", chat, chatText, []string{"Zinniapond-Program", "a/b"}, 400, "malformed"},
+		{"long key", chat, chatText, []string{"Idempotency-Key", strings.Repeat("k", 256)}, 400, "malformed"},
+		{"dot segments", "POST /services/app/quotes/../scrap", "", nil, 400, "malformed"},
+		{"escaped dot segments", "POST /services/app/quotes/%2e%2e/scrap", "", nil, 400, "malformed"},
+		{"escaped separators", "POST /services/app/quotes/..%2Fscrap", "", nil, 400, "malformed"},
+		{"large body", chat, chatText + strings.Repeat(" ", 200), nil, 413, "too_large"},
+		{"unknown path", "GET /v2", "", nil, 404, "not_found"},
+		{"wrong method", "GET /v1/chat/completions", "", nil, 405, "method"},
+		{"bad program body", "POST /v1/programs", "[]", nil, 400, "malformed"},
+		{"program of another customer", "GET /v1/programs/p1", "", nil, 404, "not_found"},
+		{"end of a program of another customer", "DELETE /v1/programs/p1", "", nil, 404, "not_found"},
+	} {
+		t.Run("guards against running: "+c.name, func(t *testing.T) {
+			method, path, _ := strings.Cut(c.target, " ")
+			answer, body := send(t, method, url+path, c.body, c.fields...)
+			assert.Equal(t, answer.StatusCode, c.status)
+			assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), "not-run")
+			var seen struct {
+				Error struct{ Message, Type, Hint string }
+			}
+			assert.NoError(t, json.Unmarshal([]byte(body), &seen))
+			assert.Equal(t, seen.Error.Type, c.kind)
+			assert.True(t, seen.Error.Hint != "" && seen.Error.Message != "", "no hint in %s", body)
+			assert.Equal(t, len(f.calls), 0)
+		})
+	}
+	t.Run("guards against admitting under lists that may be old", func(t *testing.T) {
+		f.stale = true
+		defer func() { f.stale = false }()
+		answer, body := send(t, "POST", url+"/v1/chat/completions", chatText, "Authorization", "Bearer k9")
+		assert.Equal(t, answer.StatusCode, 503)
+		assert.Equal(t, answer.Header.Get("Retry-After"), "2")
+		assert.Contains(t, body, "stale_configuration")
+		answer, _ = send(t, "GET", url+"/healthz", "")
+		assert.Equal(t, answer.StatusCode, 503)
+	})
+	t.Run("guards against work for a host that drains", func(t *testing.T) {
+		f.state = zinniapond.MemberDraining
+		answer, _ := send(t, "GET", url+"/healthz", "")
+		assert.Equal(t, answer.StatusCode, 503)
+		f.state = zinniapond.MemberActive
+		answer, _ = send(t, "GET", url+"/healthz", "")
+		assert.Equal(t, answer.StatusCode, 200)
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Open: 8})
+	for _, c := range []struct {
+		name    string
+		answer  zinniapond.Answer
+		err     error
+		status  int
+		outcome string
+	}{
+		{"unknown", zinniapond.Answer{Outcome: zinniapond.OutcomeUnknown}, nil, 502, "unknown"},
+		{"unknown again", zinniapond.Answer{Outcome: zinniapond.OutcomeUnknown, Repeated: true}, nil, 409, "unknown"},
+		{"budget", zinniapond.Answer{Outcome: zinniapond.OutcomeNotRun, Status: 429}, nil, 429, "not-run"},
+		{"wait over", zinniapond.Answer{Outcome: zinniapond.OutcomeNotRun}, nil, 503, "not-run"},
+		{"reused key", zinniapond.Answer{}, zinniapond.ErrReused, 422, "not-run"},
+		{"failure that covers an unknown outcome", zinniapond.Answer{}, fmt.Errorf("%w: %w", zinniapond.ErrOverload, zinniapond.ErrUnknown), 502, "unknown"},
+		{"lost majority", zinniapond.Answer{}, zinniapond.ErrNoQuorum, 503, "unknown"},
+		{"other failure", zinniapond.Answer{}, io.ErrUnexpectedEOF, 500, "unknown"},
+		{"status out of range", zinniapond.Answer{Outcome: zinniapond.OutcomeDone}, nil, 502, "unknown"},
+	} {
+		t.Run("guards against a false outcome: "+c.name, func(t *testing.T) {
+			f.submit = func(context.Context, zinniapond.Call, zinniapond.Sink) (zinniapond.Answer, error) {
+				return c.answer, c.err
+			}
+			answer, _ := send(t, "POST", url+"/v1/chat/completions", chatText)
+			<-f.calls
+			assert.Equal(t, answer.StatusCode, c.status)
+			assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), c.outcome)
+		})
+	}
+}
+
+func TestPrefix(t *testing.T) {
+	t.Run("guards against losing the cache of earlier turns", func(t *testing.T) {
+		var one, two zinniapond.Call
+		turn := `{"role":"user","content":"` + strings.Repeat("residue ", 100) + `"}`
+		assert.NoError(t, decodeChat([]byte(`{"model":"m","messages":[`+turn+`]}`), &one))
+		assert.NoError(t, decodeChat([]byte(`{"messages": [ `+turn+` , `+turn+` ],"model":"m"}`), &two))
+		assert.Equal(t, len(one.Prefix), 3)
+		assert.Equal(t, len(two.Prefix), 6)
+		assert.Equal(t, two.Prefix[:3], one.Prefix)
+	})
+}
+
+func TestLimits(t *testing.T) {
+	limits := zinniapond.LimitSettings{Body: 1 << 20, Header: 4096, Read: 100 * time.Millisecond, Open: 1}
+	frontend, f := newFrontend(limits)
+	frontend.Gate = &gate.Gate{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: frontend, Limits: limits,
+		Drain: 2 * time.Second, Clock: time.Now, Logger: hclog.NewNullLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- frontend.Run(ctx) }()
+	assert.Eventually(t, time.Second, "listening", func() bool { return frontend.Address().IsValid() })
+	url := "http://" + frontend.Address().String()
+	t.Run("guards against a caller that never ends its body", func(t *testing.T) {
+		c, err := net.Dial("tcp", frontend.Address().String())
+		assert.NoError(t, err)
+		defer c.Close()
+		fmt.Fprint(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k1\r\nContent-Length: 9\r\n\r\n{")
+		b, err := io.ReadAll(c)
+		assert.NoError(t, err)
+		assert.Contains(t, string(b), "HTTP/1.1 400")
+		assert.Contains(t, string(b), "send the whole body within 100ms")
+	})
+	t.Run("guards against a caller that never ends its header", func(t *testing.T) {
+		c, err := net.Dial("tcp", frontend.Address().String())
+		assert.NoError(t, err)
+		defer c.Close()
+		fmt.Fprint(c, "POST /v1/chat/completions HTTP/1.1\r\nHost:")
+		_, err = io.ReadAll(c)
+		assert.NoError(t, err)
+	})
+	t.Run("guards against a large header", func(t *testing.T) {
+		c, err := net.Dial("tcp", frontend.Address().String())
+		assert.NoError(t, err)
+		defer c.Close()
+		fmt.Fprintf(c, "GET /healthz HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n", strings.Repeat("x", 8400))
+		status := make([]byte, 12)
+		_, err = io.ReadFull(c, status)
+		assert.NoError(t, err)
+		assert.Equal(t, string(status), "HTTP/1.1 431")
+	})
+	release := make(chan struct{})
+	f.submit = func(ctx context.Context, _ zinniapond.Call, _ zinniapond.Sink) (zinniapond.Answer, error) {
+		select {
+		case <-release:
+			return done("late"), nil
+		case <-ctx.Done():
+			return zinniapond.Answer{}, ctx.Err()
+		}
+	}
+	t.Run("guards against an end that interrupts requests", func(t *testing.T) {
+		got := make(chan string, 1)
+		go func() {
+			answer, body := send(t, "POST", url+"/v1/chat/completions", chatText)
+			got <- answer.Status + " " + body
+		}()
+		<-f.calls
+		answer, _ := send(t, "POST", url+"/v1/chat/completions", chatText)
+		assert.Equal(t, answer.StatusCode, 503)
+		assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), "not-run")
+		// The request waits for longer than the time to send it.
+		time.Sleep(2 * limits.Read)
+		cancel()
+		assert.Eventually(t, time.Second, "draining", frontend.Gate.Draining)
+		answer, _ = send(t, "GET", url+"/healthz", "")
+		assert.Equal(t, answer.StatusCode, 503)
+		close(release)
+		assert.Equal(t, <-got, "200 OK late")
+		assert.NoError(t, <-ended)
+	})
+}
--- a/internal/entry/caller/routes.go
+++ b/internal/entry/caller/routes.go
@@ -7,11 +7,11 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/entry/gate"
 	"zinniapond.example/zinniapond/internal/entry/reply"
 )
 
@@ -64,13 +64,6 @@
 	if most > 0 && r.ContentLength > most {
 		return nil, tooLarge(most)
 	}
-	control := http.NewResponseController(w)
-	if f.Limits.Read > 0 {
-		// The deadline is for the body only. Left in place, it would end the
-		// request while it waits for its answer.
-		_ = control.SetReadDeadline(f.Clock().Add(f.Limits.Read))
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
 	from := io.Reader(r.Body)
 	if most > 0 {
 		from = http.MaxBytesReader(w, r.Body, most)
@@ -89,6 +82,7 @@
 			Hint: fmt.Sprintf("send the whole body within %s", f.Limits.Read),
 		}
 	}
+	gate.Whole(w)
 	return b, nil
 }
 
@@ -152,7 +146,10 @@
 	}
 	if h.Program.Customer != r.customer.Name || h.Program.Plan != r.plan.Name {
 		// As if there were none: its existence is the other customer's affair.
-		return h, fmt.Errorf("view program: %w: %s", zinniapond.ErrNotFound, id)
+		return h, &zinniapond.Error{
+			Step: "view program", Err: fmt.Errorf("%w: %s", zinniapond.ErrNotFound, id),
+			Hint: "ids are those that POST /v1/programs returned for this key",
+		}
 	}
 	return h, nil
 }
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -41,6 +41,7 @@
 	Key         string // path
 	Limits      zinniapond.LimitSettings
 	Drain       time.Duration
+	Clock       func() time.Time
 	Logger      hclog.Logger
 
 	address  atomic.Pointer[netip.AddrPort]
@@ -107,13 +108,25 @@
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	// A deadline that an earlier answer on this connection was written under
 	// stays in force until it is removed.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{})
+	if r.Body != http.NoBody && g.Limits.Read > 0 {
+		// In force until Whole is called: after an early refusal net/http reads
+		// the rest of the body, which may never come.
+		_ = control.SetReadDeadline(g.Clock().Add(g.Limits.Read))
+	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	g.Handler.ServeHTTP(w, r)
 }
 
+// Whole removes the deadline for the body, which has arrived whole. Left in
+// place, it would end the request while it waits for its answer.
+func Whole(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
+
 // stop ends the server: first it takes requests but announces the end, then it
 // takes none and waits for the open ones.
 func (g *Gate) stop(server *http.Server) error {
