--- a/internal/backend/openai/parser.go
+++ b/internal/backend/openai/parser.go
@@ -52,10 +52,10 @@
 	var events [][]byte
 	for !p.done && p.err == nil {
 		n := end(p.rest)
-		if n == 0 {
-			if len(p.rest) > eventMost {
-				p.err = fmt.Errorf("event has more than %d bytes", eventMost)
-			}
+		if n > eventMost || n == 0 && len(p.rest) > eventMost {
+			p.err = fmt.Errorf("event has more than %d bytes", eventMost)
+		}
+		if n == 0 || p.err != nil {
 			break
 		}
 		event := bytes.Clone(p.rest[:n])
