--- a/internal/backend/roster/roster.go
+++ b/internal/backend/roster/roster.go
@@ -2,7 +2,6 @@
 package roster
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -138,12 +137,13 @@
 		Sequence uint64               `json:"sequence"`
 		Backends []zinniapond.Backend `json:"backends"`
 	}
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	if err := decoder.Decode(&list); err != nil {
+	// Unmarshal, unlike a Decoder, refuses text after the list, as a file that
+	// is written over a longer one may have.
+	if err := json.Unmarshal(text, &list); err != nil {
 		return 0, nil, err
 	}
-	if list.Sequence == 0 {
-		return 0, nil, fmt.Errorf("sequence is missing")
+	if list.Sequence == 0 || list.Backends == nil {
+		return 0, nil, fmt.Errorf("sequence or backends is missing")
 	}
 	seen := make(map[netip.AddrPort]bool)
 	for i, b := range list.Backends {
