--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -45,9 +45,11 @@
 func (f *fake) Open(context.Context, time.Time, zinniapond.Program) error          { return nil }
 func (f *fake) End(context.Context, time.Time, zinniapond.ProgramID, string) error { return nil }
 func (f *fake) Catalog() *zinniapond.Catalog                                       { return f.catalog }
-func (f *fake) Fresh(time.Time) bool                                               { return !f.stale }
-func (f *fake) Declines(time.Time) []zinniapond.Decline                            { return f.declines }
-func (f *fake) Observe(time.Time, string, time.Duration, time.Duration, bool)      {}
+
+func (f *fake) Fresh(time.Time) bool { return !f.stale }
+
+func (f *fake) Declines(time.Time) []zinniapond.Decline                       { return f.declines }
+func (f *fake) Observe(time.Time, string, time.Duration, time.Duration, bool) {}
 func (f *fake) View() *zinniapond.ControlView {
 	return &zinniapond.ControlView{Members: map[zinniapond.HostName]zinniapond.Member{"waschhalle-1": {State: f.state}}}
 }
--- /dev/null
+++ b/internal/entry/caller/fuzz_test.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+	"testing"
+
+	"zinniapond.example/zinniapond"
+)
+
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(chatText))
+	f.Add([]byte(`{"MODEL":"a","messages":[{"role":"\u0000","content":[1,{"x":"<&>"}]}],"stream":true,"max_completion_tokens":1e3,"n":1}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var c zinniapond.Call
+		if err := decodeChat(text, &c); err != nil {
+			var e *zinniapond.Error
+			if !errors.Is(err, zinniapond.ErrMalformed) || !errors.As(err, &e) || e.Hint == "" {
+				t.Fatalf("error without reason or hint: %v", err)
+			}
+			return
+		}
+		if c.Pool == "" || c.Most < 1 || c.Most > mostMost || c.Prompt < 1 || int64(c.Prompt) > int64(len(text)) {
+			t.Fatalf("call %+v", c)
+		}
+		if len(c.Prefix) != 0 && len(c.Prefix) > len(text)/blockSize {
+			t.Fatalf("%d blocks of %d bytes", len(c.Prefix), len(text))
+		}
+		// Spaces between the values must not change the hashes.
+		var spaced bytes.Buffer
+		var again zinniapond.Call
+		if err := json.Indent(&spaced, text, "", " "); err != nil {
+			t.Fatal(err)
+		}
+		if err := decodeChat(spaced.Bytes(), &again); err != nil || again.Prompt != c.Prompt {
+			t.Fatalf("indented: %v, prompt %d and %d", err, again.Prompt, c.Prompt)
+		}
+	})
+}
+
+func FuzzPath(f *testing.F) {
+	f.Add("app/quotes/9?x=1")
+	f.Add("app/quotes/%2e%2E/scrap")
+	f.Add("app/quotes/..;/scrap")
+	rule := zinniapond.ServiceRule{Idempotent: []string{"POST /quotes"}}
+	f.Fuzz(func(t *testing.T, text string) {
+		u, err := url.ParseRequestURI("/services/" + text)
+		if err != nil || !strings.HasPrefix(u.Path, "/services/") {
+			return
+		}
+		_, p, err := servicePath(&http.Request{URL: u})
+		if err != nil || !idempotent(rule, "POST", p) {
+			return
+		}
+		// What is taken for a quote must be one for a service that decodes
+		// and cleans the path.
+		back, err := url.ParseRequestURI(p)
+		if err != nil {
+			t.Fatalf("path %q cannot be sent: %v", p, err)
+		}
+		if c := path.Clean(back.Path); c != "/quotes" && !strings.HasPrefix(c, "/quotes/") {
+			t.Fatalf("path %q of %q is %q at the service", p, text, c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/gate/gate_test.go
@@ -0,0 +1,128 @@
+package gate
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// write puts a certificate with the given serial number into the files.
+func write(t *testing.T, serial int64, certificate, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
+	signed, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	assert.NoError(t, err)
+	secret, err := x509.MarshalECPrivateKey(private)
+	assert.NoError(t, err)
+	assert.NoError(t, os.WriteFile(certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: signed}), 0o600))
+	assert.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: secret}), 0o600))
+	// The clock of some file systems is coarser than the test.
+	at := time.Unix(1_000_000+serial, 0)
+	assert.NoError(t, os.Chtimes(certificate, at, at))
+	assert.NoError(t, os.Chtimes(key, at, at))
+}
+
+func start(t *testing.T, g *Gate) (stop func() error) {
+	g.Listen, g.Clock, g.Logger = netip.MustParseAddrPort("127.0.0.1:0"), time.Now, hclog.NewNullLogger()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	assert.Eventually(t, time.Second, "listening", func() bool { return g.Address().IsValid() })
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	certificate, key := filepath.Join(dir, "c"), filepath.Join(dir, "k")
+	write(t, 1, certificate, key)
+	g := &Gate{Certificate: certificate, Key: key, Handler: http.NotFoundHandler()}
+	stop := start(t, g)
+	serial := func() int64 {
+		c, err := tls.Dial("tcp", g.Address().String(), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // The test reads the certificate itself.
+		assert.NoError(t, err)
+		defer c.Close()
+		return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	t.Run("guards against serving an expired certificate after its renewal", func(t *testing.T) {
+		assert.Equal(t, serial(), 1)
+		write(t, 2, certificate, key)
+		assert.Equal(t, serial(), 2)
+	})
+	t.Run("guards against an outage while a certificate is being written", func(t *testing.T) {
+		assert.NoError(t, os.WriteFile(certificate, []byte("-----BEGIN"), 0o600))
+		assert.Equal(t, serial(), 2)
+		write(t, 3, certificate, key)
+		assert.Equal(t, serial(), 3)
+	})
+	assert.NoError(t, stop())
+	t.Run("guards against a start without the certificate", func(t *testing.T) {
+		err := (&Gate{Certificate: "none", Key: "none"}).Run(t.Context())
+		assert.ErrorIs(t, err, os.ErrNotExist)
+	})
+}
+
+func TestRun(t *testing.T) {
+	t.Run("guards against an unclear error for an address in use", func(t *testing.T) {
+		g := &Gate{Handler: http.NotFoundHandler()}
+		stop := start(t, g)
+		err := (&Gate{Listen: g.Address()}).Run(t.Context())
+		assert.Contains(t, err.Error(), "listen: ")
+		assert.NoError(t, stop())
+	})
+	t.Run("guards against an end that waits for ever", func(t *testing.T) {
+		entered := make(chan struct{})
+		g := &Gate{Drain: 50 * time.Millisecond, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(entered)
+			<-r.Context().Done()
+		})}
+		stop := start(t, g)
+		failed := make(chan error, 1)
+		go func() {
+			a, err := http.Get("http://" + g.Address().String())
+			if err == nil {
+				a.Body.Close()
+			}
+			failed <- err
+		}()
+		<-entered
+		assert.NoError(t, stop())
+		assert.True(t, <-failed != nil, "no error at the caller")
+	})
+	t.Run("guards against a deadline that outlives its answer", func(t *testing.T) {
+		limits := zinniapond.LimitSettings{Read: 50 * time.Millisecond}
+		g := &Gate{Limits: limits, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limits.Read)); err != nil {
+				panic(err)
+			}
+		})}
+		stop := start(t, g)
+		for range 2 {
+			a, err := http.Post("http://"+g.Address().String(), "", nil)
+			assert.NoError(t, err)
+			a.Body.Close()
+			time.Sleep(2 * limits.Read)
+		}
+		assert.NoError(t, stop())
+	})
+}
