--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -352,3 +352,18 @@
 		assert.Equal(t, o.count(), 1)
 	})
 }
+
+// BenchmarkRelay measures a relayed call of 320 bytes in one piece, over the
+// stream interface of another host.
+func BenchmarkRelay(b *testing.B) {
+	d := newDirectory()
+	d.assign("owner", serveOwner(b, newOwner(&journal{runs: make(map[zinniapond.CallID]int)})))
+	r := newRelay(b, d)
+	call := newCall("c")
+	call.Stream = false
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := r.Submit(context.Background(), time.Now(), call, nil)
+		assert.NoError(b, err)
+	}
+}
--- /dev/null
+++ b/internal/wire/peers/bench_test.go
@@ -0,0 +1,76 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/tap"
+	"zinniapond.example/zinniapond/internal/wire/serve"
+)
+
+// BenchmarkCall measures the round trip and the allocations of one small call at
+// a time, both sides together.
+func BenchmarkCall(b *testing.B) {
+	f := startServer(b, nil)
+	p := startPool(b, nil)
+	call := func() {
+		var reply zinniapond.FetchReply
+		request := zinniapond.FetchRequest{Sender: "nord"}
+		if err := p.Call(context.Background(), f.server.Address(), "Echo.Say", &request, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	call()
+	b.ReportAllocs()
+	for b.Loop() {
+		call()
+	}
+}
+
+// BenchmarkConcurrent measures calls per second of 64 callers against the number
+// of connections.
+func BenchmarkConcurrent(b *testing.B) {
+	for _, width := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("connections=%d", width), func(b *testing.B) {
+			f := startServer(b, nil)
+			p := startPool(b, func(p *Pool) { p.Width, p.Spread = width, 4 })
+			call := func() {
+				var reply zinniapond.FetchReply
+				request := zinniapond.FetchRequest{Sender: "nord"}
+				assert.NoError(b, p.Call(context.Background(), f.server.Address(), "Echo.Say", &request, &reply))
+			}
+			run := func(calls int) {
+				var group sync.WaitGroup
+				for range 64 {
+					group.Go(func() {
+						for range calls / 64 {
+							call()
+						}
+					})
+				}
+				group.Wait()
+			}
+			run(6400) // opens the connections
+			b.ResetTimer()
+			run(max(b.N, 64))
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
+
+// BenchmarkIdle measures the bytes on the wire of an idle connection, in both
+// directions, with the default heartbeat.
+func BenchmarkIdle(b *testing.B) {
+	f := startServer(b, func(s *serve.Server) { s.Beat, s.Silence = 0, 0 })
+	link := tap.New(b, f.server.Address())
+	p := startPool(b, func(p *Pool) { p.Beat, p.Silence = 0, 0 })
+	say(b, p, link.Address())
+	before, began := link.Bytes(), time.Now()
+	time.Sleep(5 * time.Second)
+	b.ReportMetric(float64(link.Bytes()-before)/time.Since(began).Seconds(), "payload-B/s")
+}
