Close idle connections to peers and count calls

Cause: a status request opens a connection to every host, and each connection kept its heartbeats for ever: at 390 hosts 390 connections at each host that an operator has asked. Ruled out: fewer heartbeats, as silence is to be noticed within 3 s. Change: a connection without a call for 30 s is closed; the next call dials. Histories of programs are read up to 256 MiB instead of 32 MiB, as 71 turns of 140,000 tokens need more.

--- a/internal/core/stats/stats.go
+++ b/internal/core/stats/stats.go
@@ -34,8 +34,11 @@
 	counters shard.Map[N, *counter]
 }
 
-// Add adds to the counter of the given name.
+// Add adds to the counter of the given name. A nil set counts nothing.
 func (s *Set[N]) Add(name N, amount int64) {
+	if s == nil {
+		return
+	}
 	c := s.counters.GetOrCreate(name, func() *counter { return new(counter) })
 	c[rand.N(cells)].value.Add(amount)
 }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/core/trace"
 	"zinniapond.example/zinniapond/internal/wire/client"
 	"zinniapond.example/zinniapond/internal/wire/guard"
@@ -49,6 +50,9 @@
 	Clock  func() time.Time
 	Wait   time.Duration
 	Resume time.Duration
+	// Stats counts calls, further attempts, and calls without an owner's
+	// answer; may be nil.
+	Stats *stats.Set[string]
 }
 
 func build(k *kernel.Kernel) (*Relay, error) {
@@ -58,6 +62,9 @@
 	}
 	r := New(k.Settings.Host, d, guard.New(k.Settings), k.Logger.Named("relay"))
 	r.Tracer = k.Tracer
+	if r.Stats, err = kernel.FindNamed[*stats.Set[string]](k, "default"); err != nil {
+		return nil, err
+	}
 	if k.Clock != nil {
 		r.Clock = k.Clock
 	}
@@ -196,6 +203,7 @@
 }
 
 func (r *Relay) submit(ctx context.Context, now time.Time, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
+	r.Stats.Add("relay.calls", 1)
 	out := &counter{sink: sink}
 	s := r.newSearch(now, call.Wait)
 	for {
@@ -226,8 +234,10 @@
 			return s.end(call.ID, fmt.Errorf("pass answer on: %w", out.failure))
 		}
 		if err := s.wait(ctx, changed); err != nil {
+			r.Stats.Add("relay.unanswered", 1)
 			return s.end(call.ID, err)
 		}
+		r.Stats.Add("relay.again", 1)
 	}
 }
 
--- a/internal/nodecmd/run/run.go
+++ b/internal/nodecmd/run/run.go
@@ -16,6 +16,7 @@
 	"zinniapond.example/zinniapond/internal/core/inject"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	_ "zinniapond.example/zinniapond/internal/core/plugs" // registers the plug-ins
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/core/trace"
 )
 
@@ -88,5 +89,10 @@
 			return err
 		}
 	}
+	counters, err := kernel.FindNamed[*stats.Set[string]](k, "default")
+	if err != nil {
+		return err
+	}
+	counters.Publish("zinniapond")
 	return k.Run(ctx)
 }
--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -22,6 +22,10 @@
 	"zinniapond.example/zinniapond/internal/wire/guard"
 )
 
+// viewLimit bounds a program's history: 71 turns of 140,000 tokens of history
+// take up to 40 MB.
+const viewLimit = 256 << 20
+
 // idle is how many unused connections to one host are kept.
 const idle = 64
 
@@ -159,10 +163,13 @@
 	if err := checkType(response); err != nil {
 		return false, broken("relay "+path, peer, ctx, err)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, frame.Limit))
+	data, err := io.ReadAll(io.LimitReader(response.Body, viewLimit+1))
 	if err != nil {
 		return false, broken("relay "+path, peer, ctx, err)
 	}
+	if len(data) > viewLimit {
+		return true, broken("relay "+path, peer, ctx, zinniapond.ErrTooLarge)
+	}
 	return true, codec.Open(data, reply)
 }
 
--- a/internal/wire/peers/link.go
+++ b/internal/wire/peers/link.go
@@ -6,8 +6,10 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/wire/codec"
 	"zinniapond.example/zinniapond/internal/wire/guard"
 )
@@ -17,6 +19,8 @@
 	client  *rpc.Client
 	codec   *codec.Codec
 	pending atomic.Int64
+	stats   *stats.Set[string]
+	idle    *time.Timer // closes the connection
 }
 
 func (l *link) alive() bool {
@@ -83,6 +87,7 @@
 	kept := v.links[:0]
 	for _, l := range v.links {
 		if !l.alive() {
+			l.idle.Stop()
 			continue
 		}
 		kept = append(kept, l)
@@ -109,6 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dial{done: make(chan struct{}), cancel: cancel}
 	v.dial = d
+	v.pool.Stats.Add("peers.dials", 1)
 	go func() {
 		defer cancel()
 		c, err := v.pool.Guard.Dial(ctx, v.address, guard.Peers)
@@ -121,14 +127,33 @@
 			err = zinniapond.ErrNotSent
 		}
 		if d.err = err; err != nil {
+			v.pool.Stats.Add("peers.refused", 1)
 			return
 		}
-		l := &link{codec: codec.New(c, v.pool.Limit, v.pool.Beat, v.pool.Silence)}
+		l := &link{codec: codec.New(c, v.pool.Limit, v.pool.Beat, v.pool.Silence), stats: v.pool.Stats}
+		l.idle = time.AfterFunc(v.pool.Idle, func() { v.retire(l) })
 		l.client = rpc.NewClientWithCodec(l.codec)
 		v.links = append(v.links, l)
 	}()
 }
 
+// put gives a connection back after a call.
+func (v *peer) put(l *link) {
+	if l.pending.Add(-1) == 0 {
+		l.idle.Reset(v.pool.Idle)
+	}
+}
+
+// retire closes a connection that has been idle. The lock keeps choose from
+// handing it out meanwhile.
+func (v *peer) retire(l *link) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if l.pending.Load() == 0 {
+		_ = l.codec.Close()
+	}
+}
+
 // close ends the connections. The pool has been marked as closed before.
 func (v *peer) close() {
 	v.mu.Lock()
@@ -138,6 +163,7 @@
 	// The codec is closed and not the client: rpc.Client then reports the lost
 	// connection to pending calls, and ErrShutdown only to calls not yet sent.
 	for _, l := range links {
+		l.idle.Stop()
 		_ = l.codec.Close()
 	}
 	if d != nil {
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -15,13 +15,17 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/shard"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/wire/codec"
 	"zinniapond.example/zinniapond/internal/wire/guard"
 )
 
 func init() {
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Peers, error) {
-		return New(guard.New(k.Settings)), nil
+		p := New(guard.New(k.Settings))
+		var err error
+		p.Stats, err = kernel.FindNamed[*stats.Set[string]](k, "default")
+		return p, err
 	})
 }
 
@@ -32,6 +36,9 @@
 	// defaultSpread is how many calls one connection carries before another is
 	// opened. Few connections keep the heartbeats of idle hosts few.
 	defaultSpread = 16
+	// defaultIdle is how long an unused connection is kept. A status request
+	// opens one to every host, whose heartbeats would otherwise go on for ever.
+	defaultIdle = 30 * time.Second
 )
 
 // Pool keeps the connections to other hosts. Its exported fields are set before
@@ -43,6 +50,11 @@
 	// Width is the largest number of connections to one peer, and Spread the
 	// number of calls on all of them from which another is opened.
 	Width, Spread int
+	// Idle is the time without a call after which a connection is closed.
+	Idle time.Duration
+	// Stats counts calls, calls without an answer, dials and failed dials; may
+	// be nil.
+	Stats *stats.Set[string]
 	// Limit, Beat and Silence are handed to the codec.
 	Limit         int
 	Beat, Silence time.Duration
@@ -54,7 +66,7 @@
 // New returns a pool with the default bounds.
 func New(g *guard.Guard) *Pool {
 	return &Pool{
-		Guard: g, Deadline: defaultDeadline, Width: defaultWidth, Spread: defaultSpread,
+		Guard: g, Deadline: defaultDeadline, Width: defaultWidth, Spread: defaultSpread, Idle: defaultIdle,
 		closed: make(chan struct{}),
 	}
 }
@@ -87,6 +99,7 @@
 	if err != nil {
 		return unsent(method, address, err)
 	}
+	p.Stats.Add("peers.calls", 1)
 	v := p.peers.GetOrCreate(address, func() *peer { return newPeer(p, address) })
 	for {
 		l, err := v.take(ctx)
@@ -94,7 +107,7 @@
 			return unsent(method, address, err)
 		}
 		err = l.call(ctx, method, data, reply)
-		l.pending.Add(-1)
+		v.put(l)
 		if errors.Is(err, rpc.ErrShutdown) {
 			// The connection had ended before the request was written. It is
 			// marked as closed, so the next turn dials.
@@ -125,6 +138,7 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
+		l.stats.Add("peers.late", 1)
 		return fmt.Errorf("no answer: %w", ctx.Err())
 	}
 	if call.Error != nil {
--- a/internal/wire/peers/peers_test.go
+++ b/internal/wire/peers/peers_test.go
@@ -279,6 +279,22 @@
 		assert.Equal(t, len(reply), 8<<20)
 		assert.True(t, time.Since(began) > silence, "took %s, too quick to show anything", time.Since(began))
 	})
+	t.Run("guards against heartbeats to every host that was ever called", func(t *testing.T) {
+		link := tap.New(t, f.server.Address())
+		p := startPool(t, func(p *Pool) { p.Idle = 50 * time.Millisecond })
+		say(t, p, link.Address())
+		v, _ := p.peers.Get(link.Address())
+		v.mu.Lock()
+		first := v.links[0]
+		v.mu.Unlock()
+		<-first.codec.Done()
+		done := wait(f, p, link.Address())
+		select {
+		case err := <-done:
+			t.Fatalf("connection with a call closed as idle: %v", err)
+		case <-time.After(200 * time.Millisecond):
+		}
+	})
 	t.Run("guards against one busy connection carrying every call", func(t *testing.T) {
 		link := tap.New(t, f.server.Address())
 		p := startPool(t, func(p *Pool) { p.Spread, p.Width = 2, 3 })
