Cut hosts off in process tests, announce translated addresses

A test of a real partition needs a pass-through between every two hosts, so a host may now announce other addresses than it listens at, and dials from the address that it listens at. The new script cuts off the owner of a program while a release is under way: the release has one effect and an unknown outcome, the program goes on elsewhere, the host that is cut off refuses calls and changes, and after the cut it has the newer lists.

--- a/cmd/zinniapond/main_test.go
+++ b/cmd/zinniapond/main_test.go
@@ -27,6 +27,7 @@
 			"cluster": cluster, "start": start, "signal": signal, "stopped": stopped,
 			"request": request, "link": link, "code": code, "platform": platform,
 			"answer": answer, "logged": logged, "owner": owner, "repaired": repaired,
+			"isolate": isolate, "heal": heal,
 		},
 	})
 }
--- a/internal/files/config/config.go
+++ b/internal/files/config/config.go
@@ -165,8 +165,9 @@
 		fault("control", "bootstrap", "bootstrap needs the role control", "true only on control hosts")
 	}
 	for _, v := range c.Voters {
-		if v.Name == s.Host && s.Peers.IsValid() && v.Peers != s.Peers {
-			fault("control", "voters", fmt.Sprintf("voter %s has %s, but [listen] peers is %s", v.Name, v.Peers, s.Peers), "the address of [listen] peers")
+		if v.Name == s.Host && s.Peers.IsValid() && v.Peers != s.PeersAddress() {
+			fault("control", "voters", fmt.Sprintf("voter %s has %s, but other hosts reach it at %s", v.Name, v.Peers, s.PeersAddress()),
+				"the address of [listen] announce-peers or else peers")
 		}
 	}
 	if s.HasRole(zinniapond.RoleEntry) {
--- a/internal/files/config/fields.go
+++ b/internal/files/config/fields.go
@@ -47,6 +47,8 @@
 		address("listen", "operators", false, true, &s.Operators),
 		address("listen", "peers", true, false, &s.Peers),
 		address("listen", "streams", true, false, &s.Streams),
+		address("listen", "announce-peers", false, false, &s.AnnouncePeers),
+		address("listen", "announce-streams", false, false, &s.AnnounceStreams),
 		{"control", "voters", "", "NAME@IP:PORT, ...; 1 to 7 of them", true, func(v string) (err error) {
 			s.Control.Voters, err = voters(v)
 			return err
--- a/internal/quorum/watch/propose.go
+++ b/internal/quorum/watch/propose.go
@@ -93,7 +93,7 @@
 		Kind: zinniapond.CommandRegister,
 		Member: &zinniapond.Member{
 			Name: s.Host, Epoch: before, DataCentre: s.DataCentre, Roles: s.Roles,
-			Peers: s.Peers, Streams: s.Streams, Instance: w.instance,
+			Peers: s.PeersAddress(), Streams: s.StreamsAddress(), Instance: w.instance,
 		},
 	})
 	if err != nil {
--- a/internal/test/tap/tap.go
+++ b/internal/test/tap/tap.go
@@ -21,6 +21,7 @@
 	address  netip.AddrPort
 
 	mu     sync.Mutex
+	barred func(source netip.Addr) bool // nil for none
 	pairs  map[*pair]struct{}
 	closed bool
 	group  sync.WaitGroup
@@ -64,6 +65,26 @@
 // stay open, and new connections work.
 func (t *Tap) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
 
+// Bar drops all bytes from and to the sources for which barred is true, on open
+// and on new connections, as a partition does. Connections that were open stay
+// silent after Bar(nil).
+func (t *Tap) Bar(barred func(source netip.Addr) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.barred = barred
+	for p := range t.pairs {
+		t.bar(p)
+	}
+}
+
+// bar silences a pair whose source is barred. The lock is held.
+func (t *Tap) bar(p *pair) {
+	source := p.client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	if t.barred != nil && t.barred(source) {
+		p.silent.Store(true)
+	}
+}
+
 // Cut closes the connections that are open now.
 func (t *Tap) Cut() { t.each((*pair).close) }
 
@@ -105,6 +126,7 @@
 		t.mu.Lock()
 		closed := t.closed
 		t.pairs[p] = struct{}{}
+		t.bar(p)
 		t.mu.Unlock()
 		if closed {
 			p.close()
--- a/internal/wire/guard/guard.go
+++ b/internal/wire/guard/guard.go
@@ -40,13 +40,15 @@
 	Host    zinniapond.HostName
 	Secret  []byte
 	Timeout time.Duration
-	files   files
+	// Source is the local address of connections to peers; invalid for any.
+	Source netip.Addr
+	files  files
 }
 
 // New returns the guard of the settings' host.
 func New(s *zinniapond.Settings) *Guard {
 	return &Guard{
-		Cluster: s.Cluster, Host: s.Host, Secret: s.Security.Secret, Timeout: Timeout,
+		Cluster: s.Cluster, Host: s.Host, Secret: s.Security.Secret, Timeout: Timeout, Source: s.Peers.Addr(),
 		files: files{certificate: s.Security.Certificate, key: s.Security.Key, authority: s.Security.Authority},
 	}
 }
@@ -86,7 +88,7 @@
 func (g *Guard) Dial(ctx context.Context, peer netip.AddrPort, purpose string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{LocalAddr: g.source()}
 	raw, err := d.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
 		return nil, notSent("connect", peer, err)
@@ -104,6 +106,16 @@
 	return c, nil
 }
 
+// source is the local address of connections to peers: the one that this host
+// listens at, so that a packet filter can tell hosts with several addresses
+// apart. It is nil if the host listens at all of its addresses.
+func (g *Guard) source() net.Addr {
+	if !g.Source.IsValid() || g.Source.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: g.Source.AsSlice()}
+}
+
 func notSent(step string, peer netip.AddrPort, err error) error {
 	return &zinniapond.Error{
 		Step: step, Peer: peer, Err: fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err),
--- a/settings.go
+++ b/settings.go
@@ -28,6 +28,10 @@
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
 	Streams   netip.AddrPort
+	// AnnouncePeers and AnnounceStreams are the addresses by which other hosts
+	// reach Peers and Streams, where these are translated on the way.
+	AnnouncePeers   netip.AddrPort
+	AnnounceStreams netip.AddrPort
 
 	Control  ControlSettings
 	Journal  JournalSettings
@@ -51,6 +55,22 @@
 	return false
 }
 
+// PeersAddress returns the address for other hosts' net/rpc calls.
+func (s *Settings) PeersAddress() netip.AddrPort {
+	if s.AnnouncePeers.IsValid() {
+		return s.AnnouncePeers
+	}
+	return s.Peers
+}
+
+// StreamsAddress returns the address for other hosts' streams.
+func (s *Settings) StreamsAddress() netip.AddrPort {
+	if s.AnnounceStreams.IsValid() {
+		return s.AnnounceStreams
+	}
+	return s.Streams
+}
+
 // ControlSettings are the settings of the control quorum. They are equal on all
 // hosts.
 type ControlSettings struct {
