--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -3,7 +3,39 @@
 package plugs
 
 import (
-	// The control log: the voters, and the observer of every host.
+	// Facing callers, operators and backend servers.
+	_ "zinniapond.example/zinniapond/internal/backend/openai"
+	_ "zinniapond.example/zinniapond/internal/backend/plain"
+	_ "zinniapond.example/zinniapond/internal/backend/roster"
+	_ "zinniapond.example/zinniapond/internal/entry/admin"
+	_ "zinniapond.example/zinniapond/internal/entry/caller"
+	_ "zinniapond.example/zinniapond/internal/entry/relay"
+
+	// Control log: the voters, the observer of every host, orders to engines.
+	_ "zinniapond.example/zinniapond/internal/fleet/order"
 	_ "zinniapond.example/zinniapond/internal/quorum/voter"
 	_ "zinniapond.example/zinniapond/internal/quorum/watch"
+
+	// Programs and their journal.
+	_ "zinniapond.example/zinniapond/internal/journal/store"
+	_ "zinniapond.example/zinniapond/internal/journal/writer"
+	_ "zinniapond.example/zinniapond/internal/program/ledger"
+	_ "zinniapond.example/zinniapond/internal/program/owner"
+
+	// Policies.
+	_ "zinniapond.example/zinniapond/internal/policy/cache"
+	_ "zinniapond.example/zinniapond/internal/policy/drift"
+	_ "zinniapond.example/zinniapond/internal/policy/fair"
+	_ "zinniapond.example/zinniapond/internal/policy/fifo"
+	_ "zinniapond.example/zinniapond/internal/policy/least"
+	_ "zinniapond.example/zinniapond/internal/policy/limit"
+	_ "zinniapond.example/zinniapond/internal/policy/place"
+	_ "zinniapond.example/zinniapond/internal/policy/prefix"
+	_ "zinniapond.example/zinniapond/internal/policy/retry"
+	_ "zinniapond.example/zinniapond/internal/policy/robin"
+
+	// Between hosts.
+	_ "zinniapond.example/zinniapond/internal/wire/peers"
+	_ "zinniapond.example/zinniapond/internal/wire/serve"
+	_ "zinniapond.example/zinniapond/internal/wire/stream"
 )
--- a/internal/quorum/voter/bench_test.go
+++ b/internal/quorum/voter/bench_test.go
@@ -67,7 +67,7 @@
 			version, used := w.View().Lists.Version, processor(b)
 			changes := 0
 			for b.Loop() {
-				r, err := w.Propose(b.Context(), time.Now(), lists(version, fmt.Sprint(version), "x"))
+				r, err := w.Propose(b.Context(), time.Now(), listsCommand(version, fmt.Sprint(version), "x"))
 				assert.NoError(b, err)
 				version = r.Lists.Version
 				for applied.Load() < int64(n)*int64(r.Index) {
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -18,6 +18,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/files/lists"
 	"zinniapond.example/zinniapond/internal/fleet/plan"
 	"zinniapond.example/zinniapond/internal/fleet/state"
 	"zinniapond.example/zinniapond/internal/quorum/disk"
@@ -38,7 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &Voter{Settings: k.Settings, Peers: peers, Clock: k.Clock, Logger: k.Logger.Named("control")}
+	v := &Voter{
+		Settings: k.Settings, Peers: peers, Clock: k.Clock, Logger: k.Logger.Named("control"),
+		Parse: new(lists.Parser).Parse,
+	}
 	if err := mounter.Mount("Control", v); err != nil {
 		return nil, fmt.Errorf("mount control service: %w", err)
 	}
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -19,7 +19,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func lists(expect zinniapond.Version, change, plans string) zinniapond.Command {
+func listsCommand(expect zinniapond.Version, change, plans string) zinniapond.Command {
 	return zinniapond.Command{
 		Kind: zinniapond.CommandLists, Change: zinniapond.ChangeID(change), Expect: expect, Plans: plans,
 	}
@@ -73,7 +73,7 @@
 				case <-time.After(5 * time.Millisecond):
 				}
 				called := time.Now()
-				command := lists(seen, fmt.Sprintf("%s-%d", name, n), "x")
+				command := listsCommand(seen, fmt.Sprintf("%s-%d", name, n), "x")
 				result, err := h.watcher.Propose(c.t.Context(), called, command)
 				if err != nil {
 					c.t.Errorf("propose: %v", err)
@@ -138,7 +138,7 @@
 		c.fabric.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := c.hosts[leader].watcher.Propose(ctx, time.Now(), lists(0, "cut", "x"))
+		_, err := c.hosts[leader].watcher.Propose(ctx, time.Now(), listsCommand(0, "cut", "x"))
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 		c.fabric.mu.Lock()
 		delete(c.fabric.cut, leader)
@@ -152,7 +152,7 @@
 	t.Run("guards against a restart that replays all changes or loses one", func(t *testing.T) {
 		var version zinniapond.Version
 		for n := range 1000 {
-			r, err := h.watcher.Propose(t.Context(), time.Now(), lists(version, fmt.Sprint(n), fmt.Sprint(n)))
+			r, err := h.watcher.Propose(t.Context(), time.Now(), listsCommand(version, fmt.Sprint(n), fmt.Sprint(n)))
 			assert.NoError(t, err)
 			version = r.Lists.Version
 		}
