--- a/internal/quorum/raft/core_test.go
+++ b/internal/quorum/raft/core_test.go
@@ -115,8 +115,10 @@
 		assert.Equal(t, c.Term(), 1)
 	})
 	t.Run("guards against a second vote after a restart", func(t *testing.T) {
-		c := newCore(1)
+		c := newCore(2)
 		assert.Equal(t, c.Vote(late, ask("b", 2)).Granted, true)
+		_, dirty := c.Unsaved()
+		assert.True(t, dirty, "the vote is not to be synced")
 		durable := syncAll(c, late)
 		durable.Snapshot = &zinniapond.Snapshot{Voters: c.Voters()}
 		c.Restore(late, durable)
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -116,7 +116,7 @@
 		assert.Equal(t, porcupine.CheckOperations(versions, history), true)
 	})
 	t.Run("guards against a lost disk that votes, and a voter that never comes back", func(t *testing.T) {
-		c.vote(first, t.TempDir()) // its settings still say bootstrap
+		c.vote(first, c.t.TempDir()) // its settings still say bootstrap
 		assert.Eventually(t, 10*time.Second, "the new disk votes", func() bool { return c.seated(first) })
 		disk := c.hosts[first].voter.log.Disk()
 		assert.True(t, disk != firstDisk, "the empty disk took the identity of the lost one")
