--- a/interfaces.go
+++ b/interfaces.go
@@ -281,7 +281,8 @@
 // BackendClient speaks to backend servers of one kind.
 type BackendClient interface {
 	// Do runs one attempt. It returns an error wrapping ErrNotSent if no byte
-	// reached the server. The answer's body is whole even if parts went to sink.
+	// reached the server, and ErrUnavailable if the server refused the call
+	// without running it because it is leaving. The answer's body is whole even if parts went to sink.
 	// The part that ends a streamed answer is in the body only: the caller must
 	// not see the end before the result is durable.
 	Do(ctx context.Context, attempt AttemptID, server Backend, call Call, sink Sink) (Answer, error)
--- a/internal/program/owner/attempt.go
+++ b/internal/program/owner/attempt.go
@@ -187,13 +187,13 @@
 	r.answer.Backend = choice.Backend
 	now := o.Clock()
 	seen := observe(now, t.started, sink.first, r)
-	if r.err == nil && leaving(&r) {
+	if errors.Is(r.err, zinniapond.ErrUnavailable) {
 		r.refused = true
 		seen.Cancelled = true
 		o.Roster.Mark(now, choice.Backend, zinniapond.BackendLeaving)
 	}
 	t.pool.Release(now, choice.Backend, t.need, seen)
-	if r.err == nil && !r.refused {
+	if r.err == nil {
 		o.served(now, t, seen)
 	}
 	return r
@@ -212,25 +212,12 @@
 	return seen
 }
 
-// leaving tells whether the server refused the call because it is leaving.
-func leaving(r *result) bool {
-	if r.answer.Status != http.StatusServiceUnavailable {
-		return false
-	}
-	for _, f := range r.answer.Fields {
-		if f.Name == "X-Leaving" && f.Value == "true" {
-			return true
-		}
-	}
-	return false
-}
-
 // note adds to the explanation how the attempt ended.
 func (x *execution) note(r *result) {
 	a := &x.attempts[r.index]
 	a.Took = x.owner.Clock().Sub(a.Started)
 	switch {
-	case r.refused, errors.Is(r.err, zinniapond.ErrNotSent):
+	case r.refused || errors.Is(r.err, zinniapond.ErrNotSent):
 		a.Err = notSent
 	case r.err != nil:
 		a.Err = r.err.Error()
--- a/internal/program/owner/run.go
+++ b/internal/program/owner/run.go
@@ -193,7 +193,7 @@
 func (x *execution) again(ctx context.Context, r *result, tries int) (time.Duration, bool) {
 	call := &x.running.call
 	failed := call.Idempotent && r.answer.Status >= http.StatusInternalServerError
-	if r.err == nil && !r.refused && !failed || ctx.Err() != nil || tries >= maxTries {
+	if r.err == nil && !failed || ctx.Err() != nil || tries >= maxTries {
 		return 0, false
 	}
 	x.need.Exclude = append(x.need.Exclude, r.choice.Backend)
@@ -213,7 +213,7 @@
 // settle turns the last attempt into the call's answer and makes it durable.
 func (x *execution) settle(ctx context.Context, r result) (zinniapond.Answer, error) {
 	switch {
-	case r.err == nil && !r.refused:
+	case r.err == nil:
 		return x.record(ctx, x.fill(r.answer, zinniapond.OutcomeDone))
 	case !x.sent():
 		reason := "no backend server took the call"
