Keep a part of the retry allowance from hedges

Cause: hedges empty the bucket while servers are slow, and a failed attempt then ends its call. Change: hedges leave an allowance of three retries.

--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -19,6 +19,9 @@
 	// saved bounds the unused allowance. It is small so that a burst of
 	// hedges cannot follow a quiet time.
 	saved = 10
+	// kept is the allowance that hedges leave to retries: a retry saves a call,
+	// a hedge only time.
+	kept = 3
 	// attempts bounds the attempts of one call.
 	attempts = 4
 	// firstDelay doubles with each retry, up to lastDelay.
@@ -78,7 +81,7 @@
 func (b *Budget) Retry(_ time.Time, tries int) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if tries >= attempts || !b.take() {
+	if tries >= attempts || !b.take(1) {
 		return 0, false
 	}
 	if b.random == nil {
@@ -103,7 +106,7 @@
 func (b *Budget) Hedge(time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.take()
+	return b.take(1 + kept)
 }
 
 // Observe adds the latency of an attempt to the first byte.
@@ -131,9 +134,10 @@
 	}
 }
 
-func (b *Budget) take() bool {
+// take takes one extra attempt if the allowance is at least the given one.
+func (b *Budget) take(least float64) bool {
 	// Sums of 0.05 fall short of a whole by rounding.
-	if b.left < 1-1e-9 {
+	if b.left < least-1e-9 {
 		return false
 	}
 	b.left--
