Read the end of a stream so that its connection is used again

Cause: the test of a silent reused connection failed once in a run of all packages: the second request was on a new connection. A stream was closed as soon as its end event had come; if the last bytes of the body came later, the transport dropped the connection. Ruled out: the progress deadline itself, which holds on reused connections. Change: after the end event the client reads the end of the body, for at most 50 ms and 4 kB.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -28,6 +28,10 @@
 	idleLimit = 15 * time.Second
 	// AnswerMost bounds the bytes of one answer.
 	AnswerMost = 32 << 20
+	// finishLimit and finishMost bound the wait for the end of an answer: a new
+	// connection costs less.
+	finishLimit = 50 * time.Millisecond
+	finishMost  = 4 << 10
 	// headerMost bounds the header of an answer.
 	headerMost = 64 << 10
 )
@@ -174,6 +178,13 @@
 	return n, err
 }
 
+// Finish reads the end of an answer whose content is complete. A connection is
+// used again only after that.
+func (x *Exchange) Finish() {
+	x.timer.Reset(finishLimit)
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.Answer.Body, finishMost))
+}
+
 // Close ends the exchange. An unread rest closes the connection.
 func (x *Exchange) Close() {
 	x.timer.Stop()
--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -62,7 +62,7 @@
 	c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"got":%s,"id":%q,"program":%q,"usage":{"prompt_tokens":9,"completion_tokens":4,"prompt_tokens_details":{"cached_tokens":8}}}`,
+		_, _ = fmt.Fprintf(w, `{"got":%s,"id":%q,"program":%q,"usage":{"prompt_tokens":9,"completion_tokens":4,"prompt_tokens_details":{"cached_tokens":8}}}`,
 			b, r.Header.Get("X-Request-Id"), r.Header.Get("X-Program"))
 	})
 	t.Run("guards against losing what the engine needs", func(t *testing.T) {
@@ -79,13 +79,13 @@
 	for name, handler := range map[string]http.HandlerFunc{
 		"an answer for another attempt": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Request-Id", "other")
-			fmt.Fprint(w, "{}")
+			_, _ = fmt.Fprint(w, "{}")
 		},
-		"an answer that is not JSON": func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") },
+		"an answer that is not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "<html>") },
 		"a failed engine":            func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) },
 		"a half answer": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "9")
-			fmt.Fprint(w, "{}")
+			_, _ = fmt.Fprint(w, "{}")
 		},
 	} {
 		t.Run("guards against passing on "+name, func(t *testing.T) {
@@ -140,7 +140,8 @@
 		assert.ErrorIs(t, err, zinniapond.ErrBackend)
 		_, err = c.Do(t.Context(), "b", server, chat(true), &recorder{})
 		assert.True(t, !errors.Is(err, conns.ErrSilent), "%v", err)
-		assert.True(t, <-addresses != <-addresses, "the silent connection was used again")
+		first, second := <-addresses, <-addresses
+		assert.True(t, first != second, "the silent connection was used again")
 	})
 	t.Run("guards against waiting on a reused connection that went silent", func(t *testing.T) {
 		n := 0
@@ -203,14 +204,14 @@
 	c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/load":
-			fmt.Fprint(w, `{"backend":"10.0.0.1:1","running":3,"waiting":2,"programs":["p"]}`)
+			_, _ = fmt.Fprint(w, `{"backend":"10.0.0.1:1","running":3,"waiting":2,"programs":["p"]}`)
 		case "/orders":
 			var o zinniapond.Order
 			_ = json.NewDecoder(r.Body).Decode(&o)
 			if o.Fence < 5 {
 				w.WriteHeader(409)
 			}
-			fmt.Fprintf(w, `{"model":%q}`, o.Model)
+			_, _ = fmt.Fprintf(w, `{"model":%q}`, o.Model)
 		}
 	})
 	t.Run("guards against a report that names another server", func(t *testing.T) {
--- a/internal/backend/openai/run.go
+++ b/internal/backend/openai/run.go
@@ -157,6 +157,7 @@
 		case r.parts.err != nil:
 			return r.parts.err
 		case r.parts.done:
+			x.Finish()
 			return nil
 		case errors.Is(err, io.EOF):
 			return errBroken
--- a/internal/backend/plain/plain_test.go
+++ b/internal/backend/plain/plain_test.go
@@ -59,11 +59,11 @@
 		f.mu.Unlock()
 		if n > 0 {
 			if f.half {
-				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le")
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le")
 			}
 			return
 		}
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
 
--- a/internal/backend/roster/roster_test.go
+++ b/internal/backend/roster/roster_test.go
@@ -141,7 +141,7 @@
 		status.Store(200)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(int(status.Load()))
-			fmt.Fprint(w, list(1, entry(1, "live")))
+			_, _ = fmt.Fprint(w, list(1, entry(1, "live")))
 		}))
 		defer s.Close()
 		r := run(t, s.URL)
--- a/internal/entry/gate/gate_test.go
+++ b/internal/entry/gate/gate_test.go
@@ -61,7 +61,7 @@
 	serial := func() int64 {
 		c, err := tls.Dial("tcp", g.Address().String(), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // The test reads the certificate itself.
 		assert.NoError(t, err)
-		defer c.Close()
+		defer func() { _ = c.Close() }()
 		return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 	}
 	t.Run("guards against serving an expired certificate after its renewal", func(t *testing.T) {
