Close ways around plan, budget and the deadline for streams

Cause: found in review. (1) encoding/json matches field names without regard to case, so that a body with model and MODEL passed the plan check for one and ran the other; the same for max_tokens. (2) A whole answer on a reused connection was taken for silent after [limits] progress, although engines send its header only at the end. (3) A request that net/http had sent twice counted as not sent if the second connection took no byte. Ruled out: DisallowUnknownFields, as engines take more fields than are read. Change: field names are exact and other spellings are refused with 400; the deadline before the header holds for streams only; all connections of a request count. Attempts that end early are cancelled at the engine in every case. Conclusion: what is checked is what runs.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,8 +68,18 @@
 	ctx    context.Context
 	timer  *time.Timer
 	stop   context.CancelFunc
-	reused atomic.Bool
+	early  bool
 	read   int64
+
+	mu    sync.Mutex
+	tries []try
+}
+
+// try is one connection that the request was given to. There can be several:
+// net/http sends a repeatable request again when a reused connection breaks.
+type try struct {
+	conn   *counter
+	before int64 // bytes written on it before the request
 }
 
 // counter counts the bytes written on a connection.
@@ -101,11 +112,12 @@
 	}
 }
 
-// Do sends the request and returns once the answer's header has arrived. The
+// Do sends the request and returns once the answer's header has arrived. early
+// tells that a healthy server sends it at once, before it has the answer. The
 // error wraps ErrNotSent if no byte of the request was written. The caller
 // closes the exchange.
-func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request) (*Exchange, error) {
-	x := &Exchange{pool: p, server: server, stop: func() {}}
+func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request, early bool) (*Exchange, error) {
+	x := &Exchange{pool: p, server: server, early: early, stop: func() {}}
 	if p.Attempt > 0 {
 		ctx, x.stop = context.WithTimeout(ctx, p.Attempt)
 	}
@@ -113,25 +125,12 @@
 	x.used = p.servers.GetOrCreate(server, p.transport)
 	x.timer = time.AfterFunc(time.Hour, func() { x.cancel(ErrSilent) })
 	x.timer.Stop()
-	var conn *counter
-	var before int64
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
-		conn, _ = got.Conn.(*counter)
-		if conn != nil {
-			before = conn.written.Load()
-		}
-		if got.Reused {
-			x.reused.Store(true)
-			// A fresh connection may wait for a slow server; a reused one may
-			// be silent for good.
-			x.arm()
-		}
-	}}
+	trace := &httptrace.ClientTrace{GotConn: x.got}
 	request = request.WithContext(httptrace.WithClientTrace(x.ctx, trace))
 	answer, err := x.used.RoundTrip(request)
 	if err != nil {
 		err = x.cause(err)
-		sent := conn != nil && conn.written.Load() > before
+		sent := x.sent()
 		x.Close()
 		if !sent {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err)
@@ -143,6 +142,33 @@
 	return x, nil
 }
 
+// got is told of the connection for the request.
+func (x *Exchange) got(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*counter); ok {
+		x.mu.Lock()
+		x.tries = append(x.tries, try{conn: c, before: c.written.Load()})
+		x.mu.Unlock()
+	}
+	if info.Reused && x.early {
+		// A fresh connection may wait for a slow server; a reused one may be
+		// silent for good.
+		x.arm()
+	}
+}
+
+// sent tells whether any byte of the request was written. RoundTrip returns an
+// error only after it has closed the connection, so that none follows.
+func (x *Exchange) sent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, t := range x.tries {
+		if t.conn.written.Load() > t.before {
+			return true
+		}
+	}
+	return false
+}
+
 // arm restarts the progress deadline.
 func (x *Exchange) arm() {
 	if x.pool.Progress > 0 {
--- a/internal/backend/openai/openai.go
+++ b/internal/backend/openai/openai.go
@@ -84,14 +84,14 @@
 	}
 	r := &run{client: c, attempt: attempt, server: server.Address, call: call, body: body, sink: sink}
 	answer, err := r.do(ctx)
-	if err != nil && ctx.Err() != nil && !errors.Is(err, zinniapond.ErrNotSent) {
+	if err != nil && !errors.Is(err, zinniapond.ErrNotSent) && !r.ended {
 		c.cancel(server.Address, attempt)
 	}
 	return answer, err
 }
 
 // cancel tells the engine to stop generating for an attempt that nobody waits
-// for. It does not hold up the caller.
+// for any more. A silent connection would not tell it. It does not hold up the caller.
 func (c *Client) cancel(server netip.AddrPort, attempt zinniapond.AttemptID) {
 	c.cancels.Add(1)
 	go func() {
@@ -148,7 +148,7 @@
 		return nil, fmt.Errorf("%s: %w", step, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	x, err := c.small.Do(ctx, server, request)
+	x, err := c.small.Do(ctx, server, request, false)
 	if err != nil {
 		return nil, zinniapond.Wrap(step, server, err)
 	}
--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -35,8 +35,19 @@
 	return r.err
 }
 
-func start(t *testing.T, handler http.HandlerFunc) (*Client, zinniapond.Backend) {
-	s := httptest.NewServer(handler)
+// start starts an engine. Cancellations go to the handler only if it asks for
+// them by cancels.
+func start(t *testing.T, handler http.HandlerFunc, cancels ...chan<- string) (*Client, zinniapond.Backend) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/cancel" {
+			handler(w, r)
+			return
+		}
+		b, _ := io.ReadAll(r.Body)
+		for _, c := range cancels {
+			c <- string(b)
+		}
+	}))
 	t.Cleanup(s.Close)
 	c := &Client{Limits: zinniapond.LimitSettings{Progress: 100 * time.Millisecond, Attempt: 5 * time.Second}, Clock: time.Now}
 	return c, zinniapond.Backend{Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
@@ -94,6 +105,17 @@
 			assert.ErrorIs(t, err, zinniapond.ErrBackend)
 		})
 	}
+	t.Run("guards against taking a long generation for a silent connection", func(t *testing.T) {
+		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			time.Sleep(150 * time.Millisecond)
+			_, _ = fmt.Fprint(w, "{}")
+		})
+		for range 2 {
+			_, err := c.Do(t.Context(), "a", server, chat(false), nil)
+			assert.NoError(t, err)
+		}
+	})
 	t.Run("guards against new work for a server that says it is leaving", func(t *testing.T) {
 		c, server := start(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Leaving", "true")
@@ -161,14 +183,9 @@
 	t.Run("guards against generating for nobody", func(t *testing.T) {
 		cancelled := make(chan string, 1)
 		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/cancel" {
-				b, _ := io.ReadAll(r.Body)
-				cancelled <- string(b)
-				return
-			}
 			events(w, "data: {}\n\n")
 			<-r.Context().Done()
-		})
+		}, cancelled)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
 		_, err := c.Do(ctx, "a7", server, chat(true), &recorder{})
--- a/internal/backend/openai/run.go
+++ b/internal/backend/openai/run.go
@@ -25,6 +25,7 @@
 	sink    zinniapond.Sink
 
 	begun bool // sink.Begin was called
+	ended bool // the engine has ended its answer
 	whole []byte
 	parts parser
 }
@@ -66,7 +67,7 @@
 	if from != "" {
 		request.Header.Set("Last-Event-ID", from)
 	}
-	x, err := r.client.pool.Do(ctx, r.server, request)
+	x, err := r.client.pool.Do(ctx, r.server, request, r.call.Stream)
 	if err != nil {
 		if !errors.Is(err, zinniapond.ErrNotSent) {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrBackend, err)
@@ -94,7 +95,7 @@
 		if r.client.Leaving != nil {
 			r.client.Leaving(r.client.Clock(), r.server)
 		}
-		answer.Outcome = zinniapond.OutcomeNotRun
+		answer.Outcome, r.ended = zinniapond.OutcomeNotRun, true
 		return answer, zinniapond.Wrap("read answer", r.server, fmt.Errorf("%w: server is leaving", zinniapond.ErrUnavailable))
 	}
 	for _, n := range []string{"Content-Type", "Retry-After"} {
@@ -118,7 +119,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	answer.Body = body
+	answer.Body, r.ended = body, true
 	if answer.Status >= http.StatusInternalServerError {
 		return fail(fmt.Errorf("status %d", answer.Status))
 	}
--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -60,7 +60,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: s.Operators, Certificate: s.Security.Certificate, Key: s.Security.Key,
-		Limits: s.Limits, Drain: s.Drain, Clock: k.Now, Logger: f.Logger, Handler: f,
+		Limits: s.Limits, Drain: min(s.Drain, drainMost), Clock: k.Now, Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
@@ -68,6 +68,9 @@
 const (
 	// bodyMost bounds a change: both lists for 21,000 plans take about 20 MB.
 	bodyMost = 64 << 20
+	// drainMost bounds the wait for open requests of operators: nothing here
+	// takes longer than a change.
+	drainMost = proposeLimit
 	// proposeLimit bounds a change: an election and a commit fit into it.
 	proposeLimit = 10 * time.Second
 )
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -39,6 +39,10 @@
 	})
 }
 
+// noticeShare is the part of the drain time for load balancers to notice that
+// /healthz fails: 3 s of the usual 30 s, which is a few of their checks.
+const noticeShare = 10
+
 func build(k *kernel.Kernel) (*Frontend, error) {
 	f := &Frontend{
 		Host: k.Settings.Host, Limits: k.Settings.Limits, Clock: k.Now, Tracer: k.Tracer,
@@ -56,7 +60,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: k.Settings.Callers, Certificate: k.Settings.Security.Certificate, Key: k.Settings.Security.Key,
-		Limits: f.Limits, Drain: k.Settings.Drain, Clock: k.Now, Logger: f.Logger, Handler: f,
+		Limits: f.Limits, Drain: k.Settings.Drain, Notice: k.Settings.Drain / noticeShare, Clock: k.Now, Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -250,6 +250,7 @@
 		{"null", chat, "null", nil, 400, "malformed"},
 		{"no messages", chat, `{"model":"drum-7b","messages":[]}`, nil, 400, "malformed"},
 		{"message without role", chat, `{"model":"drum-7b","messages":[{}]}`, nil, 400, "malformed"},
+		{"model in capitals", chat, `{"MODEL":"drum-7b","messages":[{"role":"user"}]}`, nil, 400, "malformed"},
 		{"no model", chat, `{"messages":[{"role":"user"}]}`, nil, 400, "malformed"},
 		{"negative max_tokens", chat, strings.Replace(chatText, "64", "-1", 1), nil, 400, "malformed"},
 		{"several choices", chat, strings.Replace(chatText, "{", `{"n":2,`, 1), nil, 400, "malformed"},
@@ -344,12 +345,26 @@
 	})
 }
 
+func TestDecodeChat(t *testing.T) {
+	t.Run("guards against a way around plan and budget", func(t *testing.T) {
+		text := `{"model":"dear","max_tokens":900,"max_completion_tokens":5,"messages":[{"role":"user"}]}`
+		var c zinniapond.Call
+		assert.NoError(t, decodeChat([]byte(text), &c))
+		assert.Equal(t, c.Most, 900)
+		for _, field := range []string{`"MODEL":"cheap"`, `"Max_Tokens":1`, `"me\u017fsages":[]`} {
+			err := decodeChat([]byte("{"+field+","+text[1:]), &c)
+			assert.ErrorIs(t, err, zinniapond.ErrMalformed)
+			assert.Contains(t, err.Error(), "which is spelt")
+		}
+	})
+}
+
 func TestLimits(t *testing.T) {
 	limits := zinniapond.LimitSettings{Body: 1 << 20, Header: 4096, Read: 100 * time.Millisecond, Open: 1}
 	frontend, f := newFrontend(limits)
 	frontend.Gate = &gate.Gate{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: frontend, Limits: limits,
-		Drain: 2 * time.Second, Clock: time.Now, Logger: hclog.NewNullLogger(),
+		Drain: 2 * time.Second, Notice: 200 * time.Millisecond, Clock: time.Now, Logger: hclog.NewNullLogger(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/entry/caller/decode.go
+++ b/internal/entry/caller/decode.go
@@ -118,24 +118,54 @@
 
 // chatBody is what is read of the body of a model call.
 type chatBody struct {
-	Model     zinniapond.PoolName `json:"model"`
-	Messages  json.RawMessage     `json:"messages"`
-	Stream    bool                `json:"stream"`
-	Most      *int64              `json:"max_tokens"`
-	MostNewer *int64              `json:"max_completion_tokens"`
-	Choices   *int64              `json:"n"`
+	model     zinniapond.PoolName
+	messages  json.RawMessage
+	stream    bool
+	most      *int64
+	mostNewer *int64
+	choices   *int64
+	best      *int64
+}
+
+// read reads the fields by their exact names and refuses other spellings of
+// them. Decoding into a struct would also take MAX_TOKENS for max_tokens, and
+// if the engine did not, that would be a way around plan and budget.
+func (b *chatBody) read(body []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return err
+	}
+	names := map[string]any{
+		"messages": &b.messages, "model": &b.model, "stream": &b.stream, "max_tokens": &b.most,
+		"max_completion_tokens": &b.mostNewer, "n": &b.choices, "best_of": &b.best,
+	}
+	for field := range fields {
+		for name := range names {
+			if field != name && strings.EqualFold(field, name) {
+				return fmt.Errorf("field %q, which is spelt %s", field, name)
+			}
+		}
+	}
+	for name, to := range names {
+		if text, ok := fields[name]; ok {
+			if err := json.Unmarshal(text, to); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+		}
+	}
+	return nil
 }
 
 // decodeChat reads the body of a model call into the call.
 func decodeChat(body []byte, c *zinniapond.Call) error {
 	var b chatBody
-	if err := json.Unmarshal(body, &b); err != nil {
+	if err := b.read(body); err != nil {
 		return malformed("decode body", err.Error(), "send a JSON object with model and messages")
 	}
 	var messages []struct {
 		Role string `json:"role"`
 	}
-	if err := json.Unmarshal(b.Messages, &messages); err != nil || len(messages) == 0 {
+	if err := json.Unmarshal(b.messages, &messages); err != nil || len(messages) == 0 {
 		return malformed("decode body", "messages are missing or not a list", `send "messages": [{"role": "user", "content": ...}]`)
 	}
 	for i, m := range messages {
@@ -143,27 +173,32 @@
 			return malformed("decode body", fmt.Sprintf("message %d has no role", i), "each message has role and content")
 		}
 	}
-	if b.Model == "" {
+	if b.model == "" {
 		return malformed("decode body", "model is missing", "name a model of the plan")
 	}
-	if b.Choices != nil && *b.Choices != 1 {
-		return malformed("decode body", fmt.Sprintf("n is %d", *b.Choices), "send one request for each choice")
+	for _, n := range []*int64{b.choices, b.best} {
+		if n != nil && *n != 1 {
+			return malformed("decode body", fmt.Sprintf("n or best_of is %d", *n), "send one request for each choice")
+		}
 	}
-	c.Most = usualMost
-	for _, n := range []*int64{b.Most, b.MostNewer} {
+	for _, n := range []*int64{b.most, b.mostNewer} {
 		if n == nil {
 			continue
 		}
 		if *n < 1 || *n > mostMost {
 			return malformed("decode body", fmt.Sprintf("max_tokens is %d", *n), fmt.Sprintf("max_tokens is from 1 to %d", mostMost))
 		}
-		c.Most = zinniapond.Tokens(*n)
+		// Engines differ in which of the two they follow.
+		c.Most = max(c.Most, zinniapond.Tokens(*n))
+	}
+	if c.Most == 0 {
+		c.Most = usualMost
 	}
 	var compact bytes.Buffer
-	if err := json.Compact(&compact, b.Messages); err != nil {
+	if err := json.Compact(&compact, b.messages); err != nil {
 		return malformed("decode body", err.Error(), "send JSON")
 	}
-	c.Pool, c.Stream, c.Idempotent = b.Model, b.Stream, true
+	c.Pool, c.Stream, c.Idempotent = b.model, b.stream, true
 	c.Prompt = zinniapond.Tokens((compact.Len() + bytesPerToken - 1) / bytesPerToken)
 	c.Prefix = prefix(compact.Bytes())
 	return nil
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -28,9 +28,6 @@
 	// spare is the room for connections beyond the open requests, so that
 	// refusals and health checks still get an answer.
 	spare = 64
-	// noticeShare is the part of the drain time in which new requests are
-	// still taken while /healthz already fails, for load balancers to notice.
-	noticeShare = 10
 )
 
 // Gate is one listener. Its exported fields are set before Run.
@@ -40,9 +37,12 @@
 	Certificate string // path; TLS is used when set
 	Key         string // path
 	Limits      zinniapond.LimitSettings
-	Drain       time.Duration
-	Clock       func() time.Time
-	Logger      hclog.Logger
+	Drain       time.Duration // time for open requests to end
+	// Notice is the part of Drain in which new requests are still taken, while
+	// /healthz fails already, for load balancers to notice.
+	Notice time.Duration
+	Clock  func() time.Time
+	Logger hclog.Logger
 
 	address  atomic.Pointer[netip.AddrPort]
 	draining atomic.Bool
@@ -131,10 +131,10 @@
 // takes none and waits for the open ones.
 func (g *Gate) stop(server *http.Server) error {
 	g.draining.Store(true)
-	notice := time.NewTimer(g.Drain / noticeShare)
+	notice := time.NewTimer(g.Notice)
 	defer notice.Stop()
 	<-notice.C
-	ctx, cancel := context.WithTimeout(context.Background(), g.Drain-g.Drain/noticeShare)
+	ctx, cancel := context.WithTimeout(context.Background(), g.Drain-g.Notice)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/entry/reply/reply.go
+++ b/internal/entry/reply/reply.go
@@ -35,13 +35,13 @@
 	hint    string
 }{
 	{zinniapond.ErrUnknown, 502, "outcome_unknown", zinniapond.OutcomeUnknown, "the call may have run and is not sent again; look at its effect before you repeat it with a new key"},
-	{zinniapond.ErrMalformed, 400, "malformed", zinniapond.OutcomeNotRun, ""},
+	{zinniapond.ErrMalformed, 400, "malformed", zinniapond.OutcomeNotRun, "correct the request"},
 	{zinniapond.ErrKey, 401, "key", zinniapond.OutcomeNotRun, "send a valid key as Authorization: Bearer KEY"},
 	{zinniapond.ErrForbidden, 403, "forbidden", zinniapond.OutcomeNotRun, "ask the operator to add it to the plan"},
 	{zinniapond.ErrTooLarge, 413, "too_large", zinniapond.OutcomeNotRun, "send a smaller body"},
 	{zinniapond.ErrReused, 422, "key_reused", zinniapond.OutcomeNotRun, "use a new Idempotency-Key for a different request"},
 	{zinniapond.ErrBudget, 429, "budget", zinniapond.OutcomeNotRun, "wait for the next budget window"},
-	{zinniapond.ErrNotFound, 404, "not_found", zinniapond.OutcomeNotRun, ""},
+	{zinniapond.ErrNotFound, 404, "not_found", zinniapond.OutcomeNotRun, "look at the id or the name"},
 	{zinniapond.ErrEnded, 410, "ended", zinniapond.OutcomeNotRun, "open a new program"},
 	{zinniapond.ErrOrder, 409, "order", zinniapond.OutcomeNotRun, "send the program's earlier calls first"},
 	{zinniapond.ErrConflict, 409, "conflict", zinniapond.OutcomeNotRun, "read the present version and try again"},
