Leave the deadlines of requests to net/http

Cause: trials with the mechanisms removed showed that three of them change nothing: net/http (1.26) removes a request's read deadline once its body has arrived and its write deadline after its answer, and the parent sections of the INI library are never asked. Ruled out: that the tests miss the effect: with a deadline set after the body, TestLimits fails with 503 instead of 200. Change: ReadTimeout of the server bounds header and body; the gate's own deadlines and the section delimiter are gone. Tests for the reuse of streams' connections, for several silent connections and for the end after the notice are added, as these mechanisms had survived their removal. Conclusion: less code with the same bounds.

--- a/internal/backend/conns/conns_test.go
+++ b/internal/backend/conns/conns_test.go
@@ -31,12 +31,12 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-func get(ctx context.Context, p *Pool, server netip.AddrPort) error {
+func get(ctx context.Context, p *Pool, server netip.AddrPort, early bool) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.String(), nil)
 	if err != nil {
 		return err
 	}
-	x, err := p.Do(ctx, server, r, false)
+	x, err := p.Do(ctx, server, r, early)
 	if err != nil {
 		return err
 	}
@@ -68,15 +68,15 @@
 			l.Close()
 		}()
 		p := &Pool{}
-		assert.NoError(t, get(t.Context(), p, server))
-		err = get(t.Context(), p, server)
+		assert.NoError(t, get(t.Context(), p, server, false))
+		err = get(t.Context(), p, server, false)
 		assert.True(t, err != nil && !errors.Is(err, zinniapond.ErrNotSent), "%v", err)
 	})
 	t.Run("guards against calling a request sent that found no connection", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		server := listen(t, func(int, net.Conn) bool { return true })
-		assert.ErrorIs(t, get(ctx, &Pool{}, server), zinniapond.ErrNotSent)
+		assert.ErrorIs(t, get(ctx, &Pool{}, server, false), zinniapond.ErrNotSent)
 	})
 	t.Run("guards against a header without bound", func(t *testing.T) {
 		server := listen(t, func(_ int, c net.Conn) bool {
@@ -89,7 +89,44 @@
 			}()
 			return true
 		})
-		err := get(t.Context(), &Pool{Attempt: 5 * time.Second}, server)
+		err := get(t.Context(), &Pool{Attempt: 5 * time.Second}, server, false)
 		assert.True(t, err != nil && !errors.Is(err, context.DeadlineExceeded), "%v", err)
 	})
 }
+
+func TestSilent(t *testing.T) {
+	t.Run("guards against trying one silent connection after the other", func(t *testing.T) {
+		both := make(chan struct{}, 2)
+		server := listen(t, func(n int, c net.Conn) bool {
+			go func() {
+				defer c.Close()
+				from := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					if _, err := http.ReadRequest(from); err != nil {
+						return
+					}
+					// The first two connections answer once, both at the same
+					// time, and are silent from then on.
+					if n < 2 && i > 0 {
+						continue
+					}
+					if n < 2 {
+						both <- struct{}{}
+						for len(both) < 2 {
+							time.Sleep(time.Millisecond)
+						}
+					}
+					_, _ = io.WriteString(c, small)
+				}
+			}()
+			return true
+		})
+		p := &Pool{Progress: 50 * time.Millisecond}
+		other := make(chan error, 1)
+		go func() { other <- get(t.Context(), p, server, true) }()
+		assert.NoError(t, get(t.Context(), p, server, true))
+		assert.NoError(t, <-other)
+		assert.ErrorIs(t, get(t.Context(), p, server, true), ErrSilent)
+		assert.NoError(t, get(t.Context(), p, server, true))
+	})
+}
--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -180,6 +180,19 @@
 			assert.True(t, errors.Is(err, conns.ErrSilent) == silent, "request %d: %v", i, err)
 		}
 	})
+	t.Run("guards against a new connection for each stream", func(t *testing.T) {
+		addresses := make(chan string, 2)
+		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
+			addresses <- r.RemoteAddr
+			events(w, "data: [DONE]\n\n")
+			time.Sleep(10 * time.Millisecond)
+		})
+		for range 2 {
+			_, err := c.Do(t.Context(), "a", server, chat(true), &recorder{})
+			assert.NoError(t, err)
+		}
+		assert.Equal(t, <-addresses, <-addresses)
+	})
 	t.Run("guards against generating for nobody", func(t *testing.T) {
 		cancelled := make(chan string, 1)
 		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -60,7 +60,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: s.Operators, Certificate: s.Security.Certificate, Key: s.Security.Key,
-		Limits: s.Limits, Drain: min(s.Drain, drainMost), Clock: k.Now, Logger: f.Logger, Handler: f,
+		Limits: s.Limits, Drain: min(s.Drain, drainMost), Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
@@ -217,7 +217,6 @@
 		w.Header().Set("Connection", "close")
 		return fmt.Errorf("read body: %w: body did not arrive whole: %w", zinniapond.ErrMalformed, err)
 	}
-	gate.Whole(w)
 	command, err := decodeChange(text)
 	if err != nil {
 		return err
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -60,7 +60,7 @@
 	}
 	f.Gate = &gate.Gate{
 		Listen: k.Settings.Callers, Certificate: k.Settings.Security.Certificate, Key: k.Settings.Security.Key,
-		Limits: f.Limits, Drain: k.Settings.Drain, Notice: k.Settings.Drain / noticeShare, Clock: k.Now, Logger: f.Logger, Handler: f,
+		Limits: f.Limits, Drain: k.Settings.Drain, Notice: k.Settings.Drain / noticeShare, Logger: f.Logger, Handler: f,
 	}
 	return f, nil
 }
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -364,7 +364,7 @@
 	frontend, f := newFrontend(limits)
 	frontend.Gate = &gate.Gate{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: frontend, Limits: limits,
-		Drain: 2 * time.Second, Notice: 200 * time.Millisecond, Clock: time.Now, Logger: hclog.NewNullLogger(),
+		Drain: 2 * time.Second, Notice: 200 * time.Millisecond, Logger: hclog.NewNullLogger(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -424,6 +424,13 @@
 		assert.Eventually(t, time.Second, "draining", frontend.Gate.Draining)
 		answer, _ = send(t, "GET", url+"/healthz", "")
 		assert.Equal(t, answer.StatusCode, 503)
+		assert.Eventually(t, time.Second, "no new connections", func() bool {
+			c, err := net.Dial("tcp", frontend.Address().String())
+			if err == nil {
+				_ = c.Close()
+			}
+			return err != nil
+		})
 		close(release)
 		assert.Equal(t, <-got, "200 OK late")
 		assert.NoError(t, <-ended)
--- a/internal/entry/caller/routes.go
+++ b/internal/entry/caller/routes.go
@@ -11,7 +11,6 @@
 	"github.com/google/uuid"
 
 	"zinniapond.example/zinniapond"
-	"zinniapond.example/zinniapond/internal/entry/gate"
 	"zinniapond.example/zinniapond/internal/entry/reply"
 )
 
@@ -82,7 +81,6 @@
 			Hint: fmt.Sprintf("send the whole body within %s", f.Limits.Read),
 		}
 	}
-	gate.Whole(w)
 	return b, nil
 }
 
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -86,12 +86,12 @@
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(g.serve),
-		// No ReadTimeout: it would also end requests that wait for their
-		// answer. The handlers bound the reading of bodies.
-		ReadHeaderTimeout: g.Limits.Read,
-		IdleTimeout:       idleLimit,
-		MaxHeaderBytes:    g.Limits.Header,
-		ErrorLog:          log.New(quiet{g.Logger}, "", 0),
+		// For header and body. The deadline holds until the body has arrived
+		// whole, also after an early refusal, and not for the answer.
+		ReadTimeout:    g.Limits.Read,
+		IdleTimeout:    idleLimit,
+		MaxHeaderBytes: g.Limits.Header,
+		ErrorLog:       log.New(quiet{g.Logger}, "", 0),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -106,27 +106,12 @@
 // serve closes a connection after its answer once the end has begun, so that
 // few callers meet a connection that is closed as they send a request.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
-	// A deadline that an earlier answer on this connection was written under
-	// stays in force until it is removed.
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Time{})
-	if r.Body != http.NoBody && g.Limits.Read > 0 {
-		// In force until Whole is called: after an early refusal net/http reads
-		// the rest of the body, which may never come.
-		_ = control.SetReadDeadline(g.Clock().Add(g.Limits.Read))
-	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	g.Handler.ServeHTTP(w, r)
 }
 
-// Whole removes the deadline for the body, which has arrived whole. Left in
-// place, it would end the request while it waits for its answer.
-func Whole(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-}
-
 // stop ends the server: first it takes requests but announces the end, then it
 // takes none and waits for the open ones.
 func (g *Gate) stop(server *http.Server) error {
--- a/internal/entry/gate/gate_test.go
+++ b/internal/entry/gate/gate_test.go
@@ -41,7 +41,7 @@
 }
 
 func start(t *testing.T, g *Gate) (stop func() error) {
-	g.Listen, g.Clock, g.Logger = netip.MustParseAddrPort("127.0.0.1:0"), time.Now, hclog.NewNullLogger()
+	g.Listen, g.Logger = netip.MustParseAddrPort("127.0.0.1:0"), hclog.NewNullLogger()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
--- a/internal/files/lines/lines.go
+++ b/internal/files/lines/lines.go
@@ -43,8 +43,6 @@
 		IgnoreContinuation:       true,
 		SpaceBeforeInlineComment: true,
 		KeyValueDelimiters:       "=",
-		// The default delimiter "." makes [plan a.b] inherit the keys of [plan a].
-		ChildSectionDelimiter: "\x00",
 	}, []byte(kept))
 	if err != nil {
 		t.Fault(1, fmt.Sprintf("not an INI file: %v", err), "lines of the forms [SECTION] and KEY = VALUE")
