--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -35,8 +35,19 @@
 	return r.err
 }
 
-func start(t *testing.T, handler http.HandlerFunc) (*Client, zinniapond.Backend) {
-	s := httptest.NewServer(handler)
+// start starts an engine. Cancellations go to the handler only if it asks for
+// them by cancels.
+func start(t *testing.T, handler http.HandlerFunc, cancels ...chan<- string) (*Client, zinniapond.Backend) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/cancel" {
+			handler(w, r)
+			return
+		}
+		b, _ := io.ReadAll(r.Body)
+		for _, c := range cancels {
+			c <- string(b)
+		}
+	}))
 	t.Cleanup(s.Close)
 	c := &Client{Limits: zinniapond.LimitSettings{Progress: 100 * time.Millisecond, Attempt: 5 * time.Second}, Clock: time.Now}
 	return c, zinniapond.Backend{Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
@@ -62,7 +73,7 @@
 	c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"got":%s,"id":%q,"program":%q,"usage":{"prompt_tokens":9,"completion_tokens":4,"prompt_tokens_details":{"cached_tokens":8}}}`,
+		_, _ = fmt.Fprintf(w, `{"got":%s,"id":%q,"program":%q,"usage":{"prompt_tokens":9,"completion_tokens":4,"prompt_tokens_details":{"cached_tokens":8}}}`,
 			b, r.Header.Get("X-Request-Id"), r.Header.Get("X-Program"))
 	})
 	t.Run("guards against losing what the engine needs", func(t *testing.T) {
@@ -79,13 +90,13 @@
 	for name, handler := range map[string]http.HandlerFunc{
 		"an answer for another attempt": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Request-Id", "other")
-			fmt.Fprint(w, "{}")
+			_, _ = fmt.Fprint(w, "{}")
 		},
-		"an answer that is not JSON": func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") },
+		"an answer that is not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "<html>") },
 		"a failed engine":            func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) },
 		"a half answer": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "9")
-			fmt.Fprint(w, "{}")
+			_, _ = fmt.Fprint(w, "{}")
 		},
 	} {
 		t.Run("guards against passing on "+name, func(t *testing.T) {
@@ -94,6 +105,17 @@
 			assert.ErrorIs(t, err, zinniapond.ErrBackend)
 		})
 	}
+	t.Run("guards against taking a long generation for a silent connection", func(t *testing.T) {
+		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			time.Sleep(150 * time.Millisecond)
+			_, _ = fmt.Fprint(w, "{}")
+		})
+		for range 2 {
+			_, err := c.Do(t.Context(), "a", server, chat(false), nil)
+			assert.NoError(t, err)
+		}
+	})
 	t.Run("guards against new work for a server that says it is leaving", func(t *testing.T) {
 		c, server := start(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Leaving", "true")
@@ -140,7 +162,8 @@
 		assert.ErrorIs(t, err, zinniapond.ErrBackend)
 		_, err = c.Do(t.Context(), "b", server, chat(true), &recorder{})
 		assert.True(t, !errors.Is(err, conns.ErrSilent), "%v", err)
-		assert.True(t, <-addresses != <-addresses, "the silent connection was used again")
+		first, second := <-addresses, <-addresses
+		assert.True(t, first != second, "the silent connection was used again")
 	})
 	t.Run("guards against waiting on a reused connection that went silent", func(t *testing.T) {
 		n := 0
@@ -157,17 +180,25 @@
 			assert.True(t, errors.Is(err, conns.ErrSilent) == silent, "request %d: %v", i, err)
 		}
 	})
+	t.Run("guards against a new connection for each stream", func(t *testing.T) {
+		addresses := make(chan string, 2)
+		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
+			addresses <- r.RemoteAddr
+			events(w, "data: [DONE]\n\n")
+			time.Sleep(10 * time.Millisecond)
+		})
+		for range 2 {
+			_, err := c.Do(t.Context(), "a", server, chat(true), &recorder{})
+			assert.NoError(t, err)
+		}
+		assert.Equal(t, <-addresses, <-addresses)
+	})
 	t.Run("guards against generating for nobody", func(t *testing.T) {
 		cancelled := make(chan string, 1)
 		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/cancel" {
-				b, _ := io.ReadAll(r.Body)
-				cancelled <- string(b)
-				return
-			}
 			events(w, "data: {}\n\n")
 			<-r.Context().Done()
-		})
+		}, cancelled)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
 		_, err := c.Do(ctx, "a7", server, chat(true), &recorder{})
@@ -203,14 +234,14 @@
 	c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/load":
-			fmt.Fprint(w, `{"backend":"10.0.0.1:1","running":3,"waiting":2,"programs":["p"]}`)
+			_, _ = fmt.Fprint(w, `{"backend":"10.0.0.1:1","running":3,"waiting":2,"programs":["p"]}`)
 		case "/orders":
 			var o zinniapond.Order
 			_ = json.NewDecoder(r.Body).Decode(&o)
 			if o.Fence < 5 {
 				w.WriteHeader(409)
 			}
-			fmt.Fprintf(w, `{"model":%q}`, o.Model)
+			_, _ = fmt.Fprintf(w, `{"model":%q}`, o.Model)
 		}
 	})
 	t.Run("guards against a report that names another server", func(t *testing.T) {
--- a/internal/entry/gate/gate_test.go
+++ b/internal/entry/gate/gate_test.go
@@ -41,7 +41,7 @@
 }
 
 func start(t *testing.T, g *Gate) (stop func() error) {
-	g.Listen, g.Clock, g.Logger = netip.MustParseAddrPort("127.0.0.1:0"), time.Now, hclog.NewNullLogger()
+	g.Listen, g.Logger = netip.MustParseAddrPort("127.0.0.1:0"), hclog.NewNullLogger()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
@@ -61,7 +61,7 @@
 	serial := func() int64 {
 		c, err := tls.Dial("tcp", g.Address().String(), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // The test reads the certificate itself.
 		assert.NoError(t, err)
-		defer c.Close()
+		defer func() { _ = c.Close() }()
 		return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 	}
 	t.Run("guards against serving an expired certificate after its renewal", func(t *testing.T) {
