--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -122,8 +122,8 @@
 	t.Run("guards against an idle connection being taken for a silent one", func(t *testing.T) {
 		one, two := pair(t)
 		a, b := New(one, 0, beat, silence), New(two, 0, beat, silence)
-		defer a.Close()
-		defer b.Close()
+		defer func() { _ = a.Close() }()
+		defer func() { _ = b.Close() }()
 		go func() { _ = a.ReadResponseHeader(new(rpc.Response)) }()
 		read := make(chan error, 1)
 		go func() {
@@ -158,8 +158,8 @@
 	t.Run("guards against a reply above the limit leaving its caller without answer", func(t *testing.T) {
 		one, two := pair(t)
 		a, b := New(one, 1000, beat, silence), New(two, 1000, beat, silence)
-		defer a.Close()
-		defer b.Close()
+		defer func() { _ = a.Close() }()
+		defer func() { _ = b.Close() }()
 		assert.NoError(t, b.WriteResponse(&rpc.Response{Seq: 7}, make([]byte, 2000)))
 		var r rpc.Response
 		assert.NoError(t, a.ReadResponseHeader(&r))
