Count the search for an owner towards a call's wait

Cause: a call could wait its whole bound for an owner and again in the owner's queue. Ruled out: a shorter bound of the search; a call is to use its whole wait where owners are late. Change: each attempt hands on what is left, until an owner may have accepted the call. Test: TestOutcome, 'the search for an owner adding to the time in queue'.

--- a/internal/entry/relay/fakes_test.go
+++ b/internal/entry/relay/fakes_test.go
@@ -91,6 +91,7 @@
 
 	mu    sync.Mutex
 	asked int
+	waits []time.Duration
 }
 
 func newOwner(j *journal) *owner {
@@ -100,6 +101,7 @@
 func (o *owner) Submit(ctx context.Context, _ time.Time, call zinniapond.Call, sink zinniapond.Sink) (zinniapond.Answer, error) {
 	o.mu.Lock()
 	o.asked++
+	o.waits = append(o.waits, call.Wait)
 	err, stall := o.err, o.stall
 	o.mu.Unlock()
 	if err != nil {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -212,6 +212,7 @@
 		if err == nil {
 			var answer zinniapond.Answer
 			call.Delivered, call.DeliveredSum = out.delivered()
+			call.Wait = s.left()
 			got := r.ask(ctx, call.Program, t, func(ctx context.Context) (g reply) {
 				if r.local(t) {
 					answer, g.err = r.Local.Submit(ctx, r.Clock(), call, out)
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -334,6 +334,14 @@
 		d.assign("next", nextAddress)
 		whole(t, <-done, &sink)
 	})
+	t.Run("guards against the search for an owner adding to the time in queue", func(t *testing.T) {
+		o := newOwners(zinniapond.ErrNotOwner)
+		d := newDirectory()
+		d.assign("owner", serveOwner(t, o))
+		notRun(t, <-submit(newRelay(t, d), short(), new(buffer)))
+		first, last := o.waits[0], o.waits[len(o.waits)-1]
+		assert.True(t, last < first-100*time.Millisecond && first <= short().Wait, "waits of %s to %s", first, last)
+	})
 	t.Run("guards against a call outliving its caller", func(t *testing.T) {
 		o := newOwners(nil)
 		o.stall = 70
--- a/internal/entry/relay/search.go
+++ b/internal/entry/relay/search.go
@@ -60,6 +60,7 @@
 // search bounds the attempts for one call and waits between them.
 type search struct {
 	relay    *Relay
+	bound    time.Duration // the call's own
 	deadline time.Time
 	delay    time.Duration
 	// reached is set once an owner may have run the call.
@@ -72,7 +73,17 @@
 	if wait <= 0 {
 		wait = r.Wait
 	}
-	return &search{relay: r, deadline: now.Add(wait), delay: firstDelay}
+	return &search{relay: r, bound: wait, deadline: now.Add(wait), delay: firstDelay}
+}
+
+// left is how long the next owner may hold the call in its queue. The search
+// for an owner counts towards the call's bound, unless the call was accepted
+// before: then only its outcome is asked for, or it is run again.
+func (s *search) left() time.Duration {
+	if s.reached {
+		return s.bound
+	}
+	return max(s.deadline.Sub(s.relay.Clock()), time.Millisecond)
 }
 
 // failed takes note of an attempt without an answer. A call that may have run
