--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -28,9 +28,6 @@
 	// spare is the room for connections beyond the open requests, so that
 	// refusals and health checks still get an answer.
 	spare = 64
-	// noticeShare is the part of the drain time in which new requests are
-	// still taken while /healthz already fails, for load balancers to notice.
-	noticeShare = 10
 )
 
 // Gate is one listener. Its exported fields are set before Run.
@@ -40,9 +37,12 @@
 	Certificate string // path; TLS is used when set
 	Key         string // path
 	Limits      zinniapond.LimitSettings
-	Drain       time.Duration
-	Clock       func() time.Time
-	Logger      hclog.Logger
+	Drain       time.Duration // time for open requests to end
+	// Notice is the part of Drain in which new requests are still taken, while
+	// /healthz fails already, for load balancers to notice.
+	Notice time.Duration
+	Clock  func() time.Time
+	Logger hclog.Logger
 
 	address  atomic.Pointer[netip.AddrPort]
 	draining atomic.Bool
@@ -86,12 +86,12 @@
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(g.serve),
-		// No ReadTimeout: it would also end requests that wait for their
-		// answer. The handlers bound the reading of bodies.
-		ReadHeaderTimeout: g.Limits.Read,
-		IdleTimeout:       idleLimit,
-		MaxHeaderBytes:    g.Limits.Header,
-		ErrorLog:          log.New(quiet{g.Logger}, "", 0),
+		// For header and body. The deadline holds until the body has arrived
+		// whole, also after an early refusal, and not for the answer.
+		ReadTimeout:    g.Limits.Read,
+		IdleTimeout:    idleLimit,
+		MaxHeaderBytes: g.Limits.Header,
+		ErrorLog:       log.New(quiet{g.Logger}, "", 0),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -106,35 +106,20 @@
 // serve closes a connection after its answer once the end has begun, so that
 // few callers meet a connection that is closed as they send a request.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
-	// A deadline that an earlier answer on this connection was written under
-	// stays in force until it is removed.
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Time{})
-	if r.Body != http.NoBody && g.Limits.Read > 0 {
-		// In force until Whole is called: after an early refusal net/http reads
-		// the rest of the body, which may never come.
-		_ = control.SetReadDeadline(g.Clock().Add(g.Limits.Read))
-	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	g.Handler.ServeHTTP(w, r)
 }
 
-// Whole removes the deadline for the body, which has arrived whole. Left in
-// place, it would end the request while it waits for its answer.
-func Whole(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-}
-
 // stop ends the server: first it takes requests but announces the end, then it
 // takes none and waits for the open ones.
 func (g *Gate) stop(server *http.Server) error {
 	g.draining.Store(true)
-	notice := time.NewTimer(g.Drain / noticeShare)
+	notice := time.NewTimer(g.Notice)
 	defer notice.Stop()
 	<-notice.C
-	ctx, cancel := context.WithTimeout(context.Background(), g.Drain-g.Drain/noticeShare)
+	ctx, cancel := context.WithTimeout(context.Background(), g.Drain-g.Notice)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
