Let the voter and the fuzz test share one node

Cause: the fuzz test copied the voter's order of steps and could not find a fault in it. Change: core, state, duties and waiting proposals are in node.Node, which Voter drives with goroutines and the fuzz test on its clock. Ruled out: fuzzing Voter itself, whose goroutines make runs differ.

--- a/internal/quorum/raft/world_test.go
+++ b/internal/quorum/raft/world_test.go
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/fleet/plan"
 	"zinniapond.example/zinniapond/internal/fleet/state"
 	"zinniapond.example/zinniapond/internal/quorum/duty"
+	quorum "zinniapond.example/zinniapond/internal/quorum/node"
 	"zinniapond.example/zinniapond/internal/quorum/raft"
 )
 
@@ -108,17 +108,15 @@
 	durable zinniapond.LogChange
 	life    int // number of starts; events of an earlier life do nothing
 
-	core   *raft.Core // nil while it is down
-	state  *state.State
-	duty   duty.Leader
+	node   *quorum.Node
+	core   *raft.Core // of node; nil while it is down
 	saving bool
-	saved  uint64
 	asked  int // number of the fetch that runs, 0 for none
 	fetch  int
 	alarm  time.Time
-	term   zinniapond.Term
-	waits  map[zinniapond.Index]func(term zinniapond.Term, result zinniapond.CommandResult)
-	held   []func() bool // fetches that wait; true when done
+	leads  bool             // serve runs
+	seen   zinniapond.Index // last committed record that the oracle has seen
+	held   []func() bool    // fetches that wait; true when done
 	votes  []vote
 }
 
@@ -159,16 +157,16 @@
 			n.core.Peers = append(n.core.Peers, p.name)
 		}
 	}
-	n.state = &state.State{}
 	if n.durable.Snapshot == nil {
 		n.durable.Snapshot = new(zinniapond.Snapshot)
 	}
-	n.check(n.state.Decode(n.durable.Snapshot.Data))
-	n.core.Restore(n.w.now, n.durable)
-	n.duty = duty.Leader{Session: session, Shards: shards, Planner: plan.Planner{Replicas: 2, Start: time.Second, Patience: session, Moves: 2}}
-	n.saving, n.asked, n.saved, n.alarm, n.term = false, 0, 0, time.Time{}, 0
-	n.waits = make(map[zinniapond.Index]func(zinniapond.Term, zinniapond.CommandResult))
-	n.held, n.votes = nil, nil
+	n.node = &quorum.Node{Core: n.core, State: &state.State{}, Snapshot: snapshot, Duty: duty.Leader{
+		Session: session, Shards: shards,
+		Planner: plan.Planner{Replicas: 2, Start: time.Second, Patience: session, Moves: 2},
+	}}
+	n.check(n.node.Start(n.w.now, n.durable))
+	n.saving, n.asked, n.alarm, n.leads = false, 0, time.Time{}, false
+	n.held, n.votes, n.seen = nil, nil, n.core.Commit()
 	n.settle()
 }
 
@@ -190,17 +188,18 @@
 	}
 }
 
-// settle follows each change of the core, as Voter.settle does.
+// settle follows each change of the node, as Voter.settle does.
 func (n *node) settle() {
-	n.apply()
-	n.w.oracle.leader(n)
-	if !n.core.Leading(n.w.now) || n.core.Term() != n.term {
-		n.duty.End()
-		n.term = n.core.Term()
+	for _, e := range n.core.Entries(n.seen + 1) {
+		n.w.oracle.committed(n, e)
 	}
-	if n.core.Current() && !n.duty.Leads() {
-		n.duty.Begin(n.w.now)
-		n.serve(n.core.Term())
+	n.seen = n.core.Commit()
+	_, _, err := n.node.Settle(n.w.now)
+	n.check(err)
+	n.w.oracle.leader(n)
+	if n.node.Duty.Leads() && !n.leads {
+		n.leads = true
+		n.serve()
 	}
 	n.sync()
 	ballots := n.core.Ballots()
@@ -210,10 +209,10 @@
 		}
 	}
 	n.pull()
-	for _, v := range slices.DeleteFunc(slices.Clone(n.votes), func(v vote) bool { return v.sequence > n.saved }) {
+	for _, v := range slices.DeleteFunc(slices.Clone(n.votes), func(v vote) bool { return v.sequence > n.node.Durable() }) {
 		v.send()
 	}
-	n.votes = slices.DeleteFunc(n.votes, func(v vote) bool { return v.sequence <= n.saved })
+	n.votes = slices.DeleteFunc(n.votes, func(v vote) bool { return v.sequence <= n.node.Durable() })
 	held := n.held
 	n.held = nil
 	for _, done := range held {
@@ -233,31 +232,8 @@
 	}
 }
 
-func (n *node) apply() {
-	if s := n.core.Snapshot(); s.Index > n.state.View().Index {
-		n.check(n.state.Decode(s.Data))
-	}
-	for _, e := range n.core.Entries(n.state.View().Index + 1) {
-		n.w.oracle.committed(n, e)
-		result, err := n.state.Apply(e)
-		n.check(err)
-		if wait := n.waits[e.Index]; wait != nil {
-			delete(n.waits, e.Index)
-			wait(e.Term, result)
-		}
-	}
-	if index := n.state.View().Index; index >= n.core.Snapshot().Index+snapshot {
-		data, err := n.state.Encode()
-		n.check(err)
-		n.core.Compact(index, data)
-	}
-}
-
 func (n *node) sync() {
 	change, ok := n.core.Unsaved()
-	if !ok {
-		n.saved = n.core.Sequence()
-	}
 	if !ok || n.saving {
 		return
 	}
@@ -265,8 +241,7 @@
 	n.w.after(time.Duration(n.w.random.Int64N(int64(8*time.Millisecond))), n.alive(func() {
 		n.saving = false
 		merge(&n.durable, change)
-		n.core.Saved(n.w.now, change)
-		n.saved = change.Sequence
+		n.node.Saved(n.w.now, change)
 		n.settle()
 	}))
 }
@@ -324,9 +299,9 @@
 	}
 	arrived := n.w.now
 	try := func() bool {
-		reply, ready := n.core.Fetch(n.w.now, arrived, request)
-		n.duty.Meet(n.w.now, ready, n.state.View(), request, &reply)
-		if ready = ready || reply.Fenced; ready {
+		reply, ready, err := n.node.Fetch(n.w.now, arrived, request)
+		n.check(err)
+		if ready {
 			answer(reply)
 		}
 		return ready
@@ -340,60 +315,30 @@
 
 // propose appends a command, as Voter.Propose does.
 func (n *node) propose(command zinniapond.Command, answer func(zinniapond.ProposeReply)) {
-	if n.core == nil || !n.core.Leading(n.w.now) {
-		return
-	}
-	if n.duty.Early(n.w.now, n.state.View(), command) > 0 {
-		return
-	}
-	if result, ok := n.state.Check(&command); !ok {
-		answer(zinniapond.ProposeReply{Accepted: true, Result: result})
-		return
-	}
-	n.duty.Proposed(n.w.now, command)
-	index, term, err := n.append(command)
-	if err != nil {
+	if n.core == nil {
 		return
 	}
-	n.waits[index] = func(got zinniapond.Term, result zinniapond.CommandResult) {
-		if got == term {
-			answer(zinniapond.ProposeReply{Accepted: true, Result: result})
+	n.node.Propose(n.w.now, command, func(reply zinniapond.ProposeReply) {
+		if reply.Accepted {
+			answer(reply)
 		}
-	}
+	})
 	n.settle()
 }
 
-func (n *node) append(command zinniapond.Command) (zinniapond.Index, zinniapond.Term, error) {
-	data, err := cbor.Marshal(command)
-	n.check(err)
-	if command.Kind == zinniapond.CommandVoters {
-		return n.core.ProposeVoters(n.w.now, command.Voters, data)
-	}
-	return n.core.Propose(n.w.now, data)
-}
-
 // serve does the leader's duties for as long as it leads.
-func (n *node) serve(term zinniapond.Term) {
+func (n *node) serve() {
 	n.w.after(100*time.Millisecond, n.alive(func() {
-		if !n.duty.Leads() || n.core.Term() != term {
+		if n.leads = n.node.Duty.Leads(); !n.leads {
 			return
 		}
-		if n.core.Leading(n.w.now) {
-			commands := n.duty.Due(n.w.now, n.state.View())
-			if voters, ok := n.core.Repair(n.w.now); ok {
-				commands = append(commands, zinniapond.Command{Kind: zinniapond.CommandVoters, Voters: voters})
-			}
-			for _, c := range commands {
-				if index, _, err := n.append(c); err == nil {
-					n.duty.Appended(index)
-				}
-			}
-			for _, move := range n.duty.Moves(n.w.now, n.state.View()) {
-				n.w.handover(n, move)
-			}
-			n.settle()
+		_, moves, err := n.node.Serve(n.w.now)
+		n.check(err)
+		for _, move := range moves {
+			n.w.handover(n, move)
 		}
-		n.serve(term)
+		n.settle()
+		n.serve()
 	}))
 }
 
--- a/internal/quorum/voter/drive.go
+++ b/internal/quorum/voter/drive.go
@@ -11,35 +11,40 @@
 // fetchPause separates a failed fetch from the next.
 const fetchPause = 50 * time.Millisecond
 
-// settle follows each change of the core, under the lock: it applies what is
-// committed, takes snapshots, wakes who waits, and starts what the core asks.
+// settle follows each change of the node, under the lock: it wakes who waits,
+// and starts what the core asks for.
 func (v *Voter) settle(now time.Time) error {
-	if err := v.apply(); err != nil {
+	voters, hosts, err := v.node.Settle(now)
+	if err != nil {
 		return err
 	}
-	next := mark{v.core.Term(), v.core.Leader(), v.core.Last(), v.core.Commit(), v.core.Current()}
-	before := v.mark
-	v.mark = next
-	if next != before {
+	if voters {
 		v.wake(&v.recorded)
 	}
-	if next.last = before.last; next != before {
+	if hosts {
 		v.wake(&v.committed)
 		signal(v.duty)
 	}
-	v.follow(now, before)
-	if _, ok := v.core.Unsaved(); ok {
+	core := v.node.Core
+	if leader := core.Leader(); leader != v.leader {
+		v.leader = leader
+		v.Logger.Info("control leader changed", "term", core.Term(), "leader", leader)
+	}
+	// A fetch that waits at a voter that has lost its use would delay the
+	// first contact with a new leader.
+	if peer, _, ok := core.Next(); ok && v.pulling.cancel != nil && peer != v.pulling.peer {
+		v.pulling.cancel()
+	}
+	if _, dirty := core.Unsaved(); dirty {
 		signal(v.dirty)
-	} else {
-		v.saved = v.core.Sequence()
 	}
+	signal(v.alarm)
 	if v.ctx.Err() != nil {
 		return nil
 	}
-	for name, request := range v.core.Ballots() {
+	for name, request := range core.Ballots() {
 		v.calls.Go(func() error { return v.canvass(name, request) })
 	}
-	signal(v.alarm)
 	return nil
 }
 
@@ -55,62 +60,6 @@
 	}
 }
 
-// follow notes the begin and the end of a leadership.
-func (v *Voter) follow(now time.Time, before mark) {
-	if v.mark.term != before.term || v.mark.leader != before.leader {
-		v.Logger.Info("control leader changed", "term", v.mark.term, "leader", v.mark.leader)
-		for index, w := range v.waits {
-			delete(v.waits, index)
-			w.result <- answer{}
-		}
-		v.leader.End()
-	}
-	if v.mark.current && !v.leader.Leads() {
-		v.leader.Begin(now)
-	}
-	// A fetch that waits at a voter that has lost its use would delay the
-	// first contact with a new leader.
-	if peer, _, ok := v.core.Next(); ok && v.pulling.cancel != nil && peer != v.pulling.peer {
-		v.pulling.cancel()
-	}
-}
-
-// apply brings the state up to what is committed.
-func (v *Voter) apply() error {
-	applied := v.state.View().Index
-	if s := v.core.Snapshot(); s.Index > applied {
-		if err := v.state.Decode(s.Data); err != nil {
-			return err
-		}
-		applied = s.Index
-	}
-	for _, e := range v.core.Entries(applied + 1) {
-		result, err := v.state.Apply(e)
-		if err != nil {
-			return err
-		}
-		if w, ok := v.waits[e.Index]; ok {
-			delete(v.waits, e.Index)
-			w.result <- answer{accepted: w.term == e.Term, result: result}
-		}
-	}
-	return v.compact()
-}
-
-// compact takes a snapshot when enough records were applied since the last.
-func (v *Voter) compact() error {
-	index := v.state.View().Index
-	if index < v.core.Snapshot().Index+zinniapond.Index(v.Settings.Control.Snapshot) { //nolint:gosec // positive by settings.
-		return nil
-	}
-	data, err := v.state.Encode()
-	if err != nil {
-		return err
-	}
-	v.core.Compact(index, data)
-	return nil
-}
-
 // change runs work on the core under the lock and settles.
 func (v *Voter) change(work func(now time.Time) error) error {
 	v.mu.Lock()
@@ -132,7 +81,7 @@
 		case <-v.dirty:
 		}
 		v.mu.Lock()
-		change, ok := v.core.Unsaved()
+		change, ok := v.node.Core.Unsaved()
 		v.mu.Unlock()
 		if !ok {
 			continue
@@ -141,8 +90,7 @@
 			return fmt.Errorf("sync control log: %w", err)
 		}
 		err := v.change(func(now time.Time) error {
-			v.core.Saved(now, change)
-			v.saved = change.Sequence
+			v.node.Saved(now, change)
 			v.wake(&v.recorded)
 			return nil
 		})
@@ -162,13 +110,13 @@
 			return nil
 		case <-v.alarm:
 		case <-timer.C:
-			if err := v.change(func(now time.Time) error { v.core.Tick(now); return nil }); err != nil {
+			if err := v.change(func(now time.Time) error { v.node.Core.Tick(now); return nil }); err != nil {
 				return err
 			}
 		}
 		v.mu.Lock()
 		now := v.Clock()
-		timer.Reset(max(v.core.Deadline(now).Sub(now), time.Millisecond))
+		timer.Reset(max(v.node.Core.Deadline(now).Sub(now), time.Millisecond))
 		v.mu.Unlock()
 	}
 }
@@ -178,7 +126,7 @@
 	for ctx.Err() == nil {
 		limited, cancel := context.WithCancel(ctx)
 		v.mu.Lock()
-		peer, request, ok := v.core.Next()
+		peer, request, ok := v.node.Core.Next()
 		wake := v.recorded
 		v.pulling = pulling{peer, cancel}
 		v.mu.Unlock()
@@ -210,10 +158,10 @@
 		return nil
 	case err != nil:
 		v.Logger.Debug("fetch failed", "error", err)
-		err = v.change(func(time.Time) error { v.core.Missed(peer); return nil })
+		err = v.change(func(time.Time) error { v.node.Core.Missed(peer); return nil })
 	default:
 		known = reply.Accepted || reply.Leader != ""
-		err = v.change(func(now time.Time) error { return v.core.Fetched(now, peer, request, reply) })
+		err = v.change(func(now time.Time) error { return v.node.Core.Fetched(now, peer, request, reply) })
 	}
 	if err != nil || known {
 		return err
@@ -231,7 +179,7 @@
 		v.Logger.Debug("vote request failed", "error", err)
 		return nil
 	}
-	return v.change(func(now time.Time) error { v.core.Voted(now, name, request, reply); return nil })
+	return v.change(func(now time.Time) error { v.node.Core.Voted(now, name, request, reply); return nil })
 }
 
 // call calls another voter.
--- a/internal/quorum/voter/duty.go
+++ b/internal/quorum/voter/duty.go
@@ -28,19 +28,15 @@
 		var moves []zinniapond.HandoverRequest
 		var view *zinniapond.ControlView
 		err := v.change(func(now time.Time) error {
-			view = v.state.View()
-			if !v.core.Leading(now) {
-				return nil
+			view = v.node.State.View()
+			commands, asked, err := v.node.Serve(now)
+			if err != nil {
+				v.Logger.Warn("duty refused", "error", err)
 			}
-			for _, c := range v.due(now) {
-				index, _, err := v.append(now, c)
-				if err != nil {
-					v.Logger.Warn("duty refused", "command", c.Kind, "error", err)
-					continue
-				}
-				v.leader.Appended(index)
+			for _, c := range commands {
+				v.note(c)
 			}
-			moves = v.leader.Moves(now, view)
+			moves = asked
 			return nil
 		})
 		if err != nil {
@@ -53,21 +49,15 @@
 	}
 }
 
-func (v *Voter) due(now time.Time) []zinniapond.Command {
-	commands := v.leader.Due(now, v.state.View())
-	for _, c := range commands {
-		if c.Kind == zinniapond.CommandMember {
-			v.Logger.Info("host changes state", "host", c.Member.Name, "epoch", c.Member.Epoch, "state", c.Member.State)
-		}
-	}
-	if !v.leader.Leads() {
-		return commands
-	}
-	if voters, ok := v.core.Repair(now); ok {
-		v.Logger.Info("changing voters", "voters", voters)
-		commands = append(commands, zinniapond.Command{Kind: zinniapond.CommandVoters, Voters: voters})
+// note logs a command of the duties that operators ask about.
+func (v *Voter) note(c zinniapond.Command) {
+	switch c.Kind {
+	case zinniapond.CommandMember:
+		v.Logger.Info("host changes state", "host", c.Member.Name, "epoch", c.Member.Epoch, "state", c.Member.State)
+	case zinniapond.CommandVoters:
+		v.Logger.Info("changing voters", "voters", c.Voters)
+	default:
 	}
-	return commands
 }
 
 // ask asks an owner to hand a shard over.
--- a/internal/quorum/voter/net_test.go
+++ b/internal/quorum/voter/net_test.go
@@ -235,7 +235,7 @@
 			continue
 		}
 		h.voter.mu.Lock()
-		leads := h.voter.core != nil && h.voter.core.Leading(time.Now()) && h.voter.core.Current()
+		leads := h.voter.node != nil && h.voter.node.Core.Leading(time.Now()) && h.voter.node.Core.Current()
 		h.voter.mu.Unlock()
 		if leads {
 			return name
--- a/internal/quorum/voter/serve.go
+++ b/internal/quorum/voter/serve.go
@@ -4,8 +4,6 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"zinniapond.example/zinniapond"
 )
 
@@ -19,15 +17,15 @@
 func (v *Voter) Vote(request zinniapond.VoteRequest, reply *zinniapond.VoteReply) error {
 	v.prepare()
 	v.mu.Lock()
-	if v.core == nil {
+	if v.node == nil {
 		v.mu.Unlock()
 		reply.Empty = true
 		return nil
 	}
 	now := v.Clock()
-	*reply = v.core.Vote(now, request)
-	reply.Empty = v.core.Term() == 0
-	sequence := v.core.Sequence()
+	*reply = v.node.Core.Vote(now, request)
+	reply.Empty = v.node.Core.Term() == 0
+	sequence := v.node.Core.Sequence()
 	err := v.settle(now)
 	v.mu.Unlock()
 	if err != nil {
@@ -40,7 +38,7 @@
 func (v *Voter) durable(sequence uint64) error {
 	for {
 		v.mu.Lock()
-		saved, wake := v.saved, v.recorded
+		saved, wake := v.node.Durable(), v.recorded
 		v.mu.Unlock()
 		if saved >= sequence {
 			return nil
@@ -78,78 +76,44 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.Clock()
-	if v.core == nil {
+	if v.node == nil {
 		return !now.Before(arrived.Add(request.Wait)), v.committed, nil
 	}
 	var ready bool
-	*reply, ready = v.core.Fetch(now, arrived, request)
-	if err := v.settle(now); err != nil {
-		return false, nil, err
-	}
-	if v.leader.Meet(now, ready, v.state.View(), request, reply) {
-		signal(v.duty)
+	var err error
+	if *reply, ready, err = v.node.Fetch(now, arrived, request); err == nil {
+		err = v.settle(now)
 	}
 	if request.Disk != "" {
-		return ready, v.recorded, nil
+		return ready, v.recorded, err
 	}
-	// A fenced host is told at once, so that it registers again.
-	return ready || reply.Fenced, v.committed, nil
+	return ready, v.committed, err
 }
 
 // Propose appends a command and returns its outcome once it is committed.
 func (v *Voter) Propose(request zinniapond.ProposeRequest, reply *zinniapond.ProposeReply) error {
 	v.prepare()
-	result, err := v.propose(request.Command, reply)
-	if err != nil || result == nil {
+	result, err := v.propose(request.Command)
+	if err != nil {
 		return err
 	}
 	select {
-	case a := <-result:
-		reply.Accepted, reply.Result = a.accepted, a.result
+	case *reply = <-result:
 		return nil
 	case <-v.done:
 		return errStopped
 	}
 }
 
-// propose appends a command. It returns no channel if the reply is complete.
-func (v *Voter) propose(command zinniapond.Command, reply *zinniapond.ProposeReply) (<-chan answer, error) {
+func (v *Voter) propose(command zinniapond.Command) (<-chan zinniapond.ProposeReply, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.Clock()
-	if v.core == nil || !v.core.Leading(now) {
-		if v.core != nil && v.core.Leader() != v.Settings.Host {
-			reply.Leader = v.core.Leader()
-		}
-		return nil, nil
-	}
-	reply.Leader = v.Settings.Host
-	if reply.RetryAfter = v.leader.Early(now, v.state.View(), command); reply.RetryAfter > 0 {
-		return nil, nil
+	result := make(chan zinniapond.ProposeReply, 1)
+	if v.node == nil {
+		result <- zinniapond.ProposeReply{}
+		return result, nil
 	}
-	result, ok := v.state.Check(&command)
-	if !ok {
-		reply.Accepted, reply.Result = true, result
-		return nil, nil
-	}
-	index, term, err := v.append(now, command)
-	if err != nil {
-		reply.Accepted, reply.Result = true, zinniapond.CommandResult{Reason: err.Error()}
-		return nil, nil //nolint:nilerr // The outcome of the command.
-	}
-	v.leader.Proposed(now, command)
-	c := make(chan answer, 1)
-	v.waits[index] = wait{term: term, result: c}
-	return c, v.settle(now)
-}
-
-func (v *Voter) append(now time.Time, command zinniapond.Command) (zinniapond.Index, zinniapond.Term, error) {
-	data, err := cbor.Marshal(command)
-	if err != nil {
-		return 0, 0, err
-	}
-	if command.Kind == zinniapond.CommandVoters {
-		return v.core.ProposeVoters(now, command.Voters, data)
-	}
-	return v.core.Propose(now, data)
+	now := v.Clock()
+	v.node.Propose(now, command, func(reply zinniapond.ProposeReply) { result <- reply })
+	return result, v.settle(now)
 }
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -23,6 +23,7 @@
 	"zinniapond.example/zinniapond/internal/fleet/state"
 	"zinniapond.example/zinniapond/internal/quorum/disk"
 	"zinniapond.example/zinniapond/internal/quorum/duty"
+	"zinniapond.example/zinniapond/internal/quorum/node"
 	"zinniapond.example/zinniapond/internal/quorum/raft"
 )
 
@@ -59,20 +60,16 @@
 	// Parse checks lists; nil accepts all.
 	Parse func(version zinniapond.Version, plans, usage string) (*zinniapond.Catalog, []zinniapond.ListFault)
 
-	mu    sync.Mutex
-	core  *raft.Core // nil until the voter has joined a cluster
-	log   *disk.Log
-	state *state.State
-	mark  mark
+	mu   sync.Mutex
+	node *node.Node // nil until the voter has joined a cluster
+	log  *disk.Log
 	// recorded and committed are closed and replaced when there are new records
 	// and newly committed ones. Hosts wait on the second, of which there are
 	// hundreds, so that they wake once for each change.
 	recorded  chan struct{}
 	committed chan struct{}
-	saved     uint64 // sequence of the last durable change
-	waits     map[zinniapond.Index]wait
-	leader    duty.Leader
 	pulling   pulling
+	leader    zinniapond.HostName // last logged
 
 	dirty chan struct{} // has one element when there is something to save
 	alarm chan struct{} // the core's deadline may have changed
@@ -83,34 +80,12 @@
 	ctx   context.Context // of Run; calls to other voters begin in net/rpc methods too
 }
 
-// mark is what the waiting requests depend on.
-type mark struct {
-	term    zinniapond.Term
-	leader  zinniapond.HostName
-	last    zinniapond.Index
-	commit  zinniapond.Index
-	current bool
-}
-
 // pulling is the fetch that runs.
 type pulling struct {
 	peer   zinniapond.HostName
 	cancel context.CancelFunc
 }
 
-// wait is a proposal whose record is not committed yet.
-type wait struct {
-	term   zinniapond.Term
-	result chan<- answer
-}
-
-// answer is the end of a proposal. It is not accepted if the leadership was
-// lost; the record may be committed all the same.
-type answer struct {
-	accepted bool
-	result   zinniapond.CommandResult
-}
-
 // Role returns the role of the plug-in.
 func (v *Voter) Role() zinniapond.Role { return zinniapond.RoleControl }
 
@@ -120,13 +95,6 @@
 		v.recorded, v.committed = make(chan struct{}), make(chan struct{})
 		v.dirty, v.alarm, v.duty = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 		v.done = make(chan struct{})
-		v.waits = make(map[zinniapond.Index]wait)
-		v.state = &state.State{Parse: v.Parse}
-		c := v.Settings.Control
-		v.leader = duty.Leader{
-			Session: c.Session, Shards: c.Shards,
-			Planner: plan.Planner{Replicas: c.Replicas, Start: c.Lease, Patience: c.Session, Moves: handovers},
-		}
 	})
 }
 
@@ -183,14 +151,20 @@
 			core.Peers = append(core.Peers, p.Name)
 		}
 	}
+	n := &node.Node{
+		Core: core, State: &state.State{Parse: v.Parse}, Snapshot: c.Snapshot,
+		Duty: duty.Leader{
+			Session: c.Session, Shards: c.Shards,
+			Planner: plan.Planner{Replicas: c.Replicas, Start: c.Lease, Patience: c.Session, Moves: handovers},
+		},
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if err := v.state.Decode(durable.Snapshot.Data); err != nil {
+	now := v.Clock()
+	if err := n.Start(now, durable); err != nil {
 		return err
 	}
-	now := v.Clock()
-	core.Restore(now, durable)
-	v.core = core
+	v.node = n
 	v.Logger.Info("control log loaded", "snapshot", durable.Snapshot.Index, "last", core.Last(),
 		"term", core.Term(), "disk", v.log.Disk(), "voters", len(core.Voters()))
 	return v.settle(now)
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -40,7 +40,7 @@
 	v := c.hosts[name].voter
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.core != nil && slices.Contains(v.core.Voters(), v.core.Self) && len(v.core.Voters()) == 3
+	return v.node != nil && slices.Contains(v.node.Core.Voters(), v.node.Core.Self) && len(v.node.Core.Voters()) == 3
 }
 
 // operation is a change of the lists for porcupine; the state is a version.
@@ -161,9 +161,9 @@
 		assert.Eventually(t, 5*time.Second, "a leader", func() bool { return c.leader() != "" })
 		h.voter.mu.Lock()
 		defer h.voter.mu.Unlock()
-		assert.Equal(t, h.voter.state.View().Lists.Version, 1000)
-		replayed := h.voter.state.View().Index - h.voter.core.Snapshot().Index
+		assert.Equal(t, h.voter.node.State.View().Lists.Version, 1000)
+		replayed := h.voter.node.State.View().Index - h.voter.node.Core.Snapshot().Index
 		assert.True(t, replayed <= 512+2, "%d records replayed", replayed)
-		t.Logf("%d records replayed of %d", replayed, h.voter.state.View().Index)
+		t.Logf("%d records replayed of %d", replayed, h.voter.node.State.View().Index)
 	})
 }
