Take the ports of process tests from below the ephemeral range

Cause: in two of eight runs of the two-lost script the restarted host could not listen, because its port had become the source port of another host's connection while it was down. Ruled out: a fault of the restart itself, its log ends with the refused listen.

--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -49,15 +50,31 @@
 
 const operatorKey = "operators key of the tests"
 
-// freePorts returns ports that were free. All are taken before any is given
-// back, so that they differ.
+// The ports of the hosts are below the range from which the kernel takes the
+// source ports of connections (32768 to 60999 here): the port of a host that is
+// down could otherwise be in use by a connection when the host comes back.
+const (
+	firstPort = 18200
+	lastPort  = 32700
+)
+
+// nextPort is where the search for the next free port begins. Scripts run in
+// parallel; other test processes begin elsewhere.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()*97) % (lastPort - firstPort)) }
+
+// freePorts returns addresses with ports that are free and given once.
 func freePorts(ts *testscript.TestScript, count int) []string {
-	list := make([]string, count)
-	for i := range list {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer l.Close()
-		list[i] = l.Addr().String()
+	var list []string
+	for len(list) < count {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		ts.Check(l.Close())
+		list = append(list, l.Addr().String())
 	}
 	return list
 }
