--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,9 +22,22 @@
     skip=$(echo "$names" | sed 's/^/^/; s/$/$/; s,/,$/^,g' | paste -sd '|')
   fi
 fi
-go test -count=1 -timeout 600s ${skip:+-skip "$skip"} ./...
+# Packages with rapid tests take a fixed seed, so that the verdict is the same
+# every time; longer runs with other seeds are for development.
+seeded=$(go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' ./... | sed -n 's/ .*pgregory.net\/rapid.*//p')
+plain=$(go list ./... | grep -vxF "$seeded")
+run() { # packages, arguments
+  local packages=$1
+  shift
+  local before=()
+  while [ $# -gt 0 ] && [ "$1" != -args ]; do before+=("$1"); shift; done
+  # shellcheck disable=SC2086
+  go test -count=1 -timeout 600s ${skip:+-skip "$skip"} "${before[@]}" $packages "$@"
+}
+run "$plain"
+run "$seeded" -args -rapid.seed=1 -rapid.nofailfile
 # Packages with concurrent state run again under the race detector.
-races=$(go list ./internal/... | grep -E '/(core|wire|quorum|journal|program|policy|entry)/' || true)
+racing='/(core|wire|quorum|journal|program|policy|entry|fleet|backend)/'
 echo "== tests with the race detector"
-# shellcheck disable=SC2086
-go test -race -count=1 -timeout 600s ${skip:+-skip "$skip"} $races
+run "$(echo "$plain" | grep -E "$racing")" -race
+run "$(echo "$seeded" | grep -E "$racing")" -race -args -rapid.seed=1 -rapid.nofailfile
