Give the first class more of the places at a crest

Cause: of the first-class calls that miss the target, most wait in the hosts' queues while places go to late calls of lower classes, one in eight.

--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -21,7 +21,7 @@
 	start = 4
 	// tolerance is the ratio of latency to its least value that does not
 	// count as queueing; prompts and batches differ by as much.
-	tolerance = 2
+	tolerance = 2.5
 	// headroom, times the square root of the limit, is tried beyond the limit.
 	// With it a server whose latency has doubled beyond the tolerance keeps
 	// one call for each host.
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -34,7 +34,7 @@
 	// reservable is the part of a pool, as a divisor, whose free places lower
 	// classes may have to leave to the first class. Without a reserve, a short
 	// urgent call waits for the end of some long one.
-	reservable = 3
+	reservable = 2
 	// alike is the slowness, by the pool's median, up to which servers count
 	// as equally fast; single answers differ by as much.
 	alike = 2
@@ -229,10 +229,10 @@
 }
 
 // spare tells whether more servers are free than are kept for the first class:
-// the square root of its calls in flight, as that is how much their number
-// swings.
+// twice the square root of its calls in flight, as their number swings by that
+// much.
 func (r *Router) spare(options []option, free func(netip.AddrPort) bool) bool {
-	reserved := int(math.Ceil(math.Sqrt(float64(r.urgent.Load() + 1))))
+	reserved := int(math.Ceil(2*math.Sqrt(float64(r.urgent.Load() + 1))))
 	reserved = min(reserved, len(options)/reservable)
 	for i := range options {
 		if o := &options[i]; !o.out && free(o.address) {
