Charge the queue's dispatches with learned costs

Cause: the plan with the smaller weight got 10 to 16% more than its share at the crest. A dispatch is charged with prompt plus longest answer, of which about a fifth is real, as most of a prompt is cached; calls in flight thus distort the shares, more for plans with long prompts. Change: the ratio of received to expected service is learned for each plan.

--- a/internal/benchcmd/run/groups.go
+++ b/internal/benchcmd/run/groups.go
@@ -20,7 +20,7 @@
 	}
 	columns := []string{"demand", "demand first", "load", "in batch", "in engine", "in queue"}
 	for _, p := range plans {
-		columns = append(columns, "in target "+p, "refused "+p)
+		columns = append(columns, "in target "+p, "refused "+p, "served "+p)
 	}
 	return append(columns, "share error", "late", "lost")
 }
--- a/internal/policy/fair/fair.go
+++ b/internal/policy/fair/fair.go
@@ -23,6 +23,10 @@
 	// asked bounds the calls that one Pop offers, so that a Pop whose calls
 	// cannot be placed stays cheap.
 	asked = 8
+	// learn is the weight of one call in the ratio of received to expected
+	// service. Most of a prompt is usually cached, so the expected service of
+	// calls in flight, unadjusted, distorts the plans' shares.
+	learn = 0.05
 	// risen bounds the calls that become late in one operation. Without the
 	// bound, a burst of 140,000 calls would do so within a single Pop.
 	risen = 64
@@ -107,7 +111,7 @@
 		q.until.push(c)
 	}
 	q.due.push(c)
-	q.insert(c)
+	q.insert(c, true)
 }
 
 // Pop removes the first call in order that admit takes.
@@ -120,7 +124,7 @@
 	count := 0
 	defer func() {
 		for _, c := range refused[:count] {
-			q.insert(c)
+			q.insert(c, false)
 		}
 	}()
 	for count < asked {
@@ -186,6 +190,7 @@
 	change := debt{cost: float64(served)}
 	if p != nil && p.owed.tier != nil {
 		change.tier = p.owed.tier
+		change.tier.ratio += learn * (float64(served)/p.owed.asked - change.tier.ratio)
 		change.cost -= p.owed.cost
 		p.owed = debt{}
 	} else {
@@ -269,8 +274,10 @@
 	return at
 }
 
-// insert puts a call into the tier of its plan and level.
-func (q *Queue) insert(c *call) {
+// insert puts a call into the tier of its plan and level. A tier that begins to
+// wait loses the credit of its idle time, but a call that is put back after a
+// refusal must not cost its plan anything.
+func (q *Queue) insert(c *call, begins bool) {
 	p := q.program(c.waiting.Program)
 	t := q.tier(c.waiting.Plan, c.level)
 	t.weight = float64(max(c.waiting.Weight, 1))
@@ -297,7 +304,9 @@
 		if v.tiers.size() > 0 {
 			from = v.tiers.top().virtual
 		}
-		t.virtual = max(t.virtual, from)
+		if begins {
+			t.virtual = max(t.virtual, from)
+		}
 		v.tiers.push(t)
 	}
 }
@@ -346,14 +355,15 @@
 		q.extract(c)
 		c.late = true
 		q.due.remove(c.inDue)
-		q.insert(c)
+		q.insert(c, false)
 	}
 }
 
 // owe charges the expected cost of a dispatched call.
 func (q *Queue) owe(t *tier, c *call) {
 	p := q.program(c.waiting.Program)
-	d := debt{tier: t, cost: float64(max(c.waiting.Cost, 1))}
+	asked := float64(max(c.waiting.Cost, 1))
+	d := debt{tier: t, cost: asked * t.ratio, asked: asked}
 	p.owed = d
 	q.apply(p, d)
 }
--- a/internal/policy/fair/nodes.go
+++ b/internal/policy/fair/nodes.go
@@ -42,7 +42,9 @@
 // debt is an estimated cost that a later Charge replaces by the real one.
 type debt struct {
 	tier *tier
-	cost float64
+	cost float64 // as charged
+	// asked is the cost as the caller expected it.
+	asked float64
 }
 
 // tier has the waiting calls of one plan at one level.
@@ -51,10 +53,12 @@
 	// virtual is the service received by the tier, divided by the weight.
 	virtual float64
 	weight  float64
-	late    heap[*call] // by arrival, before all lanes
-	lanes   heap[*lane] // by service received
-	level   int
-	at      int // place in its level; -1 if nothing waits
+	// ratio is the mean of received by expected service.
+	ratio float64
+	late  heap[*call] // by arrival, before all lanes
+	lanes heap[*lane] // by service received
+	level int
+	at    int // place in its level; -1 if nothing waits
 }
 
 // level has the tiers of one class that have waiting calls.
@@ -91,6 +95,7 @@
 func newTier(plan zinniapond.PlanName, at int) *tier {
 	return &tier{
 		plan:  plan,
+		ratio: 1,
 		level: at,
 		at:    -1,
 		late:  heap[*call]{less: earlier, place: func(c *call, at int) { c.inLate = at }},
