--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -175,6 +175,8 @@
 	switch state := view.Members[f.Host].State; {
 	case f.Gate != nil && f.Gate.Draining(), state == zinniapond.MemberDraining, state == zinniapond.MemberLeft:
 		status = "draining"
+	case state == zinniapond.MemberFenced:
+		status = "fenced"
 	case !f.Directory.Fresh(f.Clock()):
 		status = "stale configuration"
 	}
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -303,7 +304,12 @@
 }
 
 func TestOutcomes(t *testing.T) {
-	url, f := serve(t, zinniapond.LimitSettings{Open: 8})
+	frontend, f := newFrontend(zinniapond.LimitSettings{Open: 8})
+	var logged bytes.Buffer
+	frontend.Logger = hclog.New(&hclog.LoggerOptions{Output: &logged, Level: hclog.Trace})
+	s := httptest.NewServer(frontend)
+	defer s.Close()
+	url := s.URL
 	for _, c := range []struct {
 		name    string
 		answer  zinniapond.Answer
@@ -331,6 +337,10 @@
 			assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), c.outcome)
 		})
 	}
+	t.Run("guards against logging a key or a prompt", func(t *testing.T) {
+		assert.Contains(t, logged.String(), "request failed")
+		assert.True(t, !strings.Contains(logged.String(), "k1") && !strings.Contains(logged.String(), "rinse"), "%s", &logged)
+	})
 }
 
 func TestPrefix(t *testing.T) {
--- a/internal/files/config/config_test.go
+++ b/internal/files/config/config_test.go
@@ -68,6 +68,15 @@
 			LogLevel: "info", Plugins: map[string]string{"queue": "fair", "router": "prefix"},
 		}, cmpopts.EquateComparable(netip.AddrPort{}))
 	})
+	t.Run("guards against printing credentials", func(t *testing.T) {
+		s, _ := (&Loader{}).Parse(file, least)
+		for _, form := range []string{"%v", "%+v", "%#v", "%s"} {
+			for _, v := range []any{s, *s, s.Security, &s.Security} {
+				text := fmt.Sprintf(form, v)
+				assert.True(t, !strings.Contains(text, "0123456789") && !strings.Contains(text, "48, 49") && !strings.Contains(text, "48 49") && !strings.Contains(text, "0x30, 0x31"), "%s", text)
+			}
+		}
+	})
 	t.Run("guards against a plug-in setting that is ignored", func(t *testing.T) {
 		s, faults := (&Loader{}).Parse(file, least+"[plugins]\nqueue = fifo\n")
 		assert.Equal(t, faults, nil)
--- a/settings.go
+++ b/settings.go
@@ -87,6 +87,12 @@
 	Authority    string   // path of the CA that signs the peers' certificates
 }
 
+// String keeps credentials out of printed settings.
+func (SecuritySettings) String() string { return "(hidden)" }
+
+// GoString keeps credentials out of settings printed with %#v.
+func (SecuritySettings) GoString() string { return "(hidden)" }
+
 // LimitSettings bound what callers may send.
 type LimitSettings struct {
 	Body   int64         // bytes of a request body
