--- a/internal/files/config/config_test.go
+++ b/internal/files/config/config_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp/cmpopts"
-
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
