--- a/internal/wire/peers/peers_test.go
+++ b/internal/wire/peers/peers_test.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -71,37 +70,18 @@
 	})
 }
 
-// lines collects a log.
-type lines struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.String()
-}
-
 type fixture struct {
 	echo   *echo
 	server *serve.Server
 	stop   func() error
-	log    *lines
 }
 
 func startServer(t testing.TB, change func(*serve.Server)) *fixture {
 	t.Helper()
 	f := &fixture{
-		echo: &echo{entered: make(chan struct{}, 8), release: make(chan struct{})}, log: new(lines),
+		echo: &echo{entered: make(chan struct{}, 8), release: make(chan struct{})},
 	}
-	s := serve.New(newGuard("server"), netip.MustParseAddrPort("127.0.0.1:0"), hclog.New(&hclog.LoggerOptions{Output: f.log}))
+	s := serve.New(newGuard("server"), netip.MustParseAddrPort("127.0.0.1:0"), hclog.NewNullLogger())
 	s.Beat, s.Silence = beat, silence
 	if change != nil {
 		change(s)
