--- a/internal/bench/load/figures.go
+++ b/internal/bench/load/figures.go
@@ -126,7 +126,7 @@
 			add(s)
 		}
 	}
-	capacity := span * float64(max(r.Engines, 1))
+	capacity := max(span, 1) * float64(max(r.Engines, 1))
 	first = max(fresh[0]/prefill, generated[0]/generate) / capacity
 	return max((fresh[0]+fresh[1])/prefill, (generated[0]+generated[1])/generate) / capacity, first
 }
--- /dev/null
+++ b/internal/bench/plots/plots.go
@@ -0,0 +1,55 @@
+// Package plots draws the figures of experiments.
+package plots
+
+import (
+	"fmt"
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Bars is a chart of one figure: a group of bars for each label, with one bar
+// for each series. Its exported fields are set before Save.
+type Bars struct {
+	Title  string
+	Unit   string
+	Labels []string
+	Series []string
+	Values [][]float64 // by series, then by label
+}
+
+// colours are distinct in print and for colour-blind readers.
+var colours = []color.Color{
+	color.RGBA{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
+	color.RGBA{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
+	color.RGBA{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
+	color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+}
+
+// Save writes the chart to a file whose suffix gives the format.
+func (b *Bars) Save(path string) error {
+	p := plot.New()
+	p.Title.Text = b.Title
+	p.Y.Label.Text = b.Unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	width := vg.Points(14)
+	for i, name := range b.Series {
+		chart, err := plotter.NewBarChart(plotter.Values(b.Values[i]), width)
+		if err != nil {
+			return fmt.Errorf("draw %s: %w", path, err)
+		}
+		chart.Color = colours[i%len(colours)]
+		chart.LineStyle.Width = 0
+		chart.Offset = width * vg.Length(float64(i)-float64(len(b.Series)-1)/2)
+		p.Add(chart)
+		p.Legend.Add(name, chart)
+	}
+	p.NominalX(b.Labels...)
+	if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("draw %s: %w", path, err)
+	}
+	return nil
+}
--- a/internal/benchcmd/run/groups.go
+++ b/internal/benchcmd/run/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"zinniapond.example/zinniapond/internal/bench/load"
 )
@@ -13,6 +14,9 @@
 	shorts  = []string{"load", "short p50", "short p99", "program p99", "refused"}
 )
 
+// firstClass has the plans of the first class by workload.
+var firstClass = map[string][]string{"rennbach": {"gate", "yard"}, "tengerweb": {"status", "shops"}}
+
 func crestColumns(workload string) []string {
 	plans := []string{"gate", "yard", "office", "quotes", "records"}
 	if workload == "tengerweb" {
@@ -20,7 +24,7 @@
 	}
 	columns := []string{"demand", "demand first", "load", "in batch", "in engine", "in queue"}
 	for _, p := range plans {
-		columns = append(columns, "in target "+p, "refused "+p, "served "+p)
+		columns = append(columns, "in target "+p, "refused "+p)
 	}
 	return append(columns, "share error", "late", "lost")
 }
@@ -44,7 +48,7 @@
 		plugs := func(queue, router string) load.Experiment {
 			return run(queue+", "+router, func(e *load.Experiment) { e.Queue, e.Router = queue, router })
 		}
-		all = append(all, group{"latency", "Program latency and cache, " + w, latency, []load.Experiment{
+		all = append(all, group{name: "latency", title: "Program latency and cache, " + w, columns: latency, runs: []load.Experiment{
 			plugs("fair", "prefix"), plugs("fair", "least"), plugs("fair", "robin"), plugs("fifo", "prefix"), plugs("fifo", "robin"),
 		}})
 		var slow []load.Experiment
@@ -53,21 +57,21 @@
 				slow = append(slow, run(fmt.Sprintf("%s, %d slow", router, n), func(e *load.Experiment) { e.Router, e.Slow = router, n }))
 			}
 		}
-		all = append(all, group{"slow", "Tail with slowed replicas, " + w, latency, slow})
+		all = append(all, group{name: "slow", title: "Tail with slowed replicas, " + w, columns: latency, runs: slow})
 		crest := func(queue, router string) load.Experiment {
 			return run("crest, "+queue+", "+router, func(e *load.Experiment) { e.Crest, e.Queue, e.Router = true, queue, router })
 		}
-		all = append(all, group{"crest", "Demand swing, " + w, crestColumns(w), []load.Experiment{
+		all = append(all, group{name: "crest", title: "Demand swing, " + w, columns: crestColumns(w), first: firstClass[w], runs: []load.Experiment{
 			crest("fair", "prefix"), crest("fair", "robin"), crest("fifo", "prefix"), crest("fifo", "robin"),
 		}})
-		all = append(all, group{"short", "Short calls beside long ones, " + w, shorts, []load.Experiment{
+		all = append(all, group{name: "short", title: "Short calls beside long ones, " + w, columns: shorts, runs: []load.Experiment{
 			run("short alone", func(e *load.Experiment) { e.Short = true }),
 			run("fair, prefix", func(*load.Experiment) {}),
 			run("fair, prefix, double load", func(e *load.Experiment) { e.Load = 2 }),
 			run("fifo, prefix, double load", func(e *load.Experiment) { e.Load, e.Queue = 2, "fifo" }),
 			run("fifo, robin, double load", func(e *load.Experiment) { e.Load, e.Queue, e.Router = 2, "fifo", "robin" }),
 		}})
-		all = append(all, group{"extra", "Extra work and answers, " + w, answers, []load.Experiment{
+		all = append(all, group{name: "extra", title: "Extra work and answers, " + w, columns: answers, runs: []load.Experiment{
 			run("healthy", func(*load.Experiment) {}),
 			run("3 slow", func(e *load.Experiment) { e.Slow = 3 }),
 			run("all slow", func(e *load.Experiment) { e.Slow = 12 }),
@@ -78,7 +82,7 @@
 		off := func(name string, change func(*load.Experiment)) load.Experiment {
 			return run(name+", 1 slow", func(e *load.Experiment) { e.Slow = 1; change(e) })
 		}
-		all = append(all, group{"off", "One mechanism turned off, " + w, append(latency, "short p99"), []load.Experiment{
+		all = append(all, group{name: "off", title: "One mechanism turned off, " + w, columns: append(slices.Clone(latency), "short p99"), runs: []load.Experiment{
 			off("all on", func(*load.Experiment) {}),
 			off("queue fifo", func(e *load.Experiment) { e.Queue = "fifo" }),
 			off("router least", func(e *load.Experiment) { e.Router = "least" }),
--- a/internal/benchcmd/run/run.go
+++ b/internal/benchcmd/run/run.go
@@ -12,6 +12,7 @@
 
 	"zinniapond.example/zinniapond/internal/bench/load"
 	"zinniapond.example/zinniapond/internal/bench/table"
+
 	// The experiments use the registered plug-ins.
 	_ "zinniapond.example/zinniapond/internal/core/plugs"
 )
@@ -32,6 +33,7 @@
 	name    string
 	title   string
 	columns []string
+	first   []string // plans of the first class
 	runs    []load.Experiment
 }
 
@@ -56,6 +58,11 @@
 	if err := workers.Wait(); err != nil {
 		return err
 	}
+	if o.Plots != "" {
+		if err := draw(o.Plots, groups, figures); err != nil {
+			return err
+		}
+	}
 	for i, g := range groups {
 		t := &table.Table{Title: fmt.Sprintf("%s (seed %d, %s)", g.title, o.Seed, o.Length), Columns: g.columns}
 		for n := range g.runs {
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -232,7 +232,7 @@
 // twice the square root of its calls in flight, as their number swings by that
 // much.
 func (r *Router) spare(options []option, free func(netip.AddrPort) bool) bool {
-	reserved := int(math.Ceil(2*math.Sqrt(float64(r.urgent.Load() + 1))))
+	reserved := int(math.Ceil(2 * math.Sqrt(float64(r.urgent.Load()+1))))
 	reserved = min(reserved, len(options)/reservable)
 	for i := range options {
 		if o := &options[i]; !o.out && free(o.address) {
