--- a/internal/benchcmd/run/run.go
+++ b/internal/benchcmd/run/run.go
@@ -25,7 +25,7 @@
 	JSON   bool          `help:"Write the tables as JSON."`
 	Plots  string        `help:"Write plots into this folder." type:"path"`
 	// Workers bounds the experiments that run at once; the machine is shared.
-	Workers int `help:"Experiments run at once." default:"4"`
+	Workers int `help:"Experiments run at once." default:"8"`
 }
 
 // group is a set of experiments that are shown in one table.
@@ -43,19 +43,8 @@
 	if len(groups) == 0 {
 		return fmt.Errorf("run experiments: none is named %s", strings.Join(o.Only, ", "))
 	}
-	figures := make([][]map[string]float64, len(groups))
-	var workers errgroup.Group
-	workers.SetLimit(max(o.Workers, 1))
-	for i, g := range groups {
-		figures[i] = make([]map[string]float64, len(g.runs))
-		for n := range g.runs {
-			workers.Go(func() (err error) {
-				figures[i][n], err = g.runs[n].Run()
-				return err
-			})
-		}
-	}
-	if err := workers.Wait(); err != nil {
+	figures, err := o.runAll(groups)
+	if err != nil {
 		return err
 	}
 	if o.Plots != "" {
@@ -78,3 +67,38 @@
 	}
 	return nil
 }
+
+// runAll runs the experiments of all groups. Those that differ only in name run
+// once, as equal experiments give equal figures.
+func (o *Options) runAll(groups []group) ([][]map[string]float64, error) {
+	var workers errgroup.Group
+	workers.SetLimit(max(o.Workers, 1))
+	results := make(map[load.Experiment]*map[string]float64)
+	key := func(e load.Experiment) load.Experiment {
+		e.Name = ""
+		return e
+	}
+	for _, g := range groups {
+		for _, e := range g.runs {
+			if results[key(e)] != nil {
+				continue
+			}
+			figures := new(map[string]float64)
+			results[key(e)] = figures
+			workers.Go(func() (err error) {
+				*figures, err = e.Run()
+				return err
+			})
+		}
+	}
+	if err := workers.Wait(); err != nil {
+		return nil, err
+	}
+	all := make([][]map[string]float64, len(groups))
+	for i, g := range groups {
+		for _, e := range g.runs {
+			all[i] = append(all[i], *results[key(e)])
+		}
+	}
+	return all, nil
+}
