--- a/internal/bench/plots/plots.go
+++ b/internal/bench/plots/plots.go
@@ -1,7 +1,5 @@
-//nolint:misspell // The names of the libraries are in American English.
-
 // Package plots draws the figures of experiments.
-package plots
+package plots //nolint:misspell // The names of the libraries are in American English.
 
 import (
 	"fmt"
