--- a/internal/bench/plots/plots.go
+++ b/internal/bench/plots/plots.go
@@ -1,12 +1,12 @@
 // Package plots draws the figures of experiments.
-package plots //nolint:misspell // The names of the libraries are in American English.
+package plots
 
 import (
 	"fmt"
-	"image/color"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -20,14 +20,6 @@
 	Values [][]float64 // by series, then by label
 }
 
-// colours are distinct in print and for colour-blind readers.
-var colours = []color.Color{
-	color.RGBA{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
-	color.RGBA{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
-	color.RGBA{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
-	color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
-}
-
 // Save writes the chart to a file whose suffix gives the format.
 func (b *Bars) Save(path string) error {
 	p := plot.New()
@@ -41,14 +33,14 @@
 		if err != nil {
 			return fmt.Errorf("draw %s: %w", path, err)
 		}
-		chart.Color = colours[i%len(colours)]
+		chart.Color = plotutil.Color(i) //nolint:misspell // the library's name
 		chart.LineStyle.Width = 0
 		chart.Offset = width * vg.Length(float64(i)-float64(len(b.Series)-1)/2)
 		p.Add(chart)
 		p.Legend.Add(name, chart)
 	}
 	p.NominalX(b.Labels...)
-	if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+	if err := p.Save(vg.Points(450), vg.Points(250), path); err != nil {
 		return fmt.Errorf("draw %s: %w", path, err)
 	}
 	return nil
