--- a/internal/benchcmd/run/groups.go
+++ b/internal/benchcmd/run/groups.go
@@ -90,6 +90,15 @@
 			off("no limit", func(e *load.Experiment) { e.NoLimit = true }),
 			off("no leases", func(e *load.Experiment) { e.NoLeases = true }),
 		}})
+		atCrest := func(name string, change func(*load.Experiment)) load.Experiment {
+			return run("crest, "+name, func(e *load.Experiment) { e.Crest = true; change(e) })
+		}
+		all = append(all, group{name: "off", title: "One mechanism turned off at the crest, " + w, columns: crestColumns(w), runs: []load.Experiment{
+			atCrest("all on", func(*load.Experiment) {}),
+			atCrest("no hedges", func(e *load.Experiment) { e.NoHedge = true }),
+			atCrest("no limit", func(e *load.Experiment) { e.NoLimit = true }),
+			atCrest("no leases", func(e *load.Experiment) { e.NoLeases = true }),
+		}})
 	}
 	return all
 }
