--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,9 +167,9 @@
 		assert.True(t, first != second, "the silent connection was used again")
 	})
 	t.Run("guards against waiting on a reused connection that went silent", func(t *testing.T) {
-		n := 0
+		var n atomic.Int64
 		c, server := start(t, func(w http.ResponseWriter, r *http.Request) {
-			if n++; n == 2 {
+			if n.Add(1) == 2 {
 				_, _ = io.ReadAll(r.Body)
 				<-r.Context().Done()
 				return
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -7,10 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond"
-	"zinniapond.example/zinniapond/internal/entry/gate"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -43,9 +40,17 @@
 	return done(`{"ok":true}`), nil
 }
 
-func (f *fake) Open(context.Context, time.Time, zinniapond.Program) error          { return nil }
-func (f *fake) End(context.Context, time.Time, zinniapond.ProgramID, string) error { return nil }
-func (f *fake) Catalog() *zinniapond.Catalog                                       { return f.catalog }
+func (f *fake) Open(_ context.Context, _ time.Time, p zinniapond.Program) error {
+	f.history.Program = p
+	return nil
+}
+
+func (f *fake) End(_ context.Context, now time.Time, _ zinniapond.ProgramID, reason string) error {
+	f.history.Program.Ended, f.history.Program.Reason = now, reason
+	return nil
+}
+
+func (f *fake) Catalog() *zinniapond.Catalog { return f.catalog }
 
 func (f *fake) Fresh(time.Time) bool { return !f.stale }
 
@@ -343,25 +348,6 @@
 	})
 }
 
-func TestHold(t *testing.T) {
-	t.Run("guards against bodies that fill the memory of a host", func(t *testing.T) {
-		frontend, f := newFrontend(zinniapond.LimitSettings{Body: 1 << 20})
-		s := httptest.NewServer(frontend)
-		defer s.Close()
-		frontend.held.Store(heldMost - int64(len(chatText)))
-		for _, want := range []int{200, 503, 200} {
-			text := chatText
-			if want == 503 {
-				text += " "
-			}
-			answer, _ := send(t, "POST", s.URL+"/v1/chat/completions", text)
-			assert.Equal(t, answer.StatusCode, want)
-		}
-		assert.Equal(t, len(f.calls), 2)
-		assert.Equal(t, frontend.held.Load(), heldMost-int64(len(chatText)))
-	})
-}
-
 func TestPrefix(t *testing.T) {
 	t.Run("guards against losing the cache of earlier turns", func(t *testing.T) {
 		var one, two zinniapond.Call
@@ -387,72 +373,3 @@
 		}
 	})
 }
-
-func TestLimits(t *testing.T) {
-	limits := zinniapond.LimitSettings{Body: 1 << 20, Header: 4096, Read: 100 * time.Millisecond, Open: 1}
-	frontend, f := newFrontend(limits)
-	frontend.Gate = &gate.Gate{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: frontend, Limits: limits,
-		Drain: 2 * time.Second, Notice: 200 * time.Millisecond, Logger: hclog.NewNullLogger(),
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- frontend.Run(ctx) }()
-	assert.Eventually(t, time.Second, "listening", func() bool { return frontend.Address().IsValid() })
-	url := "http://" + frontend.Address().String()
-	for _, c := range []struct{ name, text, status, part string }{
-		{"a caller that never ends its body", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k1\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 400", "send the whole body within 100ms"},
-		{"a refused caller that never ends its body", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 401", "send a valid key"},
-		{"a caller that never ends its header", "POST /v1/chat/completions HTTP/1.1\r\nHost:", "", ""},
-		{"a large header", "GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 8400) + "\r\n\r\n", "HTTP/1.1 431", ""},
-	} {
-		t.Run("guards against "+c.name, func(t *testing.T) {
-			conn, err := net.Dial("tcp", frontend.Address().String())
-			assert.NoError(t, err)
-			defer conn.Close()
-			_, err = io.WriteString(conn, c.text)
-			assert.NoError(t, err)
-			b, err := io.ReadAll(conn)
-			// net/http resets the connection after a header that it left unread.
-			assert.True(t, err == nil || c.status == "HTTP/1.1 431", "%v", err)
-			assert.True(t, strings.HasPrefix(string(b), c.status), "%q", b)
-			assert.Contains(t, string(b), c.part)
-		})
-	}
-	release := make(chan struct{})
-	f.submit = func(ctx context.Context, _ zinniapond.Call, _ zinniapond.Sink) (zinniapond.Answer, error) {
-		select {
-		case <-release:
-			return done("late"), nil
-		case <-ctx.Done():
-			return zinniapond.Answer{}, ctx.Err()
-		}
-	}
-	t.Run("guards against an end that interrupts requests", func(t *testing.T) {
-		got := make(chan string, 1)
-		go func() {
-			answer, body := send(t, "POST", url+"/v1/chat/completions", chatText)
-			got <- answer.Status + " " + body
-		}()
-		<-f.calls
-		answer, _ := send(t, "POST", url+"/v1/chat/completions", chatText)
-		assert.Equal(t, answer.StatusCode, 503)
-		assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), "not-run")
-		// The request waits for longer than the time to send it.
-		time.Sleep(2 * limits.Read)
-		cancel()
-		assert.Eventually(t, time.Second, "draining", frontend.Gate.Draining)
-		answer, _ = send(t, "GET", url+"/healthz", "")
-		assert.Equal(t, answer.StatusCode, 503)
-		assert.Eventually(t, time.Second, "no new connections", func() bool {
-			c, err := net.Dial("tcp", frontend.Address().String())
-			if err == nil {
-				_ = c.Close()
-			}
-			return err != nil
-		})
-		close(release)
-		assert.Equal(t, <-got, "200 OK late")
-		assert.NoError(t, <-ended)
-	})
-}
--- a/internal/entry/caller/role_test.go
+++ b/internal/entry/caller/role_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	_ "zinniapond.example/zinniapond/internal/entry/admin"
+	"zinniapond.example/zinniapond/internal/entry/gate"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -87,3 +90,115 @@
 		_, _ = io.Copy(io.Discard, c)
 	})
 }
+
+func TestPrograms(t *testing.T) {
+	url, f := serve(t, zinniapond.LimitSettings{Body: 200})
+	url += "/v1/programs"
+	t.Run("guards against a second program for a repeated request", func(t *testing.T) {
+		first, one := send(t, "POST", url, "", "Idempotency-Key", "a")
+		_, two := send(t, "POST", url, "", "Idempotency-Key", "a")
+		_, other := send(t, "POST", url, "")
+		assert.Equal(t, first.StatusCode, 201)
+		assert.Equal(t, one, two)
+		assert.True(t, one != other, "%s twice", one)
+	})
+	t.Run("guards against a program that its customer cannot see or end", func(t *testing.T) {
+		answer, body := send(t, "POST", url, `{"id":"p7","parent":"p6"}`)
+		assert.Equal(t, answer.Header.Get("Zinniapond-Program")+body, `p7{"id":"p7"}`+"\n")
+		p := f.history.Program
+		assert.Equal(t, p, zinniapond.Program{ID: "p7", Parent: "p6", Plan: "yard", Customer: "rinse", Opened: p.Opened})
+		_, body = send(t, "GET", url+"/p7", "")
+		assert.Contains(t, body, `"id":"p7","parent":"p6","plan":"yard"`)
+		answer, _ = send(t, "DELETE", url+"/p7", "")
+		assert.Equal(t, answer.StatusCode, 200)
+		assert.Equal(t, f.history.Program.Reason, "ended by the caller")
+	})
+}
+
+func TestHold(t *testing.T) {
+	t.Run("guards against bodies that fill the memory of a host", func(t *testing.T) {
+		frontend, f := newFrontend(zinniapond.LimitSettings{Body: 1 << 20})
+		s := httptest.NewServer(frontend)
+		defer s.Close()
+		frontend.held.Store(heldMost - int64(len(chatText)))
+		for _, want := range []int{200, 503, 200} {
+			text := chatText
+			if want == 503 {
+				text += " "
+			}
+			answer, _ := send(t, "POST", s.URL+"/v1/chat/completions", text)
+			assert.Equal(t, answer.StatusCode, want)
+		}
+		assert.Equal(t, len(f.calls), 2)
+		assert.Equal(t, frontend.held.Load(), heldMost-int64(len(chatText)))
+	})
+}
+
+func TestLimits(t *testing.T) {
+	limits := zinniapond.LimitSettings{Body: 1 << 20, Header: 4096, Read: 100 * time.Millisecond, Open: 1}
+	frontend, f := newFrontend(limits)
+	frontend.Gate = &gate.Gate{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: frontend, Limits: limits,
+		Drain: 2 * time.Second, Notice: 200 * time.Millisecond, Logger: hclog.NewNullLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- frontend.Run(ctx) }()
+	assert.Eventually(t, time.Second, "listening", func() bool { return frontend.Address().IsValid() })
+	url := "http://" + frontend.Address().String()
+	for _, c := range []struct{ name, text, status, part string }{
+		{"a caller that never ends its body", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k1\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 400", "send the whole body within 100ms"},
+		{"a refused caller that never ends its body", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 401", "send a valid key"},
+		{"a caller that never ends its header", "POST /v1/chat/completions HTTP/1.1\r\nHost:", "", ""},
+		{"a large header", "GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 8400) + "\r\n\r\n", "HTTP/1.1 431", ""},
+	} {
+		t.Run("guards against "+c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", frontend.Address().String())
+			assert.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, c.text)
+			assert.NoError(t, err)
+			b, err := io.ReadAll(conn)
+			// net/http resets the connection after a header that it left unread.
+			assert.True(t, err == nil || c.status == "HTTP/1.1 431", "%v", err)
+			assert.True(t, strings.HasPrefix(string(b), c.status), "%q", b)
+			assert.Contains(t, string(b), c.part)
+		})
+	}
+	release := make(chan struct{})
+	f.submit = func(ctx context.Context, _ zinniapond.Call, _ zinniapond.Sink) (zinniapond.Answer, error) {
+		select {
+		case <-release:
+			return done("late"), nil
+		case <-ctx.Done():
+			return zinniapond.Answer{}, ctx.Err()
+		}
+	}
+	t.Run("guards against an end that interrupts requests", func(t *testing.T) {
+		got := make(chan string, 1)
+		go func() {
+			answer, body := send(t, "POST", url+"/v1/chat/completions", chatText)
+			got <- answer.Status + " " + body
+		}()
+		<-f.calls
+		answer, _ := send(t, "POST", url+"/v1/chat/completions", chatText)
+		assert.Equal(t, answer.StatusCode, 503)
+		assert.Equal(t, answer.Header.Get("Zinniapond-Outcome"), "not-run")
+		// The request waits for longer than the time to send it.
+		time.Sleep(2 * limits.Read)
+		cancel()
+		assert.Eventually(t, time.Second, "draining", frontend.Gate.Draining)
+		answer, _ = send(t, "GET", url+"/healthz", "")
+		assert.Equal(t, answer.StatusCode, 503)
+		assert.Eventually(t, time.Second, "no new connections", func() bool {
+			c, err := net.Dial("tcp", frontend.Address().String())
+			if err == nil {
+				_ = c.Close()
+			}
+			return err != nil
+		})
+		close(release)
+		assert.Equal(t, <-got, "200 OK late")
+		assert.NoError(t, <-ended)
+	})
+}
