Resume streams as the engines do; hold the end of a stream back

The engine repeats the answer to a known X-Request-Id from its beginning, in other events; the client asked for the rest by Last-Event-ID, which no engine offers. The end event went to the sink, though the interface has it in the body only. Prefix hashes were over compact JSON, those of the engine over role and content. Ruled out: comparing bytes, as the division into events differs. Change: contents are compared, and only what is new is passed on; tool calls are not resumed. A resumed request is under the progress deadline from the start, and ends with the first try that brings nothing. The end event stays in the body. Hashes are those of the engine. Before: a cut stream failed. Conclusion: a broken stream costs no retry and never joins two answers.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -61,15 +61,15 @@
 type Exchange struct {
 	Answer *http.Response
 
-	pool   *Pool
-	server netip.AddrPort
-	used   *http.Transport
-	cancel context.CancelCauseFunc
-	ctx    context.Context
-	timer  *time.Timer
-	stop   context.CancelFunc
-	early  bool
-	read   int64
+	pool     *Pool
+	server   netip.AddrPort
+	used     *http.Transport
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+	timer    *time.Timer
+	stop     context.CancelFunc
+	deadline int
+	read     int64
 
 	mu    sync.Mutex
 	tries []try
@@ -112,12 +112,21 @@
 	}
 }
 
-// Do sends the request and returns once the answer's header has arrived. early
-// tells that a healthy server sends it at once, before it has the answer. The
+// When the progress deadline holds before the answer's header has arrived. It
+// is not for answers whose header comes only at their end.
+const (
+	Never = iota
+	// Reused is for healthy servers that may be slow: a fresh connection waits,
+	// a reused one may be silent for good.
+	Reused
+	Always
+)
+
+// Do sends the request and returns once the answer's header has arrived. The
 // error wraps ErrNotSent if no byte of the request was written. The caller
 // closes the exchange.
-func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request, early bool) (*Exchange, error) {
-	x := &Exchange{pool: p, server: server, early: early, stop: func() {}}
+func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request, deadline int) (*Exchange, error) {
+	x := &Exchange{pool: p, server: server, deadline: deadline, stop: func() {}}
 	if p.Attempt > 0 {
 		ctx, x.stop = context.WithTimeout(ctx, p.Attempt)
 	}
@@ -149,9 +158,7 @@
 		x.tries = append(x.tries, try{conn: c, before: c.written.Load()})
 		x.mu.Unlock()
 	}
-	if info.Reused && x.early {
-		// A fresh connection may wait for a slow server; a reused one may be
-		// silent for good.
+	if x.deadline == Always || x.deadline == Reused && info.Reused {
 		x.arm()
 	}
 }
--- a/internal/backend/openai/openai.go
+++ b/internal/backend/openai/openai.go
@@ -148,7 +148,7 @@
 		return nil, fmt.Errorf("%s: %w", step, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	x, err := c.small.Do(ctx, server, request, false)
+	x, err := c.small.Do(ctx, server, request, conns.Never)
 	if err != nil {
 		return nil, zinniapond.Wrap(step, server, err)
 	}
--- a/internal/backend/openai/parser.go
+++ b/internal/backend/openai/parser.go
@@ -15,8 +15,7 @@
 // needs to know of them.
 type parser struct {
 	rest  []byte
-	last  string // id of the last event
-	done  bool   // the end event has come
+	done  bool // the end event has come
 	usage zinniapond.Usage
 	err   error
 }
@@ -82,22 +81,24 @@
 	}
 }
 
-// note reads the data and the id of an event.
-func (p *parser) note(event []byte) {
+// dataOf returns the data of an event.
+func dataOf(event []byte) []byte {
 	var data []byte
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "data":
-			data = append(data, value...)
-		case "id":
-			if !bytes.ContainsRune(value, 0) {
-				p.last = string(value)
-			}
+		if name, value, _ := bytes.Cut(line, []byte(":")); string(name) == "data" {
+			data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
 		}
 	}
+	return data
+}
+
+// isEnd tells whether the event ends the stream.
+func isEnd(event []byte) bool { return string(dataOf(event)) == "[DONE]" }
+
+// note reads the data of an event.
+func (p *parser) note(event []byte) {
+	data := dataOf(event)
 	switch {
 	case len(data) == 0:
 	case string(data) == "[DONE]":
--- a/internal/backend/plain/plain.go
+++ b/internal/backend/plain/plain.go
@@ -93,7 +93,7 @@
 	if call.Idempotent {
 		pool = c.shared
 	}
-	x, err := pool.Do(ctx, server.Address, request, false)
+	x, err := pool.Do(ctx, server.Address, request, conns.Never)
 	if err != nil {
 		if !errors.Is(err, zinniapond.ErrNotSent) {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrBackend, err)
--- a/internal/entry/caller/decode.go
+++ b/internal/entry/caller/decode.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// blockSize is the size of a prompt block for prefix hashes, in bytes of
-	// the messages as compact JSON.
+	// blockSize is the size of a prompt block for prefix hashes, in bytes. It
+	// is that of the engines' cache blocks, 64 tokens.
 	blockSize = 256
 	// bytesPerToken turns bytes of a prompt into an estimate of its tokens.
 	bytesPerToken = 4
@@ -162,16 +162,9 @@
 	if err := b.read(body); err != nil {
 		return malformed("decode body", err.Error(), "send a JSON object with model and messages")
 	}
-	var messages []struct {
-		Role string `json:"role"`
-	}
-	if err := json.Unmarshal(b.messages, &messages); err != nil || len(messages) == 0 {
-		return malformed("decode body", "messages are missing or not a list", `send "messages": [{"role": "user", "content": ...}]`)
-	}
-	for i, m := range messages {
-		if m.Role == "" {
-			return malformed("decode body", fmt.Sprintf("message %d has no role", i), "each message has role and content")
-		}
+	prompt, err := promptOf(b.messages)
+	if err != nil {
+		return err
 	}
 	if b.model == "" {
 		return malformed("decode body", "model is missing", "name a model of the plan")
@@ -194,16 +187,41 @@
 	if c.Most == 0 {
 		c.Most = usualMost
 	}
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, b.messages); err != nil {
-		return malformed("decode body", err.Error(), "send JSON")
-	}
 	c.Pool, c.Stream, c.Idempotent = b.model, b.stream, true
-	c.Prompt = zinniapond.Tokens((compact.Len() + bytesPerToken - 1) / bytesPerToken)
-	c.Prefix = prefix(compact.Bytes())
+	c.Prompt = zinniapond.Tokens((len(prompt) + bytesPerToken - 1) / bytesPerToken)
+	c.Prefix = prefix(prompt)
 	return nil
 }
 
+// promptOf returns the messages as engines hash them: role and content of each,
+// both followed by a zero byte. Content that is no text is compact JSON.
+func promptOf(text json.RawMessage) ([]byte, error) {
+	var messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(text, &messages); err != nil || len(messages) == 0 {
+		return nil, malformed("decode body", "messages are missing or not a list", `send "messages": [{"role": "user", "content": ...}]`)
+	}
+	var prompt bytes.Buffer
+	for i, m := range messages {
+		if m.Role == "" {
+			return nil, malformed("decode body", fmt.Sprintf("message %d has no role", i), "each message has role and content")
+		}
+		prompt.WriteString(m.Role + "\x00")
+		var content string
+		if err := json.Unmarshal(m.Content, &content); err == nil {
+			prompt.WriteString(content)
+		} else if len(m.Content) > 0 {
+			if err := json.Compact(&prompt, m.Content); err != nil {
+				return nil, malformed("decode body", err.Error(), "send JSON")
+			}
+		}
+		prompt.WriteByte(0)
+	}
+	return prompt.Bytes(), nil
+}
+
 // prefix returns the hash of the first block, of the first two, and so on. A
 // block that is not full is left out, as the next turn fills it differently.
 func prefix(messages []byte) []uint64 {
