--- /dev/null
+++ b/internal/entry/caller/engine_test.go
@@ -0,0 +1,38 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/standin/engine"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+func TestEngine(t *testing.T) {
+	t.Run("guards against prefix hashes that no engine reports", func(t *testing.T) {
+		e := &engine.Server{Decode: 4000, Memory: 10_000}
+		text := `{"model":"","max_tokens":1,"messages":[{"role":"system","content":"` + strings.Repeat("<é> ", 100) + `"},{"role":"user","content":"x"}]}`
+		var c zinniapond.Call
+		assert.NoError(t, decodeChat([]byte(strings.Replace(text, `"model":""`, `"model":"m"`, 1)), &c))
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(text)))
+		var answer struct {
+			Usage struct {
+				Prompt zinniapond.Tokens `json:"prompt_tokens"`
+			}
+		}
+		assert.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+		assert.Equal(t, c.Prompt, answer.Usage.Prompt)
+		var blocks []uint64
+		for _, v := range e.Events(time.Now().Add(time.Minute), 0) {
+			blocks = append(blocks, v.Block)
+		}
+		assert.Equal(t, blocks, c.Prefix)
+		assert.Equal(t, len(blocks), 2)
+	})
+}
