--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -288,13 +288,24 @@
 
 func FuzzParser(f *testing.F) {
 	f.Add([]byte("id: 1\r\ndata: {\"usage\":{\"prompt_tokens\":1}}\r\n\r\ndata: [DONE]\n\n"), 3)
+	f.Add([]byte(role+say("a")+say("\\ud83d b")+stop+usageEvent), 7)
 	f.Add([]byte("data: {}\n\n: note\n\nevent: error\ndata: [1\n\n"), 1)
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
 		// The events must not depend on how the bytes are divided.
 		var one, two parser
 		var a, b []byte
-		for _, e := range one.feed(text) {
+		var joined replay
+		list := one.feed(text)
+		for _, e := range list {
 			a = append(a, e...)
+			_, _ = joined.pass(e)
+		}
+		// The same stream again has nothing new.
+		joined.resume()
+		for _, e := range list {
+			if rest, err := joined.pass(e); !joined.odd && (err != nil || rest != nil && !isEnd(e)) {
+				t.Fatalf("event %q of %q: %q, %v", e, text, rest, err)
+			}
 		}
 		if size < 1 {
 			size = 1
