Adopt an assignment only if no epoch between was missed

A writer that another owner had deposed saw the shard assigned to its host again, took that assignment over with its old log, and had a store join to it. Ruled out: the round of an epoch does not help, since the old log belongs to another epoch. Change: an assignment is adopted only if its epoch follows the held one directly, and a replacement is proposed only after an entry that was appended later is committed on both majorities. The fuzz test stops the earlier process of a host when a new one starts.

--- a/internal/journal/writer/copy.go
+++ b/internal/journal/writer/copy.go
@@ -240,12 +240,18 @@
 	if m.voting || m.barrier > 0 || m.match < l.commit || l.commit < l.start || l.err != nil {
 		return
 	}
+	m.barrier = l.probe()
+}
+
+// probe appends an entry without content and returns its index, with the lock
+// held.
+func (l *shardLog) probe() zinniapond.Index {
 	l.last++
 	l.entries = append(l.entries, zinniapond.JournalEntry{
 		Index: l.last, Epoch: l.ballot, Kind: zinniapond.RecordEmpty,
 	})
-	m.barrier = l.last
 	l.wakeAll()
+	return l.last
 }
 
 // mayVote tells whether a replica that caught up may be told to count.
--- a/internal/journal/writer/fuzz_test.go
+++ b/internal/journal/writer/fuzz_test.go
@@ -169,6 +169,11 @@
 		m.olds = append(m.olds, m.current)
 		m.current = nil
 	}
+	for _, o := range m.olds {
+		if o.Host == a.Owner {
+			o.stop() // a host runs one process at a time
+		}
+	}
 	next := &owner{Writer: m.c.writer(a.Owner, fuzzWait), epoch: a.Epoch}
 	replay := make(map[string][]string)
 	err := next.Recover(ctx, time.Now(), a, func(r zinniapond.Record) error {
--- a/internal/journal/writer/join.go
+++ b/internal/journal/writer/join.go
@@ -17,7 +17,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.err != nil || a.Epoch < l.newest || a.Epoch == l.newest && a.Joining == l.joining {
+	// If an epoch between was missed, another host may have owned the shard.
+	if l.err != nil || a.Epoch != l.newest+1 && (a.Epoch != l.newest || a.Joining == l.joining) {
 		return
 	}
 	switch {
@@ -111,9 +112,11 @@
 		}
 		if m.voting && m.match >= l.commit && l.joined == nil {
 			// From here on each append needs both majorities; what was committed
-			// before is on the joining replica once it has matched from.
+			// before is on the joining replica once it has matched from. That the
+			// entry at from is committed proves that no other owner has sealed the
+			// old replicas meanwhile.
 			l.joined = next
-			from = l.last
+			from = l.probe()
 		}
 		ready := l.joined != nil && m.voting && m.match >= from && l.commit >= from
 		l.mu.Unlock()
--- a/internal/journal/writer/join_test.go
+++ b/internal/journal/writer/join_test.go
@@ -69,6 +69,22 @@
 		c.reach("o", "a", "b") // a majority of both
 		o.put(t, "x", 3)
 	})
+	t.Run("guards against an owner that lost the shard and got it back joining a store to its old log", func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c", "d")
+		defer c.stop()
+		old, _ := c.takeover(t, "o", "a", "b", "c", "d")
+		old.put(t, "x", 1)
+		c.reach("o")
+		p, _ := c.takeover(t, "p", "b", "c")
+		p.put(t, "x", 2)
+		c.assign("o")
+		c.join("c", "d")
+		old.serve(t)
+		c.reach("o", "a", "d")
+		time.Sleep(3 * shortPause)
+		_, err := old.log(0, c.View().Assignments[0].Epoch)
+		assert.ErrorIs(t, err, zinniapond.ErrFenced)
+	})
 	t.Run("guards against a lost replacement command leaving the shard without its new replica", func(t *testing.T) {
 		c := newCluster(t, "a", "b", "c", "d")
 		defer c.stop()
--- a/internal/program/ledger/ledger.go
+++ b/internal/program/ledger/ledger.go
@@ -66,6 +66,9 @@
 	return time.Second
 }
 
+// mostTries bounds the waits for a grant within one reservation.
+const mostTries = 8
+
 // Reserve sets aside a part of the plan's budget, from this host's grant if it
 // has enough left, or else from a new grant.
 func (g *Ledger) Reserve(ctx context.Context, now time.Time, plan zinniapond.Plan, amount zinniapond.Tokens,
@@ -77,7 +80,8 @@
 	ctx, cancel := context.WithTimeout(ctx, g.wait())
 	defer cancel()
 	began := g.Clock()
-	for {
+	// A grant may be over when it arrives, or another call may take it.
+	for range mostTries {
 		// The wait for a grant passes on the caller's clock as well.
 		at := now.Add(g.Clock().Sub(began))
 		r, busy, err := a.reserve(at, plan, amount)
@@ -100,6 +104,7 @@
 			}
 		}
 	}
+	return zinniapond.Reservation{}, unreachable(plan.Name, errors.New("grants are over before they can be used"))
 }
 
 // Settle gives back what a call has not used of its reservation.
