--- a/internal/program/ledger/ledger_test.go
+++ b/internal/program/ledger/ledger_test.go
@@ -315,5 +315,8 @@
 		w.ledgers["c"].Return(ctx, w.clock("c"))
 		_, err = w.reserve("d", 700)
 		assert.NoError(t, err)
+		w.cut["a"] = true
+		_, err = w.reserve("c", 400) // what was given back is not spent
+		assert.ErrorIs(t, err, zinniapond.ErrOverload)
 	})
 }
