Keep what follows a reopening when an ended program is removed

A program that had ended, was opened again and had ended again lost its later records with the first removal, before their retention and possibly before they were committed. Found by reading; the removal now stops at the reopening and waits for late records to be committed.

--- a/internal/journal/store/keep.go
+++ b/internal/journal/store/keep.go
@@ -83,9 +83,9 @@
 	if value == nil {
 		return 0, nil // truncated since
 	}
+	again := dueKey(now.Add(s.sweep()-s.Retention), shard, index)
 	if index > st.commit {
-		later := now.Add(s.sweep() - s.Retention)
-		return 0, tx.Bucket(dueBucket).Put(dueKey(later, shard, index), nil)
+		return 0, tx.Bucket(dueBucket).Put(again, nil)
 	}
 	e, err := decodeEntry(key, value)
 	if errors.Is(err, zinniapond.ErrCorrupt) {
@@ -105,32 +105,53 @@
 		}
 		return 1, tx.Bucket(logBucket).Delete(key)
 	case zinniapond.RecordEnd:
-		return removeProgram(tx, shard, e.Program, index)
+		steps, ok, err := removable(tx, shard, e.Program, index, st.commit)
+		if err != nil {
+			return 0, err
+		}
+		if !ok {
+			return 0, tx.Bucket(dueBucket).Put(again, nil)
+		}
+		return len(steps), remove(tx, shard, steps)
 	}
 	return 0, nil // truncated and overwritten since
 }
 
-// removeProgram removes the records of an ended program. If it was opened
-// again, its records after the end at index stay.
-func removeProgram(tx *bolt.Tx, shard zinniapond.ShardID, program zinniapond.ProgramID, index zinniapond.Index) (int, error) {
+// removable returns the keys of the records of a program that ended at index,
+// and of late results after the end, up to where it was opened again. It returns
+// false if one of them is not committed.
+func removable(tx *bolt.Tx, shard zinniapond.ShardID, program zinniapond.ProgramID, index, commit zinniapond.Index,
+) ([][]byte, bool, error) {
 	prefix := programKey(shard, program)
-	l, _ := tx.Bucket(liveBucket).Cursor().Seek(prefix)
-	live := string(l) == string(prefix)
 	var steps [][]byte
 	c := tx.Bucket(stepBucket).Cursor()
 	for k, _ := c.Seek(prefix); k != nil && hasPrefix(k, prefix); k, _ = c.Next() {
-		if live && indexOf(k) > index {
-			break
+		if indexOf(k) > index {
+			key := indexKey(shard, indexOf(k))
+			kind, _, err := peekEntry(key, tx.Bucket(logBucket).Get(key))
+			if err != nil {
+				return nil, false, err
+			}
+			if kind == zinniapond.RecordOpen {
+				break
+			}
+			if indexOf(k) > commit {
+				return nil, false, nil
+			}
 		}
 		steps = append(steps, append([]byte(nil), k...))
 	}
+	return steps, true, nil
+}
+
+func remove(tx *bolt.Tx, shard zinniapond.ShardID, steps [][]byte) error {
 	for _, k := range steps {
 		if err := tx.Bucket(stepBucket).Delete(k); err != nil {
-			return 0, err
+			return err
 		}
 		if err := tx.Bucket(logBucket).Delete(indexKey(shard, indexOf(k))); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	return len(steps), nil
+	return nil
 }
