--- a/internal/journal/store/store_test.go
+++ b/internal/journal/store/store_test.go
@@ -73,7 +73,11 @@
 func TestDamage(t *testing.T) {
 	for _, d := range []struct{ name, old, text string }{
 		{"guards against a damaged record being read", "second", "sEcond"},
-		{"guards against a history without a record that the index has lost", "program", "prOgram"},
+		{
+			"guards against a history without a record that the index has lost",
+			string(stepKey(1, "program", 3)), string(stepKey(1, "program", 9)),
+		},
+		{"guards against a live program missing in a recovery", string(programKey(1, "program")), string(programKey(1, "prOgram"))},
 	} {
 		t.Run(d.name, func(t *testing.T) {
 			folder := t.TempDir()
@@ -96,6 +100,19 @@
 			assert.True(t, reply.Voting, "the other shard does not count")
 		})
 	}
+	t.Run("guards against keys out of order hanging the process", func(t *testing.T) {
+		folder := t.TempDir()
+		s, stop := open(t, folder, nil)
+		for n := range zinniapond.Index(3) {
+			add(t, s, 1, n+1, zinniapond.RecordIntent, "program", "x")
+		}
+		stop()
+		spoil(t, folder, string(stepKey(1, "program", 2)), string(stepKey(1, "program", 9)))
+		var log bytes.Buffer
+		_, stop = open(t, folder, &log)
+		defer stop()
+		assert.Contains(t, log.String(), "damaged and moved aside")
+	})
 	t.Run("guards against a truncated file ending the process", func(t *testing.T) {
 		folder := t.TempDir()
 		s, stop := open(t, folder, nil)
@@ -124,9 +141,11 @@
 		add(t, s, 1, 5, zinniapond.RecordEnd, "again", "a2")
 		add(t, s, 1, 6, zinniapond.RecordOpen, "again", "a3")
 		add(t, s, 1, 7, zinniapond.RecordIntent, "live", "l2")
+		add(t, s, 1, 8, zinniapond.RecordResult, "over", "late")
+		add(t, s, 1, 9, zinniapond.RecordEmpty, "", "")
 		assert.NoError(t, s.Compact(time.Now().Add(30*time.Minute)))
 		got, _ := read(t, s, 1, "over")
-		assert.Equal(t, got, []string{"o1", "o2"})
+		assert.Equal(t, got, []string{"o1", "o2", "late"})
 		assert.NoError(t, s.Compact(time.Now().Add(2*time.Hour)))
 		stop()
 		s, stop = open(t, folder, nil)
@@ -135,7 +154,7 @@
 		assert.Equal(t, got, nil)
 		got, reply := read(t, s, 1, "")
 		assert.Equal(t, got, []string{"l1", "a3", "l2"})
-		assert.True(t, reply.Voting && reply.Last == 7, "restart lost the standing: %+v", reply)
+		assert.True(t, reply.Voting && reply.Last == 9, "restart lost the standing: %+v", reply)
 	})
 	t.Run("guards against the removal of a program whose end is not committed", func(t *testing.T) {
 		s, stop := open(t, t.TempDir(), nil)
