Propose a hand-over until its outcome is known, pause after each failed fetch

And a voter's fetch loop skipped its pause when the failed peer was replaced by another dead one. Ruled out: a doubled effect, the intent is refused under the old epoch.

--- a/internal/core/kernel/kernel_test.go
+++ b/internal/core/kernel/kernel_test.go
@@ -43,7 +43,13 @@
 	}
 }
 
+// recorders are the role plug-ins of the present test run.
+var recorders = make(map[string]*recorder)
+
 func init() {
+	for _, name := range []string{"owner", "entry", "store"} {
+		Register[zinniapond.RolePlugin](name, func(*Kernel) (zinniapond.RolePlugin, error) { return recorders[name], nil })
+	}
 	Register[greeter]("one", func(*Kernel) (greeter, error) { return plain("one"), nil })
 	Register[greeter]("two", func(*Kernel) (greeter, error) { return plain("two"), nil })
 	Register[error]("loop", func(k *Kernel) (error, error) { return FindNamed[error](k, "loop") })
@@ -78,7 +84,7 @@
 	second := &recorder{name: "entry", log: stopped, began: make(chan struct{})}
 	failing := &recorder{name: "store", err: errors.New("no address"), began: make(chan struct{})}
 	for _, r := range []*recorder{first, second, failing} {
-		Register[zinniapond.RolePlugin](r.name, func(*Kernel) (zinniapond.RolePlugin, error) { return r, nil })
+		recorders[r.name] = r
 	}
 	t.Run("guards against stopping a plug-in before its users", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/program/owner/drain.go
+++ b/internal/program/owner/drain.go
@@ -47,21 +47,38 @@
 	h.target = ""
 	h.moving = true
 	h.mu.Unlock()
-	ctx, cancel := context.WithTimeout(o.life, proposeLimit)
-	defer cancel()
-	result, err := o.Control.Propose(ctx, o.Clock(), zinniapond.Command{
-		Kind: zinniapond.CommandAssign, Assignments: []zinniapond.Assignment{a}, Member: &self,
-	})
-	if err == nil && result.Accepted {
-		o.Logger.Info("handed over shard", "shard", h.shard, "to", a.Owner, "epoch", a.Epoch)
+	if o.propose(h, a, &self) {
 		return // the shard is dropped when the assignment is applied
 	}
-	o.Logger.Warn("hand-over failed", "shard", h.shard, "to", a.Owner, "error", err, "reason", result.Reason)
 	h.mu.Lock()
 	h.moving = false
 	h.mu.Unlock()
 }
 
+// propose puts a hand-over into the control log and tells whether the shard is
+// given away. While the outcome of a proposal is unknown it is proposed again:
+// serving on could take calls that the next owner interrupts.
+func (o *Owner) propose(h *holding, a zinniapond.Assignment, self *zinniapond.Member) bool {
+	for h.life.Err() == nil {
+		ctx, cancel := context.WithTimeout(h.life, proposeLimit)
+		result, err := o.Control.Propose(ctx, o.Clock(), zinniapond.Command{
+			Kind: zinniapond.CommandAssign, Assignments: []zinniapond.Assignment{a}, Member: self,
+		})
+		cancel()
+		switch {
+		case err == nil && result.Accepted:
+			o.Logger.Info("handed over shard", "shard", h.shard, "to", a.Owner, "epoch", a.Epoch)
+			return true
+		case err == nil && result.Epoch == a.Epoch-1:
+			o.Logger.Warn("hand-over refused", "shard", h.shard, "to", a.Owner, "reason", result.Reason)
+			return false
+		}
+		o.Logger.Warn("outcome of the hand-over unknown, proposing again", "shard", h.shard, "to", a.Owner, "error", err)
+		pause(h.life, recoverPause)
+	}
+	return true
+}
+
 // moveAll names a new owner for each shard, in turn among the other active
 // owners, and moves the shards that are idle.
 func (o *Owner) moveAll() {
--- a/internal/quorum/voter/drive.go
+++ b/internal/quorum/voter/drive.go
@@ -132,7 +132,7 @@
 		v.mu.Unlock()
 		var err error
 		if ok {
-			err = v.fetch(limited, peer, request)
+			err = v.fetch(ctx, limited, peer, request)
 		} else {
 			select {
 			case <-ctx.Done():
@@ -147,14 +147,16 @@
 	return nil
 }
 
-// fetch sends one fetch and takes the answer. ctx is cancelled if another voter
-// should be asked.
-func (v *Voter) fetch(ctx context.Context, peer zinniapond.HostName, request zinniapond.FetchRequest) error {
+// fetch sends one fetch and takes the answer. limited is cancelled if another
+// voter should be asked. The pause after a failure is not cut short by that:
+// each failure names another voter, and with all of them dead there would be
+// no pause at all.
+func (v *Voter) fetch(ctx, limited context.Context, peer zinniapond.HostName, request zinniapond.FetchRequest) error {
 	var reply zinniapond.FetchReply
-	err := v.call(ctx, peer, "Control.Fetch", request, &reply, request.Wait+v.Settings.Control.Fetch/2)
+	err := v.call(limited, peer, "Control.Fetch", request, &reply, request.Wait+v.Settings.Control.Fetch/2)
 	known := false
 	switch {
-	case ctx.Err() != nil:
+	case limited.Err() != nil:
 		return nil
 	case err != nil:
 		v.Logger.Debug("fetch failed", "error", err)
