--- a/internal/program/owner/run.go
+++ b/internal/program/owner/run.go
@@ -35,6 +35,7 @@
 	need     zinniapond.Need
 	until    time.Time
 	queued   time.Duration
+	unloaded time.Duration // estimate for an unloaded server; zero if unknown
 	intended bool
 	attempts []zinniapond.Attempt
 }
@@ -99,6 +100,8 @@
 		Call: call.ID, Program: call.Program, Class: call.Class, DataCentre: o.Settings.DataCentre,
 		Prompt: call.Prompt, Most: call.Most, Prefix: call.Prefix,
 	}
+	// Asked before the call's own prompt counts as cached.
+	x.unloaded = x.pool.Router.Estimate(x.need)
 	for tries := 1; ; tries++ {
 		choice, err := x.place(ctx)
 		if err != nil {
--- a/internal/program/owner/sweep.go
+++ b/internal/program/owner/sweep.go
@@ -43,10 +43,9 @@
 	tokens := seen.Usage.Prompt - seen.Usage.Cached + seen.Usage.Generated
 	t.pool.Queue.Charge(now, t.plan.Name, call.Program, max(t.plan.Weight, 1), max(tokens, 1))
 	o.Retrier.Observe(now, call.Pool, seen.First)
-	unloaded := t.pool.Router.Estimate(t.need)
 	took := now.Sub(t.admitted)
-	o.Detector.Observe(now, "plan "+string(t.plan.Name), took, unloaded, true)
-	o.Detector.Observe(now, "pool "+string(call.Pool), took, unloaded, true)
+	o.Detector.Observe(now, "plan "+string(t.plan.Name), took, t.unloaded, true)
+	o.Detector.Observe(now, "pool "+string(call.Pool), took, t.unloaded, true)
 	if call.Kind != zinniapond.KindEngine {
 		return
 	}
