--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -34,10 +34,12 @@
   # shellcheck disable=SC2086
   go test -count=1 -timeout 600s ${skip:+-skip "$skip"} "${before[@]}" $packages "$@"
 }
-run "$plain"
-run "$seeded" -args -rapid.seed=1 -rapid.nofailfile
+failed=0
+run "$plain" || failed=1
+run "$seeded" -args -rapid.seed=1 -rapid.nofailfile || failed=1
 # Packages with concurrent state run again under the race detector.
 racing='/(core|wire|quorum|journal|program|policy|entry|fleet|backend)/'
 echo "== tests with the race detector"
-run "$(echo "$plain" | grep -E "$racing")" -race
-run "$(echo "$seeded" | grep -E "$racing")" -race -args -rapid.seed=1 -rapid.nofailfile
+run "$(echo "$plain" | grep -E "$racing")" -race || failed=1
+run "$(echo "$seeded" | grep -E "$racing")" -race -args -rapid.seed=1 -rapid.nofailfile || failed=1
+exit $failed
