--- a/internal/journal/store/store.go
+++ b/internal/journal/store/store.go
@@ -216,7 +216,10 @@
 	if s.Single && len(jobs) > 1 {
 		s.pending = append(s.pending, jobs[1:]...)
 		jobs = jobs[:1]
-		s.wake <- struct{}{}
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
 	}
 	s.mu.Unlock()
 	if len(jobs) == 0 {
