--- a/internal/program/owner/run.go
+++ b/internal/program/owner/run.go
@@ -62,7 +62,7 @@
 	o.Budget.Settle(o.Clock(), reservation, answer.Usage.Total())
 	if x.intended && errors.Is(err, zinniapond.ErrNotOwner) {
 		// ErrNotOwner promises that nothing was sent, ErrFenced does not.
-		err = fmt.Errorf("call was interrupted: %w: %s", zinniapond.ErrFenced, err)
+		err = fmt.Errorf("call was interrupted: %w: %s", zinniapond.ErrFenced, err.Error())
 	}
 	return answer, err
 }
