--- a/internal/program/owner/attempt.go
+++ b/internal/program/owner/attempt.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -137,10 +138,7 @@
 // launch starts one attempt. Its place is given back when it ends, also if
 // nobody waits for it any more.
 func (x *execution) launch(ctx context.Context, choice zinniapond.Choice, need zinniapond.Need, contest *race, results chan<- result) {
-	// The next owner's first attempt has the same id, so that an engine that
-	// still knows the request goes on with the same answer, and one that does
-	// not gives the same bytes for the same text.
-	id := zinniapond.AttemptID(fmt.Sprintf("%s-%d", x.running.call.ID, len(x.attempts)+1))
+	id := zinniapond.AttemptID(uuid.NewString())
 	now := x.owner.Clock()
 	x.owner.Stats.Add("attempts", 1)
 	x.attempts = append(x.attempts, zinniapond.Attempt{ID: id, Backend: choice.Backend, Started: now, Why: choice.Reason})
