--- a/cmd/zinniapond/lists_test.go
+++ b/cmd/zinniapond/lists_test.go
@@ -152,3 +152,19 @@
 	ts.Check(err)
 	time.Sleep(d)
 }
+
+// loop has a program call a service until it is refused, which has to happen
+// after the given number of answers: loop TURNS KEY ADDRESS.
+func loop(ts *testscript.TestScript, _ bool, args []string) {
+	turns, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for n := range turns + 1 {
+		a := ask{
+			key: args[1], method: "POST", status: 200, url: "http://" + args[2] + "/services/drums/loops",
+			header: "Zinniapond-Program: loop", body: strconv.Itoa(n),
+		}
+		if text, ok := a.send(); ok != (n < turns) {
+			ts.Fatalf("turn %d of %d: %s", n+1, turns, text)
+		}
+	}
+}
