Let the intent test fail instead of hanging without its mechanism

A failed assertion in the goroutine of the fake client ended that goroutine, so the call had no answer and the test ran into its time limit.

--- a/internal/program/owner/owner_test.go
+++ b/internal/program/owner/owner_test.go
@@ -30,12 +30,14 @@
 func TestAtMostOnce(t *testing.T) {
 	t.Run("guards against sending before the intent is durable", func(t *testing.T) {
 		f := newFixture(t)
+		durable := make(chan bool, 1)
 		f.client.do = func(context.Context, int, netip.AddrPort, zinniapond.Sink) (zinniapond.Answer, error) {
-			assert.True(t, f.journal.has(zinniapond.RecordIntent, "a"), "sent without a durable intent")
+			durable <- f.journal.has(zinniapond.RecordIntent, "a")
 			return ok("released")
 		}
 		f.start(t)
 		a, err := f.submit(newCall("a"), nil)
+		assert.True(t, <-durable, "sent without a durable intent")
 		checkOutcome(t, a, err, zinniapond.OutcomeDone, 200)
 		assert.True(t, f.journal.has(zinniapond.RecordResult, "a"), "answered without a durable result")
 	})
