--- a/cmd/zinniapond/lists_test.go
+++ b/cmd/zinniapond/lists_test.go
@@ -168,3 +168,34 @@
 		}
 	}
 }
+
+// inforce changes the lists and waits until every host has the new version in
+// force or admits nothing: inforce ROUNDS HOST... changes through the first
+// host. It fails above the bound of 4 s and prints the longest time.
+func inforce(ts *testscript.TestScript, _ bool, args []string) {
+	rounds, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	hosts := args[1:]
+	operators := func(host string) string { return ts.Getenv(strings.ToUpper(host) + "_OPERATORS") }
+	var longest time.Duration
+	for range rounds {
+		before := int(version(ts, operators(hosts[0])))
+		change := fmt.Sprintf("in-force-%d", before)
+		if status := put(ts, operators(hosts[0]), before, change, plansText(ts, 100000+before)); status != http.StatusOK {
+			ts.Fatalf("change from version %d: status %d", before, status)
+		}
+		accepted := time.Now()
+		for _, h := range hosts {
+			eventually(ts, 4*time.Second, "version in force or nothing admitted at "+h, func() bool {
+				if int(version(ts, operators(h))) > before {
+					return true
+				}
+				health := ask{method: "GET", status: http.StatusServiceUnavailable, url: "http://" + ts.Getenv(strings.ToUpper(h)+"_CALLERS") + "/healthz"}
+				_, ok := health.send()
+				return ok
+			})
+		}
+		longest = max(longest, time.Since(accepted))
+	}
+	fmt.Fprintf(ts.Stdout(), "longest of %d changes: %s\n", rounds, longest.Round(time.Millisecond))
+}
--- a/cmd/zinniapond/main_test.go
+++ b/cmd/zinniapond/main_test.go
@@ -28,7 +28,7 @@
 			"request": request, "link": link, "code": code, "platform": platform,
 			"answer": answer, "logged": logged, "owner": owner, "repaired": repaired,
 			"isolate": isolate, "heal": heal, "race": race, "changes": changes, "ready": ready,
-			"leader": leader, "calls": calls, "pause": pause, "loop": loop,
+			"leader": leader, "calls": calls, "pause": pause, "loop": loop, "inforce": inforce,
 		},
 	})
 }
