--- a/internal/bench/load/figures.go
+++ b/internal/bench/load/figures.go
@@ -32,11 +32,11 @@
 	heldEnded               zinniapond.Tokens // most at one instant
 	plans                   map[zinniapond.PlanName]*planFigures
 	extra                   extra
-	// Sums over the sampled seconds of the crest.
+	// Sums over the sampled seconds of the peak.
 	samples, inBatch, inEngine, inQueue float64
 }
 
-// planFigures are those of one plan, at the crest if there is one.
+// planFigures are those of one plan, at the peak if there is one.
 type planFigures struct {
 	kind      *kind
 	calls, in int
@@ -72,10 +72,10 @@
 	return p
 }
 
-// atCrest tells whether an instant is in the time whose figures count for the
-// plans: the crest without its first seconds, or all of a run without one.
-func (r *run) atCrest(at time.Time) bool {
-	if !r.Crest {
+// atPeak tells whether an instant is in the time whose figures count for the
+// plans: the peak without its first seconds, or all of a run without one.
+func (r *run) atPeak(at time.Time) bool {
+	if !r.Peak {
 		return true
 	}
 	since := at.Sub(begin)
@@ -98,13 +98,13 @@
 	}
 }
 
-// demand is the work of the programs that arrive at the crest, or in all of a
+// demand is the work of the programs that arrive at the peak, or in all of a
 // run without one, by the capacity of all engines.
 func (r *run) demand(scripts []*script) (all, first float64) {
 	var fresh, generated [2]float64
 	span := 0.0
 	for at := time.Duration(0); at < r.Length; at += time.Second {
-		if r.atCrest(begin.Add(at)) {
+		if r.atPeak(begin.Add(at)) {
 			span++
 		}
 	}
@@ -122,7 +122,7 @@
 		}
 	}
 	for _, s := range scripts {
-		if r.atCrest(begin.Add(s.arrive)) {
+		if r.atPeak(begin.Add(s.arrive)) {
 			add(s)
 		}
 	}
@@ -147,12 +147,12 @@
 		record(r.short, took)
 	}
 	p := r.plan(c.flow.script.kind)
-	if r.atCrest(now) {
-		// By the time of the service: what waits at the end of the crest is
+	if r.atPeak(now) {
+		// By the time of the service: what waits at the end of the peak is
 		// served when the plans no longer compete.
 		p.served += float64(seen.Usage.Prompt - seen.Usage.Cached + seen.Usage.Generated)
 	}
-	if !r.atCrest(c.submitted) {
+	if !r.atPeak(c.submitted) {
 		return
 	}
 	p.calls++
@@ -165,7 +165,7 @@
 }
 
 func (r *run) refused(c *call) {
-	if !c.turn.service && r.atCrest(c.submitted) {
+	if !c.turn.service && r.atPeak(c.submitted) {
 		p := r.plan(c.flow.script.kind)
 		p.calls++
 		p.refused++
@@ -194,7 +194,7 @@
 
 // watch samples where calls wait.
 func (r *run) watch(now time.Time) {
-	if !r.atCrest(now) || now.Sub(begin) > r.Length {
+	if !r.atPeak(now) || now.Sub(begin) > r.Length {
 		return
 	}
 	r.samples++
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -26,7 +26,7 @@
 	Engines  int
 	Length   time.Duration
 	Load     float64 // multiplies all arrival rates
-	Crest    bool    // demand swings up in the middle third
+	Peak     bool    // demand swings up in the middle third
 	Queue    string
 	Router   string
 	Slow     int  // engines that are slowed ten times from a tenth of the run on
@@ -106,7 +106,7 @@
 
 // arrange plans the arrivals, the faults and the regular work.
 func (r *run) arrange() {
-	scripts := write(r.workload, r.Seed, r.Length, r.Load, r.Crest, r.Short)
+	scripts := write(r.workload, r.Seed, r.Length, r.Load, r.Peak, r.Short)
 	r.demanded, r.demandedFirst = r.demand(scripts)
 	for _, s := range scripts {
 		r.at(begin.Add(s.arrive), func(now time.Time) { r.start(now, s, nil) })
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestExperiment(t *testing.T) {
-	faulty := load.Experiment{Workload: "rennbach", Load: 1, Queue: "fair", Router: "prefix", Crest: true, Faults: true}
+	faulty := load.Experiment{Workload: "rennbach", Load: 1, Queue: "fair", Router: "prefix", Peak: true, Faults: true}
 	figures := run(t, faulty)
 	t.Run("guards against lost, doubled, mixed and reordered answers under faults", func(t *testing.T) {
 		for _, name := range []string{"lost", "doubled", "mixed", "reordered", "late"} {
--- a/internal/bench/load/script.go
+++ b/internal/bench/load/script.go
@@ -49,8 +49,8 @@
 	rate   float64 // programs per second
 	// burst programs arrive together, as with a lorry; 1 for single arrivals.
 	burst span
-	// crest multiplies the rate during the crest.
-	crest    float64
+	// peak multiplies the rate during the peak.
+	peak     float64
 	turns    span
 	system   zinniapond.Tokens // common beginning of the prompts
 	first    span              // tokens of the first prompt after it
@@ -78,62 +78,62 @@
 	{"rennbach", 5, []kind{
 		{
 			plan: "gate", class: zinniapond.ClassInteractive, weight: 2, wait: 5 * time.Second,
-			rate: 1.6, burst: span{1, 1}, crest: 2, turns: span{1, 1}, system: 256, first: span{30, 90},
+			rate: 1.6, burst: span{1, 1}, peak: 2, turns: span{1, 1}, system: 256, first: span{30, 90},
 			grow: span{1, 1}, generate: span{6, 14}, pause: span{1, 1}, short: true,
 		},
 		{
 			plan: "yard", class: zinniapond.ClassInteractive, weight: 4, wait: 10 * time.Second,
-			rate: 2.56, burst: span{12, 30}, crest: 2, turns: span{3, 6}, system: 1024, first: span{200, 900},
+			rate: 2.56, burst: span{12, 30}, peak: 2, turns: span{3, 6}, system: 1024, first: span{200, 900},
 			grow: span{80, 400}, generate: span{30, 110}, pause: span{150, 1500}, services: 0.35, once: 0.4, spawns: 0.08, straggling: 0.02,
 		},
 		{
 			plan: "office", class: zinniapond.ClassStandard, weight: 3, wait: 20 * time.Second,
-			rate: 1.12, burst: span{1, 1}, crest: 9, turns: span{5, 10}, system: 1536, first: span{800, 3000},
+			rate: 1.12, burst: span{1, 1}, peak: 9, turns: span{5, 10}, system: 1536, first: span{800, 3000},
 			grow: span{200, 900}, generate: span{80, 260}, pause: span{300, 3000}, services: 0.3, once: 0.2, spawns: 0.1, straggling: 0.03,
 		},
 		{
 			plan: "quotes", class: zinniapond.ClassStandard, weight: 1, wait: 20 * time.Second,
-			rate: 0.64, burst: span{1, 1}, crest: 12, turns: span{4, 8}, system: 1536, first: span{800, 3000},
+			rate: 0.64, burst: span{1, 1}, peak: 12, turns: span{4, 8}, system: 1536, first: span{800, 3000},
 			grow: span{200, 900}, generate: span{80, 260}, pause: span{300, 3000}, services: 0.3, once: 0.2, straggling: 0.03,
 		},
 		{
 			plan: "records", class: zinniapond.ClassBatch, weight: 1, wait: 60 * time.Second,
-			rate: 0.24, burst: span{1, 1}, crest: 2, turns: span{4, 10}, system: 512, first: span{3000, 9000},
+			rate: 0.24, burst: span{1, 1}, peak: 2, turns: span{4, 10}, system: 512, first: span{3000, 9000},
 			grow: span{500, 2000}, generate: span{200, 500}, pause: span{100, 800}, straggling: 0.05,
 		},
 	}},
 	{"tengerweb", 6, []kind{
 		{
 			plan: "status", class: zinniapond.ClassInteractive, weight: 2, wait: 5 * time.Second,
-			rate: 6.4, burst: span{1, 1}, crest: 2, turns: span{1, 1}, system: 128, first: span{30, 90},
+			rate: 6.4, burst: span{1, 1}, peak: 2, turns: span{1, 1}, system: 128, first: span{30, 90},
 			grow: span{1, 1}, generate: span{6, 14}, pause: span{1, 1}, short: true,
 		},
 		{
 			plan: "shops", class: zinniapond.ClassInteractive, weight: 4, wait: 10 * time.Second,
-			rate: 2.56, burst: span{1, 4}, crest: 2.5, turns: span{2, 7}, system: 1024, first: span{50, 500},
+			rate: 2.56, burst: span{1, 4}, peak: 2.5, turns: span{2, 7}, system: 1024, first: span{50, 500},
 			grow: span{60, 500}, generate: span{40, 140}, pause: span{500, 5000}, services: 0.3, once: 0.2, spawns: 0.04, straggling: 0.02,
 		},
 		{
 			plan: "repair", class: zinniapond.ClassStandard, weight: 3, wait: 20 * time.Second,
-			rate: 0.8, burst: span{1, 1}, crest: 9, turns: span{6, 14}, system: 2048, first: span{600, 4000},
+			rate: 0.8, burst: span{1, 1}, peak: 9, turns: span{6, 14}, system: 2048, first: span{600, 4000},
 			grow: span{200, 1500}, generate: span{80, 300}, pause: span{200, 4000}, services: 0.25, once: 0.3, spawns: 0.1, straggling: 0.03,
 		},
 		{
 			plan: "free", class: zinniapond.ClassStandard, weight: 1, wait: 20 * time.Second,
-			rate: 0.64, burst: span{1, 1}, crest: 11, turns: span{4, 10}, system: 2048, first: span{600, 4000},
+			rate: 0.64, burst: span{1, 1}, peak: 11, turns: span{4, 10}, system: 2048, first: span{600, 4000},
 			grow: span{200, 1500}, generate: span{80, 300}, pause: span{200, 4000}, services: 0.25, once: 0.3, straggling: 0.03,
 		},
 		{
 			plan: "crawl", class: zinniapond.ClassBatch, weight: 1, wait: 60 * time.Second,
-			rate: 0.24, burst: span{1, 1}, crest: 2, turns: span{3, 8}, system: 512, first: span{3000, 9000},
+			rate: 0.24, burst: span{1, 1}, peak: 2, turns: span{3, 8}, system: 512, first: span{3000, 9000},
 			grow: span{500, 2000}, generate: span{200, 500}, pause: span{100, 800}, straggling: 0.05,
 		},
 	}},
 }
 
-// write makes the programs of a run in order of arrival. The crest lasts for
+// write makes the programs of a run in order of arrival. The peak lasts for
 // the middle third.
-func write(w workload, seed uint64, length time.Duration, load float64, crest, short bool) []*script {
+func write(w workload, seed uint64, length time.Duration, load float64, peak, short bool) []*script {
 	var all []*script
 	for i := range w.kinds {
 		k := &w.kinds[i]
@@ -144,8 +144,8 @@
 		mean := float64(k.burst.low+k.burst.high) / 2
 		for at, n := time.Duration(0), 0; ; {
 			rate := k.rate * load / mean
-			if crest && at > length/3 && at < 2*length/3 {
-				rate *= k.crest
+			if peak && at > length/3 && at < 2*length/3 {
+				rate *= k.peak
 			}
 			at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
 			if at > length {
--- a/internal/bench/table/table.go
+++ b/internal/bench/table/table.go
@@ -11,9 +11,9 @@
 // Table has one row for each experiment and one column for each figure. Its
 // exported fields are set before use.
 type Table struct {
-	Title   string             `json:"title"`
-	Columns []string           `json:"columns"`
-	Rows    []string           `json:"rows"`
+	Title   string           `json:"title"`
+	Columns []string         `json:"columns"`
+	Rows    []string         `json:"rows"`
 	Cells   map[string]cells `json:"cells"` // by row
 }
 
--- a/internal/benchcmd/trial/draw.go
+++ b/internal/benchcmd/trial/draw.go
@@ -30,9 +30,9 @@
 				}
 				chart.Values = append(chart.Values, row)
 			}
-		case "crest":
+		case "peak":
 			chart = &plots.Bars{
-				Title: "First class at the crest, " + workload, Unit: "share within target",
+				Title: "First class at the peak, " + workload, Unit: "share within target",
 				Labels: []string{"fair, prefix", "fair, robin", "fifo, prefix", "fifo, robin"},
 			}
 			for _, plan := range g.first {
--- a/internal/benchcmd/trial/groups.go
+++ b/internal/benchcmd/trial/groups.go
@@ -17,7 +17,7 @@
 // firstClass has the plans of the first class by workload.
 var firstClass = map[string][]string{"rennbach": {"gate", "yard"}, "tengerweb": {"status", "shops"}}
 
-func crestColumns(workload string) []string {
+func peakColumns(workload string) []string {
 	plans := []string{"gate", "yard", "office", "quotes", "records"}
 	if workload == "tengerweb" {
 		plans = []string{"status", "shops", "repair", "free", "crawl"}
@@ -58,11 +58,11 @@
 			}
 		}
 		all = append(all, group{name: "slow", title: "Tail with slowed replicas, " + w, columns: latency, runs: slow})
-		crest := func(queue, router string) load.Experiment {
-			return run("crest, "+queue+", "+router, func(e *load.Experiment) { e.Crest, e.Queue, e.Router = true, queue, router })
+		peak := func(queue, router string) load.Experiment {
+			return run("peak, "+queue+", "+router, func(e *load.Experiment) { e.Peak, e.Queue, e.Router = true, queue, router })
 		}
-		all = append(all, group{name: "crest", title: "Demand swing, " + w, columns: crestColumns(w), first: firstClass[w], runs: []load.Experiment{
-			crest("fair", "prefix"), crest("fair", "robin"), crest("fifo", "prefix"), crest("fifo", "robin"),
+		all = append(all, group{name: "peak", title: "Demand swing, " + w, columns: peakColumns(w), first: firstClass[w], runs: []load.Experiment{
+			peak("fair", "prefix"), peak("fair", "robin"), peak("fifo", "prefix"), peak("fifo", "robin"),
 		}})
 		all = append(all, group{name: "short", title: "Short calls beside long ones, " + w, columns: shorts, runs: []load.Experiment{
 			run("short alone", func(e *load.Experiment) { e.Short = true }),
@@ -76,8 +76,8 @@
 			run("3 slow", func(e *load.Experiment) { e.Slow = 3 }),
 			run("all slow", func(e *load.Experiment) { e.Slow = 12 }),
 			run("faults", func(e *load.Experiment) { e.Faults = true }),
-			run("crest", func(e *load.Experiment) { e.Crest = true }),
-			run("crest, faults", func(e *load.Experiment) { e.Crest, e.Faults = true, true }),
+			run("peak", func(e *load.Experiment) { e.Peak = true }),
+			run("peak, faults", func(e *load.Experiment) { e.Peak, e.Faults = true, true }),
 		}})
 		off := func(name string, change func(*load.Experiment)) load.Experiment {
 			return run(name+", 1 slow", func(e *load.Experiment) { e.Slow = 1; change(e) })
@@ -90,14 +90,14 @@
 			off("no limit", func(e *load.Experiment) { e.NoLimit = true }),
 			off("no leases", func(e *load.Experiment) { e.NoLeases = true }),
 		}})
-		atCrest := func(name string, change func(*load.Experiment)) load.Experiment {
-			return run("crest, "+name, func(e *load.Experiment) { e.Crest = true; change(e) })
+		atPeak := func(name string, change func(*load.Experiment)) load.Experiment {
+			return run("peak, "+name, func(e *load.Experiment) { e.Peak = true; change(e) })
 		}
-		all = append(all, group{name: "off", title: "One mechanism turned off at the crest, " + w, columns: crestColumns(w), runs: []load.Experiment{
-			atCrest("all on", func(*load.Experiment) {}),
-			atCrest("no hedges", func(e *load.Experiment) { e.NoHedge = true }),
-			atCrest("no limit", func(e *load.Experiment) { e.NoLimit = true }),
-			atCrest("no leases", func(e *load.Experiment) { e.NoLeases = true }),
+		all = append(all, group{name: "off", title: "One mechanism turned off at the peak, " + w, columns: peakColumns(w), runs: []load.Experiment{
+			atPeak("all on", func(*load.Experiment) {}),
+			atPeak("no hedges", func(e *load.Experiment) { e.NoHedge = true }),
+			atPeak("no limit", func(e *load.Experiment) { e.NoLimit = true }),
+			atPeak("no leases", func(e *load.Experiment) { e.NoLeases = true }),
 		}})
 	}
 	return all
--- a/internal/benchcmd/trial/trial.go
+++ b/internal/benchcmd/trial/trial.go
@@ -21,7 +21,7 @@
 type Options struct {
 	Seed   uint64        `help:"Seed of all experiments; equal seeds give equal figures." default:"1"`
 	Length time.Duration `help:"Simulated length of each experiment." default:"6m"`
-	Only   []string      `help:"Run only these experiments: latency, slow, crest, short, extra, faults, off." short:"o"`
+	Only   []string      `help:"Run only these experiments: latency, slow, peak, short, extra, faults, off." short:"o"`
 	JSON   bool          `help:"Write the tables as JSON."`
 	Plots  string        `help:"Write plots into this folder." type:"path"`
 	// Workers bounds the experiments that run at once; the machine is shared.
--- a/internal/policy/fair/fair.go
+++ b/internal/policy/fair/fair.go
@@ -17,8 +17,8 @@
 	ageing = 10 * time.Second
 	// lateTurn is the number of calls of which one is of a lower class that has
 	// late calls. Late calls that competed with the first class by weight took
-	// its places at a crest, when all lower calls are late. With one in eight,
-	// 12% fewer first-class calls met their target at the crest.
+	// its places at a peak, when all lower calls are late. With one in eight,
+	// 12% fewer first-class calls met their target at the peak.
 	lateTurn = 32
 	// asked bounds the calls that one Pop offers, so that a Pop whose calls
 	// cannot be placed stays cheap.
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -33,7 +33,7 @@
 	// recent is the weight of one observation in the latency.
 	recent = 0.2
 	// rise is the growth of the least latency in a minute, so that it follows
-	// when a server's ordinary latency rises, yet not during a crest.
+	// when a server's ordinary latency rises, yet not during a peak.
 	rise = 0.05
 	// overhead is added to the tokens of a prompt, so that wholly cached
 	// prompts do not have an endless time for each token.
