Do not count a patch that does not build as noticed

The patch 'matched' left an unused import, so its test had failed to build and the script called that noticed.

--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -20,7 +20,11 @@
     missed=1
     continue
   fi
-  if out=$(timeout 300 $command 2>&1); then
+  # A patch that does not build proves nothing.
+  if ! go build ./... > /dev/null 2>&1; then
+    echo "$n: DOES NOT BUILD"
+    missed=1
+  elif out=$(timeout 300 $command 2>&1); then
     echo "$n: NOT NOTICED by $command"
     missed=1
   else
