--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -8,6 +8,7 @@
 	_ "zinniapond.example/zinniapond/internal/wire/peers"
 	_ "zinniapond.example/zinniapond/internal/wire/serve"
 	_ "zinniapond.example/zinniapond/internal/wire/stream"
+
 	// Policies.
 	_ "zinniapond.example/zinniapond/internal/policy/cache"
 	_ "zinniapond.example/zinniapond/internal/policy/drift"
--- /dev/null
+++ b/internal/core/remote/remote.go
@@ -0,0 +1,174 @@
+// Package remote sends operators' requests to a host.
+package remote
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"syscall"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/inject"
+)
+
+// Operator has the options that all commands for operators share.
+type Operator struct {
+	Address   netip.AddrPort `required:"" env:"ZINNIAPOND_ADDRESS" placeholder:"IP:PORT" help:"Operators' address of any host."`
+	Key       string         `env:"ZINNIAPOND_KEY" help:"Operators' key. Other users of this machine can see it; prefer the variable or --key-file."`
+	KeyFile   string         `type:"path" env:"ZINNIAPOND_KEY_FILE" help:"File with the operators' key."`
+	Authority string         `type:"path" env:"ZINNIAPOND_AUTHORITY" help:"Certificate of the authority that has signed the host's; turns TLS on."`
+	JSON      bool           `name:"json" help:"Print JSON."`
+}
+
+// answerLimit bounds an answer: both lists for 21,000 plans take about 20 MB.
+const answerLimit = 128 << 20
+
+// kinds maps the types of errors on the operators' interface to the reasons
+// that decide on the exit code.
+var kinds = map[string]error{
+	"conflict": zinniapond.ErrConflict, "lists": zinniapond.ErrMalformed, "malformed": zinniapond.ErrMalformed,
+	"key": zinniapond.ErrKey, "not_found": zinniapond.ErrNotFound, "too_large": zinniapond.ErrTooLarge,
+	"overloaded": zinniapond.ErrOverload, "stale_configuration": zinniapond.ErrStale,
+	"no_majority": zinniapond.ErrNoQuorum, "no_leader": zinniapond.ErrNotLeader,
+	"unavailable": zinniapond.ErrUnavailable, "moving": zinniapond.ErrNotOwner,
+}
+
+// Fault is an error of the operators' interface.
+type fault struct {
+	Error struct {
+		Message string          `json:"message"`
+		Type    string          `json:"type"`
+		Hint    string          `json:"hint"`
+		Detail  json.RawMessage `json:"detail"`
+	} `json:"error"`
+}
+
+// Do sends a request and decodes the answer into reply, which may be nil. It
+// returns the answer's text too. On a refusal, the text is the error's detail.
+func (o *Operator) Do(ctx context.Context, f *inject.Factory, step, method, path string, body, reply any) ([]byte, error) {
+	text, err := o.send(ctx, f, method, path, body)
+	if err != nil {
+		return text, o.explain(step, err)
+	}
+	if reply != nil {
+		if err := json.Unmarshal(text, reply); err != nil {
+			return text, zinniapond.Wrap(step, o.Address, fmt.Errorf("decode answer: %w", err))
+		}
+	}
+	return text, nil
+}
+
+// explain adds step, peer and, where the host has sent none, a hint.
+func (o *Operator) explain(step string, err error) error {
+	e := &zinniapond.Error{Step: step, Peer: o.Address, Err: err}
+	var refused *refusal
+	switch {
+	case errors.As(err, &refused):
+		e.Hint = refused.hint
+	case errors.Is(err, syscall.ECONNREFUSED):
+		e.Err = fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err)
+		e.Hint = "check --address and that the host runs; any other host answers too"
+	case errors.Is(err, errKey):
+		e.Hint = "give --key-file, or set ZINNIAPOND_KEY or ZINNIAPOND_KEY_FILE"
+	default:
+		e.Hint = "the host may be slow or cut off; ask another host"
+	}
+	return e
+}
+
+var errKey = errors.New("no key")
+
+// refusal is an error that the host has answered.
+type refusal struct {
+	text, hint string
+	cause      error
+}
+
+func (r *refusal) Error() string { return r.text }
+
+func (r *refusal) Unwrap() error { return r.cause }
+
+func (o *Operator) key() (string, error) {
+	if o.KeyFile != "" {
+		text, err := os.ReadFile(o.KeyFile)
+		if err != nil {
+			return "", fmt.Errorf("%w: %w", errKey, err)
+		}
+		return strings.TrimSpace(string(text)), nil
+	}
+	if o.Key == "" {
+		return "", errKey
+	}
+	return o.Key, nil
+}
+
+func (o *Operator) send(ctx context.Context, f *inject.Factory, method, path string, body any) ([]byte, error) {
+	key, err := o.key()
+	if err != nil {
+		return nil, err
+	}
+	var content io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		content = bytes.NewReader(text)
+	}
+	client, scheme, err := o.client(f)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+o.Address.String()+path, content)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if response.StatusCode < 300 {
+		return text, nil
+	}
+	return refuse(response.StatusCode, text)
+}
+
+func refuse(status int, text []byte) ([]byte, error) {
+	var b fault
+	if err := json.Unmarshal(text, &b); err != nil || b.Error.Message == "" {
+		return nil, fmt.Errorf("status %d: %.200q", status, text)
+	}
+	return b.Error.Detail, &refusal{text: b.Error.Message, hint: b.Error.Hint, cause: kinds[b.Error.Type]}
+}
+
+// client returns the factory's client, with TLS if an authority is given.
+func (o *Operator) client(f *inject.Factory) (*http.Client, string, error) {
+	if o.Authority == "" {
+		return f.Client, "http", nil
+	}
+	text, err := os.ReadFile(o.Authority)
+	if err != nil {
+		return nil, "", fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, "", fmt.Errorf("read authority: no certificate in %s", o.Authority)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return &http.Client{Timeout: f.Client.Timeout, Transport: transport}, "https", nil
+}
--- /dev/null
+++ b/internal/programcmd/view/view.go
@@ -0,0 +1,61 @@
+// Package view is the command that shows a program's history.
+package view
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/inject"
+	"zinniapond.example/zinniapond/internal/core/remote"
+)
+
+// Options are the options of `program view`.
+type Options struct {
+	remote.Operator `embed:""`
+	Program         zinniapond.ProgramID `arg:"" help:"Id of the program."`
+}
+
+// Run prints the program with all its steps.
+func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
+	var h zinniapond.History
+	text, err := o.Do(ctx, f, "read program "+string(o.Program), http.MethodGet, "/v1/programs/"+url.PathEscape(string(o.Program)), nil, &h)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		_, err = f.Out.Write(text)
+		return err
+	}
+	return show(f, &h)
+}
+
+func show(f *inject.Factory, h *zinniapond.History) error {
+	t := tabwriter.NewWriter(f.Out, 0, 4, 2, ' ', 0)
+	state := "open"
+	if !h.Program.Ended.IsZero() {
+		state = "ended " + h.Program.Ended.Format(time.RFC3339) + " (" + h.Program.Reason + ")"
+	}
+	if _, err := fmt.Fprintf(t, "program %s, plan %s, customer %s, opened %s, %s; shard %d at %s\n",
+		h.Program.ID, h.Program.Plan, h.Program.Customer, h.Program.Opened.Format(time.RFC3339), state, h.Shard, h.Owner); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(t, "SEQUENCE\tCALL\tPOOL\tREQUEST\tOUTCOME\tSTATUS\tTOKENS\tATTEMPTS\tREASON"); err != nil {
+		return err
+	}
+	for _, s := range h.Steps {
+		a := zinniapond.Answer{Outcome: "running"}
+		if s.Answer != nil {
+			a = *s.Answer
+		}
+		if _, err := fmt.Fprintf(t, "%d\t%s\t%s\t%s %s\t%s\t%d\t%d\t%d\t%s\n",
+			s.Sequence, s.Call, s.Pool, s.Method, s.Path, a.Outcome, a.Status, a.Usage.Total(), len(a.Attempts), a.Reason); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -9,8 +9,16 @@
 	"github.com/alecthomas/kong"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/configcmd/apply"
+	"zinniapond.example/zinniapond/internal/configcmd/check"
+	"zinniapond.example/zinniapond/internal/configcmd/show"
 	"zinniapond.example/zinniapond/internal/core/inject"
+	"zinniapond.example/zinniapond/internal/nodecmd/drain"
 	"zinniapond.example/zinniapond/internal/nodecmd/run"
+	"zinniapond.example/zinniapond/internal/nodecmd/status"
+	"zinniapond.example/zinniapond/internal/programcmd/view"
+	"zinniapond.example/zinniapond/internal/standincmd/engine"
+	"zinniapond.example/zinniapond/internal/standincmd/service"
 	version "zinniapond.example/zinniapond/internal/versioncmd/show"
 )
 
@@ -18,8 +26,22 @@
 // `Bench`.
 type Root struct {
 	Node struct {
-		Run run.Options `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
+		Run    run.Options    `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
+		Status status.Options `cmd:"" help:"Show hosts, shards and degradation of service."`
+		Drain  drain.Options  `cmd:"" help:"Have a host give its shards away and leave."`
 	} `cmd:"" help:"Run and inspect hosts."`
+	Config struct {
+		Check check.Options `cmd:"" help:"Look for faults in lists and settings, without a host."`
+		Apply apply.Options `cmd:"" help:"Put changed lists into force."`
+		Show  show.Options  `cmd:"" help:"Read the lists in force."`
+	} `cmd:"" help:"Check, change and read the lists."`
+	Program struct {
+		View view.Options `cmd:"" help:"Show a program's history."`
+	} `cmd:"" help:"Inspect programs."`
+	Standin struct {
+		Engine  engine.Options  `cmd:"" help:"Run a stand-in model engine."`
+		Service service.Options `cmd:"" help:"Run a stand-in plain service."`
+	} `cmd:"" help:"Run stand-ins for outside systems."`
 	Version version.Options `cmd:"" help:"Print the version."`
 }
 
@@ -49,7 +71,7 @@
 		return exited
 	}
 	if err != nil {
-		fmt.Fprintf(f.Err, "zinniapond: %v\nhint: zinniapond --help\n", err)
+		say(f, "zinniapond: %v\nhint: zinniapond --help\n", err)
 		return exitUsage
 	}
 	return report(f, c.Run())
@@ -60,14 +82,19 @@
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintf(f.Err, "zinniapond: %v\n", err)
+	say(f, "zinniapond: %v\n", err)
 	var e *zinniapond.Error
 	if errors.As(err, &e) && e.Hint != "" {
-		fmt.Fprintf(f.Err, "hint: %s\n", e.Hint)
+		say(f, "hint: %s\n", e.Hint)
 	}
 	return code(err)
 }
 
+// say ignores errors: there is no other place to report them.
+func say(f *inject.Factory, format string, args ...any) {
+	_, _ = fmt.Fprintf(f.Err, format, args...)
+}
+
 func code(err error) int {
 	for _, c := range []struct {
 		code  int
--- a/internal/wire/peers/link.go
+++ b/internal/wire/peers/link.go
@@ -137,7 +137,7 @@
 	// The codec is closed and not the client: rpc.Client then reports the lost
 	// connection to pending calls, and ErrShutdown only to calls not yet sent.
 	for _, l := range links {
-		l.codec.Close()
+		_ = l.codec.Close()
 	}
 	if d != nil {
 		d.cancel()
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -98,7 +98,7 @@
 		if errors.Is(err, rpc.ErrShutdown) {
 			// The connection had ended before the request was written. It is
 			// marked as closed, so the next turn dials.
-			l.codec.Close()
+			_ = l.codec.Close()
 			continue
 		}
 		if err != nil {
--- a/internal/wire/serve/serve.go
+++ b/internal/wire/serve/serve.go
@@ -92,7 +92,7 @@
 	select {
 	case <-ctx.Done():
 		l.Close()
-		<-failed
+		err = <-failed
 	case err = <-failed:
 		l.Close()
 	}
@@ -142,7 +142,7 @@
 	case <-done:
 	case <-timer.C:
 		s.Logger.Warn("closing connections with calls in progress", "grace", s.Grace)
-		s.each(func(c *codec.Codec) { c.Close() })
+		s.each(func(c *codec.Codec) { _ = c.Close() })
 	}
 }
 
--- a/internal/wire/stream/stream.go
+++ b/internal/wire/stream/stream.go
@@ -123,7 +123,9 @@
 		s.Logger.Warn("closing streams in progress", "drain", s.Drain)
 		err = server.Close()
 	}
-	<-failed
+	if ended := <-failed; !errors.Is(ended, http.ErrServerClosed) {
+		err = errors.Join(err, ended)
+	}
 	return err
 }
 
