--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 
 	"github.com/alecthomas/kong"
 
 	"zinniapond.example/zinniapond"
+	bench "zinniapond.example/zinniapond/internal/benchcmd/run"
 	"zinniapond.example/zinniapond/internal/configcmd/apply"
 	"zinniapond.example/zinniapond/internal/configcmd/check"
 	"zinniapond.example/zinniapond/internal/configcmd/show"
@@ -22,8 +24,7 @@
 	version "zinniapond.example/zinniapond/internal/versioncmd/show"
 )
 
-// Root is the command line. internal/benchcmd adds its commands as a field
-// `Bench`.
+// Root is the command line.
 type Root struct {
 	Node struct {
 		Run    run.Options    `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
@@ -35,6 +36,9 @@
 		Apply apply.Options `cmd:"" help:"Put changed lists into force."`
 		Show  show.Options  `cmd:"" help:"Read the lists in force."`
 	} `cmd:"" help:"Check, change and read the lists."`
+	Bench struct {
+		Run bench.Options `cmd:"" help:"Measure the policies beside their baselines."`
+	} `cmd:"" help:"Run experiments."`
 	Program struct {
 		View view.Options `cmd:"" help:"Show a program's history."`
 	} `cmd:"" help:"Inspect programs."`
@@ -61,7 +65,7 @@
 	parser, err := kong.New(
 		&r, kong.Name("zinniapond"), kong.Description("Schedules agent programs."), kong.UsageOnError(),
 		kong.Writers(f.Out, f.Err), kong.Exit(func(code int) { exited = code }),
-		kong.Bind(f), kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(f), kong.BindTo(f.Out, (*io.Writer)(nil)), kong.BindTo(ctx, (*context.Context)(nil)),
 	)
 	if err != nil {
 		return report(f, err)
