--- /dev/null
+++ b/cmd/zinniapond/harness_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"zinniapond.example/zinniapond/internal/test/tap"
+)
+
+type fieldKey struct{}
+
+// field has the processes and links of one script.
+type field struct {
+	processes map[string]*process
+	links     map[string]*tap.Tap
+	asks      map[string]chan reply
+	test      testing.TB
+}
+
+func newField(e *testscript.Env) *field {
+	f := &field{processes: make(map[string]*process), links: make(map[string]*tap.Tap), asks: make(map[string]chan reply)}
+	f.test, _ = e.T().(testing.TB)
+	return f
+}
+
+func fieldOf(ts *testscript.TestScript) *field { return ts.Value(fieldKey{}).(*field) }
+
+const operatorKey = "operators key of the tests"
+
+// freePorts returns ports that were free. All are taken before any is given
+// back, so that they differ.
+func freePorts(ts *testscript.TestScript, count int) []string {
+	list := make([]string, count)
+	for i := range list {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer l.Close()
+		list[i] = l.Addr().String()
+	}
+	return list
+}
+
+// cluster writes the settings of hosts: cluster [-replicas N] [-extra TEXT]
+// HOST... For each it sets NAME_CALLERS, NAME_OPERATORS, NAME_PEERS and
+// NAME_STREAMS. Every host has all roles. TEXT is added to each file.
+func cluster(ts *testscript.TestScript, _ bool, args []string) {
+	flags := flag.NewFlagSet("cluster", flag.ContinueOnError)
+	drain := flags.String("drain", "5s", "")
+	extra := flags.String("extra", "", "")
+	ts.Check(flags.Parse(args))
+	hosts := flags.Args()
+	ports := freePorts(ts, 4*len(hosts))
+	var voters []string
+	for i, h := range hosts {
+		voters = append(voters, h+"@"+ports[4*i+2])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("secret"), []byte("secret of the script tests"), 0o600))
+	if _, err := os.Stat(ts.MkAbs("platform.json")); err != nil {
+		platform(ts, false, []string{"1"})
+	}
+	ts.Setenv("ZINNIAPOND_KEY", operatorKey)
+	for i, h := range hosts {
+		text := fmt.Sprintf("[node]\nname = %s\ncluster = test\ndata-centre = dc%d\ndata = data-%s\nroles = entry, owner, store, control\ndrain = %s\n", h, i+1, h, *drain)
+		text += "[listen]\n"
+		for n, name := range []string{"callers", "operators", "peers", "streams"} {
+			text += fmt.Sprintf("%s = %s\n", name, ports[4*i+n])
+			ts.Setenv(strings.ToUpper(h+"_"+name), ports[4*i+n])
+		}
+		text += fmt.Sprintf("[control]\nvoters = %s\nbootstrap = true\nshards = 16\n", strings.Join(voters, ", "))
+		text += "[platform]\nlist = platform.json\nrefresh = 100ms\n"
+		text += fmt.Sprintf("[security]\nsecret = secret\noperator-hash = sha256:%x\n%s", sha256.Sum256([]byte(operatorKey)), *extra)
+		ts.Check(os.WriteFile(ts.MkAbs(h+".ini"), []byte(text), 0o600))
+	}
+}
+
+// platform writes the platform's list of backend servers: platform SEQUENCE
+// [KIND POOL ADDRESS]...
+func platform(ts *testscript.TestScript, _ bool, args []string) {
+	var list []string
+	for rest := args[1:]; len(rest) >= 3; rest = rest[3:] {
+		list = append(list, fmt.Sprintf(`{"address": %q, "kind": %q, "pool": %q, "dataCentre": "dc1", "state": "live", "fences": true}`, rest[2], rest[0], rest[1]))
+	}
+	text := fmt.Sprintf(`{"sequence": %s, "backends": [%s]}`, args[0], strings.Join(list, ", "))
+	// A reader never sees a part of the list.
+	ts.Check(os.WriteFile(ts.MkAbs("platform.new"), []byte(text), 0o600))
+	ts.Check(os.Rename(ts.MkAbs("platform.new"), ts.MkAbs("platform.json")))
+}
+
+// process is a background process of a script.
+type process struct {
+	command  *exec.Cmd
+	out, err *os.File
+	done     chan struct{}
+}
+
+func startProcess(ts *testscript.TestScript, name string, args []string) *process {
+	path := ""
+	for _, d := range filepath.SplitList(ts.Getenv("PATH")) {
+		if _, err := os.Stat(filepath.Join(d, "zinniapond")); err == nil {
+			path = filepath.Join(d, "zinniapond")
+			break
+		}
+	}
+	create := func(suffix string) *os.File {
+		if name == "" {
+			name = "command"
+		}
+		f, err := os.Create(ts.MkAbs(name + suffix))
+		ts.Check(err)
+		return f
+	}
+	p := &process{command: exec.Command(path, args...), out: create(".out"), err: create(".err"), done: make(chan struct{})}
+	p.command.Dir, p.command.Stdout, p.command.Stderr = ts.MkAbs("."), p.out, p.err
+	p.command.Env = append(os.Environ(), "ZINNIAPOND_KEY="+ts.Getenv("ZINNIAPOND_KEY"))
+	ts.Check(p.command.Start())
+	go func() {
+		defer close(p.done)
+		_ = p.command.Wait() // the state is read by wait
+		_, _ = p.out.Close(), p.err.Close()
+	}()
+	ts.Defer(func() {
+		// SIGKILL also ends a stopped process.
+		_ = p.command.Process.Kill()
+		<-p.done
+	})
+	return p
+}
+
+// wait returns the exit code, or false if the process runs on.
+func (p *process) wait(within time.Duration) (string, bool) {
+	select {
+	case <-p.done:
+		return strconv.Itoa(p.command.ProcessState.ExitCode()), true
+	case <-time.After(within):
+		return "none", false
+	}
+}
+
+// start runs zinniapond in the background: start NAME ARGUMENT... Its output is
+// in NAME.out and NAME.err. A stand-in's address becomes NAME_ADDRESS.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	name := args[0]
+	p := startProcess(ts, name, args[1:])
+	fieldOf(ts).processes[name] = p
+	if args[1] != "standin" {
+		return
+	}
+	eventually(ts, 10*time.Second, "address of "+name, func() bool {
+		text := strings.TrimSpace(string(readFile(ts, p.out.Name())))
+		ts.Setenv(strings.ToUpper(name)+"_ADDRESS", text)
+		return text != ""
+	})
+}
+
+func eventually(ts *testscript.TestScript, within time.Duration, what string, holds func() bool) {
+	deadline := time.Now().Add(within)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %s: %s", within, what)
+		}
+		<-tick.C
+	}
+}
+
+// signal sends a signal to a process: signal NAME KILL|STOP|CONT|TERM|INT.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	known := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT,
+	}
+	p := fieldOf(ts).processes[args[0]]
+	s, ok := known[args[1]]
+	if p == nil || !ok {
+		ts.Fatalf("no process %s or signal %s", args[0], args[1])
+	}
+	ts.Check(p.command.Process.Signal(s))
+}
+
+// stopped waits for the end of a process: stopped NAME WITHIN CODE. The code of
+// a killed process is -1.
+func stopped(ts *testscript.TestScript, _ bool, args []string) {
+	within, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	p := fieldOf(ts).processes[args[0]]
+	got, _ := p.wait(within)
+	if got != args[2] {
+		ts.Fatalf("%s: exit code %s within %s, want %s\n%s", args[0], got, within, args[2], readFile(ts, ts.MkAbs(args[0]+".err")))
+	}
+}
+
+// link is a pass-through: link NAME TARGET opens one at NAME_ADDRESS, link NAME
+// cut, silence, half or close changes it.
+func link(ts *testscript.TestScript, _ bool, args []string) {
+	f := fieldOf(ts)
+	l := f.links[args[0]]
+	if l == nil {
+		target, err := netip.ParseAddrPort(args[1])
+		ts.Check(err)
+		l = tap.New(f.test, target)
+		f.links[args[0]] = l
+		ts.Setenv(strings.ToUpper(args[0])+"_ADDRESS", l.Address().String())
+		return
+	}
+	change, ok := map[string]func(){"cut": l.Cut, "silence": l.Silence, "half": l.HalfClose, "close": l.Close}[args[1]]
+	if !ok {
+		ts.Fatalf("link cannot %s", args[1])
+	}
+	change()
+}
+
+// logged waits for a line in the log of a process: logged NAME WITHIN REGEXP.
+func logged(ts *testscript.TestScript, _ bool, args []string) {
+	within, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	pattern := regexp.MustCompile(args[2])
+	eventually(ts, within, args[2]+" in the log of "+args[0], func() bool {
+		return pattern.Match(readFile(ts, ts.MkAbs(args[0]+".err")))
+	})
+}
+
+// ask is one HTTP request of a script.
+type ask struct {
+	key, header, body, match, method, url string
+	status                                int
+}
+
+// send returns status, outcome and body, and whether they are as wanted.
+func (a *ask) send() (string, bool) {
+	client := http.Client{Timeout: time.Minute}
+	defer client.CloseIdleConnections()
+	r, err := http.NewRequest(a.method, a.url, strings.NewReader(a.body))
+	if err != nil {
+		return err.Error(), false
+	}
+	r.Header.Set("Authorization", "Bearer "+a.key)
+	for _, h := range strings.Split(a.header, "; ") {
+		if name, value, ok := strings.Cut(h, ": "); ok {
+			r.Header.Set(name, value)
+		}
+	}
+	got, err := client.Do(r)
+	if err != nil {
+		return err.Error(), false
+	}
+	defer got.Body.Close()
+	text, err := io.ReadAll(got.Body)
+	last := fmt.Sprintf("%d %s\n%s\n", got.StatusCode, got.Header.Get("Zinniapond-Outcome"), text)
+	return last, err == nil && got.StatusCode == a.status && regexp.MustCompile(a.match).MatchString(last)
+}
+
+// request sends an HTTP request and prints status, outcome and body:
+// request [-key KEY] [-header "NAME: VALUE; ..."] [-body TEXT] [-status CODE]
+// [-match REGEXP] [-within TIME] [-background NAME] METHOD URL. With a time it
+// is repeated until status and match fit. With a name it goes on while the
+// script does, and answer NAME waits for it.
+func request(ts *testscript.TestScript, _ bool, args []string) {
+	var a ask
+	flags := flag.NewFlagSet("request", flag.ContinueOnError)
+	flags.StringVar(&a.key, "key", operatorKey, "")
+	flags.StringVar(&a.header, "header", "", "")
+	flags.StringVar(&a.body, "body", "", "")
+	flags.StringVar(&a.match, "match", "", "")
+	flags.IntVar(&a.status, "status", 200, "")
+	within := flags.Duration("within", 0, "")
+	background := flags.String("background", "", "")
+	ts.Check(flags.Parse(args))
+	a.method, a.url = flags.Arg(0), flags.Arg(1)
+	if *background != "" {
+		done := make(chan reply, 1)
+		fieldOf(ts).asks[*background] = done
+		go func() {
+			text, ok := a.send()
+			done <- reply{text, ok}
+		}()
+		return
+	}
+	text, ok := a.send()
+	if !ok && *within > 0 {
+		eventually(ts, *within, fmt.Sprintf("status %d and match %q", a.status, a.match), func() bool {
+			text, ok = a.send()
+			return ok
+		})
+	}
+	show(ts, reply{text, ok})
+}
+
+type reply struct {
+	text string
+	ok   bool
+}
+
+func show(ts *testscript.TestScript, r reply) {
+	if !r.ok {
+		ts.Fatalf("unexpected answer:\n%s", r.text)
+	}
+	_, _ = io.WriteString(ts.Stdout(), r.text)
+}
+
+// answer waits for a request in the background: answer NAME WITHIN.
+func answer(ts *testscript.TestScript, _ bool, args []string) {
+	within, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	select {
+	case r := <-fieldOf(ts).asks[args[0]]:
+		show(ts, r)
+	case <-time.After(within):
+		ts.Fatalf("no answer to %s within %s", args[0], within)
+	}
+}
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 
 	"github.com/alecthomas/kong"
 
 	"zinniapond.example/zinniapond"
+	bench "zinniapond.example/zinniapond/internal/benchcmd/run"
 	"zinniapond.example/zinniapond/internal/configcmd/apply"
 	"zinniapond.example/zinniapond/internal/configcmd/check"
 	"zinniapond.example/zinniapond/internal/configcmd/show"
@@ -22,8 +24,7 @@
 	version "zinniapond.example/zinniapond/internal/versioncmd/show"
 )
 
-// Root is the command line. internal/benchcmd adds its commands as a field
-// `Bench`.
+// Root is the command line.
 type Root struct {
 	Node struct {
 		Run    run.Options    `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
@@ -42,6 +43,9 @@
 		Engine  engine.Options  `cmd:"" help:"Run a stand-in model engine."`
 		Service service.Options `cmd:"" help:"Run a stand-in plain service."`
 	} `cmd:"" help:"Run stand-ins for outside systems."`
+	Bench struct {
+		Run bench.Options `cmd:"" help:"Run experiments with stand-in engines in simulated time."`
+	} `cmd:"" help:"Measure the policies."`
 	Version version.Options `cmd:"" help:"Print the version."`
 }
 
@@ -61,7 +65,7 @@
 	parser, err := kong.New(
 		&r, kong.Name("zinniapond"), kong.Description("Schedules agent programs."), kong.UsageOnError(),
 		kong.Writers(f.Out, f.Err), kong.Exit(func(code int) { exited = code }),
-		kong.Bind(f), kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(f), kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(f.Out, (*io.Writer)(nil)),
 	)
 	if err != nil {
 		return report(f, err)
