--- a/internal/journal/writer/cluster_test.go
+++ b/internal/journal/writer/cluster_test.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// wipe loses the disk of a halted host.
+func (c *cluster) wipe(host zinniapond.HostName) {
+	c.stores[host].synced = nil
+	assert.NoError(c.t, os.RemoveAll(c.stores[host].folder))
+}
+
 func (c *cluster) stop() {
 	for _, w := range c.writers {
 		w.stop()
--- a/internal/quorum/voter/net_test.go
+++ b/internal/quorum/voter/net_test.go
@@ -215,3 +215,18 @@
 		})
 	}
 }
+
+func (c *cluster) leader() zinniapond.HostName {
+	for name, h := range c.hosts {
+		if h.voter == nil {
+			continue
+		}
+		h.voter.mu.Lock()
+		leads := h.voter.core != nil && h.voter.core.Leading(time.Now()) && h.voter.core.Current()
+		h.voter.mu.Unlock()
+		if leads {
+			return name
+		}
+	}
+	return ""
+}
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -36,9 +36,6 @@
 		Apply apply.Options `cmd:"" help:"Put changed lists into force."`
 		Show  show.Options  `cmd:"" help:"Read the lists in force."`
 	} `cmd:"" help:"Check, change and read the lists."`
-	Bench struct {
-		Run bench.Options `cmd:"" help:"Measure the policies beside their baselines."`
-	} `cmd:"" help:"Run experiments."`
 	Program struct {
 		View view.Options `cmd:"" help:"Show a program's history."`
 	} `cmd:"" help:"Inspect programs."`
@@ -46,6 +43,9 @@
 		Engine  engine.Options  `cmd:"" help:"Run a stand-in model engine."`
 		Service service.Options `cmd:"" help:"Run a stand-in plain service."`
 	} `cmd:"" help:"Run stand-ins for outside systems."`
+	Bench struct {
+		Run bench.Options `cmd:"" help:"Run experiments with stand-in engines in simulated time."`
+	} `cmd:"" help:"Measure the policies."`
 	Version version.Options `cmd:"" help:"Print the version."`
 }
 
@@ -65,7 +65,7 @@
 	parser, err := kong.New(
 		&r, kong.Name("zinniapond"), kong.Description("Schedules agent programs."), kong.UsageOnError(),
 		kong.Writers(f.Out, f.Err), kong.Exit(func(code int) { exited = code }),
-		kong.Bind(f), kong.BindTo(f.Out, (*io.Writer)(nil)), kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(f), kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(f.Out, (*io.Writer)(nil)),
 	)
 	if err != nil {
 		return report(f, err)
