--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -63,6 +63,7 @@
 	flags := flag.NewFlagSet("cluster", flag.ContinueOnError)
 	drain := flags.String("drain", "5s", "")
 	extra := flags.String("extra", "", "")
+	body := flags.Int("body", 8<<20, "")
 	ts.Check(flags.Parse(args))
 	hosts := flags.Args()
 	ports := freePorts(ts, 4*len(hosts))
@@ -85,6 +86,7 @@
 		text += fmt.Sprintf("[control]\nvoters = %s\nbootstrap = true\nshards = 16\n", strings.Join(voters, ", "))
 		text += "[platform]\nlist = platform.json\nrefresh = 100ms\n"
 		text += fmt.Sprintf("[security]\nsecret = secret\noperator-hash = sha256:%x\n%s", sha256.Sum256([]byte(operatorKey)), *extra)
+		text += fmt.Sprintf("[limits]\nbody = %d\n", *body)
 		ts.Check(os.WriteFile(ts.MkAbs(h+".ini"), []byte(text), 0o600))
 	}
 }
@@ -348,3 +350,24 @@
 		}
 	}
 }
+
+// repaired waits until the replicas of a host count again in all 16 shards and
+// its new disk is among the voters: repaired PEER HOST... where the
+// hosts are those whose logs tell.
+func repaired(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(`counts: shard=(\d+) peer=` + args[0])
+	// The lost disk leaves the voters before the new one joins them.
+	joined := regexp.MustCompile(`changing voters: .*\{` + args[0] + ` [0-9a-f-]{36}\}`)
+	eventually(ts, 40*time.Second, "repair of the replicas of "+args[0], func() bool {
+		shards := make(map[string]bool)
+		voters := false
+		for _, h := range args[1:] {
+			text := readFile(ts, ts.MkAbs(h+".err"))
+			for _, found := range pattern.FindAllSubmatch(text, -1) {
+				shards[string(found[1])] = true
+			}
+			voters = voters || joined.Match(text)
+		}
+		return len(shards) == 16 && voters
+	})
+}
--- a/internal/journal/writer/copy.go
+++ b/internal/journal/writer/copy.go
@@ -225,6 +225,7 @@
 	m.match = request.Last
 	m.next = request.Last + 1
 	if request.Vote {
+		l.w.Logger.Info("replica holds the whole log and counts", "shard", l.shard, "peer", m.host, "last", request.Last)
 		m.barrier = 0
 	}
 	l.prepare(m)
--- a/internal/program/owner/sweep.go
+++ b/internal/program/owner/sweep.go
@@ -17,6 +17,9 @@
 	reportEvery = 5 * time.Second
 	// recentFor is how long a server counts as used lately.
 	recentFor = time.Minute
+	// keepEnded is how long an ended program stays in memory after a repeated
+	// request.
+	keepEnded = time.Minute
 	// releaseLimit bounds one order to release cache.
 	releaseLimit = 2 * time.Second
 )
@@ -231,6 +234,10 @@
 func (p *program) overdue(now time.Time, plans map[zinniapond.PlanName]zinniapond.Plan) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.book.Ended() {
+		// Loaded again for a repeated request.
+		return now.Sub(p.touched) > keepEnded
+	}
 	limit := plans[p.book.Program.Plan].Time
 	return limit > 0 && now.Sub(p.book.Program.Opened) > limit
 }
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -108,7 +108,7 @@
 		{exitRefused, []error{zinniapond.ErrMalformed, zinniapond.ErrCorrupt}},
 		{exitNoAnswer, []error{
 			zinniapond.ErrNotSent, zinniapond.ErrOverload, zinniapond.ErrStale,
-			zinniapond.ErrNoQuorum, zinniapond.ErrNotLeader, zinniapond.ErrUnavailable,
+			zinniapond.ErrNoQuorum, zinniapond.ErrNotLeader, zinniapond.ErrUnavailable, zinniapond.ErrUnknown,
 		}},
 	} {
 		for _, e := range c.cause {
