--- a/interfaces.go
+++ b/interfaces.go
@@ -12,7 +12,8 @@
 	Run(ctx context.Context) error
 }
 
-// RolePlugin does the work of one role of a host.
+// RolePlugin does the work of one role of a host, or a part of it. Parts are
+// registered under the role's name, a dot and a name of their own.
 type RolePlugin interface {
 	Runner
 	Role() Role
@@ -92,6 +93,12 @@
 	// Reserve returns ErrBudget if the plan's window has too little left.
 	Reserve(ctx context.Context, now time.Time, plan Plan, amount Tokens) (Reservation, error)
 	Settle(now time.Time, reservation Reservation, used Tokens)
+	// Restore takes in a grant record of a shard that this host took over.
+	Restore(now time.Time, shard ShardID, record Record)
+	// Serve begins to grant under the epoch at which the shard is held now.
+	Serve(now time.Time, shard ShardID, epoch Epoch)
+	// Drop forgets the plans whose home shard was taken from this host.
+	Drop(shard ShardID)
 }
 
 // Reservation is a part of a plan's budget set aside for one call.
@@ -261,9 +268,9 @@
 
 // Demand is what a model's callers ask for.
 type Demand struct {
-	Model   PoolName
-	Busy    float64 // mean of replicas busy
-	Waiting int
+	Model   PoolName `cbor:"m"`
+	Busy    float64  `cbor:"b"` // mean of replicas busy
+	Waiting int      `cbor:"w"`
 }
 
 // Placer decides which replicas hold which model.
@@ -274,12 +281,18 @@
 // BackendClient speaks to backend servers of one kind.
 type BackendClient interface {
 	// Do runs one attempt. It returns an error wrapping ErrNotSent if no byte
-	// reached the server. The answer's body is whole even if parts went to sink.
+	// reached the server, and ErrUnavailable if the server refused the call
+	// without running it because it is leaving. The answer's body is whole even if parts went to sink.
+	// The part that ends a streamed answer is in the body only: the caller must
+	// not see the end before the result is durable.
 	Do(ctx context.Context, attempt AttemptID, server Backend, call Call, sink Sink) (Answer, error)
 	// Release drops the program's KV cache on the server.
 	Release(ctx context.Context, server netip.AddrPort, program ProgramID) error
 	// Load asks the server for its load report.
 	Load(ctx context.Context, server netip.AddrPort) (LoadReport, error)
+	// Events returns the server's cache events from the given sequence number
+	// on. Events may be missing; a gap shows in the numbers.
+	Events(ctx context.Context, server netip.AddrPort, from uint64) ([]CacheEvent, error)
 	// Order gives an order and returns what the server then says it holds.
 	Order(ctx context.Context, order Order) (PoolName, error)
 }
--- /dev/null
+++ b/internal/rootcmd/root/root.go
@@ -0,0 +1,121 @@
+// Package root has the grammar of the command line.
+package root
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"zinniapond.example/zinniapond"
+	bench "zinniapond.example/zinniapond/internal/benchcmd/run"
+	"zinniapond.example/zinniapond/internal/configcmd/apply"
+	"zinniapond.example/zinniapond/internal/configcmd/check"
+	"zinniapond.example/zinniapond/internal/configcmd/show"
+	"zinniapond.example/zinniapond/internal/core/inject"
+	"zinniapond.example/zinniapond/internal/nodecmd/drain"
+	"zinniapond.example/zinniapond/internal/nodecmd/run"
+	"zinniapond.example/zinniapond/internal/nodecmd/status"
+	"zinniapond.example/zinniapond/internal/programcmd/view"
+	"zinniapond.example/zinniapond/internal/standincmd/engine"
+	"zinniapond.example/zinniapond/internal/standincmd/service"
+	version "zinniapond.example/zinniapond/internal/versioncmd/show"
+)
+
+// Root is the command line.
+type Root struct {
+	Node struct {
+		Run    run.Options    `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
+		Status status.Options `cmd:"" help:"Show hosts, shards and degradation of service."`
+		Drain  drain.Options  `cmd:"" help:"Have a host give its shards away and leave."`
+	} `cmd:"" help:"Run and inspect hosts."`
+	Config struct {
+		Check check.Options `cmd:"" help:"Look for faults in lists and settings, without a host."`
+		Apply apply.Options `cmd:"" help:"Put changed lists into force."`
+		Show  show.Options  `cmd:"" help:"Read the lists in force."`
+	} `cmd:"" help:"Check, change and read the lists."`
+	Program struct {
+		View view.Options `cmd:"" help:"Show a program's history."`
+	} `cmd:"" help:"Inspect programs."`
+	Standin struct {
+		Engine  engine.Options  `cmd:"" help:"Run a stand-in model engine."`
+		Service service.Options `cmd:"" help:"Run a stand-in plain service."`
+	} `cmd:"" help:"Run stand-ins for outside systems."`
+	Bench struct {
+		Run bench.Options `cmd:"" help:"Run experiments with stand-in engines in simulated time."`
+	} `cmd:"" help:"Measure the policies."`
+	Version version.Options `cmd:"" help:"Print the version."`
+}
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitNoAnswer = 3 // the host cannot be reached or cannot answer now: retry
+	exitConflict = 4 // the lists have changed meanwhile
+	exitRefused  = 5 // the lists or settings have faults
+)
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, f *inject.Factory) int {
+	var r Root
+	exited := -1
+	parser, err := kong.New(
+		&r, kong.Name("zinniapond"), kong.Description("Schedules agent programs."), kong.UsageOnError(),
+		kong.Writers(f.Out, f.Err), kong.Exit(func(code int) { exited = code }),
+		kong.Bind(f), kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(f.Out, (*io.Writer)(nil)),
+	)
+	if err != nil {
+		return report(f, err)
+	}
+	c, err := parser.Parse(args)
+	if exited >= 0 { // --help has printed and asked for the end
+		return exited
+	}
+	if err != nil {
+		say(f, "zinniapond: %v\nhint: zinniapond --help\n", err)
+		return exitUsage
+	}
+	return report(f, c.Run())
+}
+
+// report prints an error with its hint and returns its exit code.
+func report(f *inject.Factory, err error) int {
+	if err == nil {
+		return 0
+	}
+	say(f, "zinniapond: %v\n", err)
+	var e *zinniapond.Error
+	if errors.As(err, &e) && e.Hint != "" {
+		say(f, "hint: %s\n", e.Hint)
+	}
+	return code(err)
+}
+
+// say ignores errors: there is no other place to report them.
+func say(f *inject.Factory, format string, args ...any) {
+	_, _ = fmt.Fprintf(f.Err, format, args...)
+}
+
+func code(err error) int {
+	for _, c := range []struct {
+		code  int
+		cause []error
+	}{
+		{exitConflict, []error{zinniapond.ErrConflict}},
+		{exitRefused, []error{zinniapond.ErrMalformed, zinniapond.ErrCorrupt}},
+		{exitNoAnswer, []error{
+			zinniapond.ErrNotSent, zinniapond.ErrOverload, zinniapond.ErrStale,
+			zinniapond.ErrNoQuorum, zinniapond.ErrNotLeader, zinniapond.ErrUnavailable, zinniapond.ErrUnknown,
+		}},
+	} {
+		for _, e := range c.cause {
+			if errors.Is(err, e) {
+				return c.code
+			}
+		}
+	}
+	return exitFailure
+}
