--- a/internal/bench/commit/commit.go
+++ b/internal/bench/commit/commit.go
@@ -42,8 +42,8 @@
 	syncs  atomic.Int64
 }
 
-// Result is what a trial has measured.
-type Result struct {
+// result is what a trial has measured.
+type result struct {
 	Appends  int64
 	Took     time.Duration
 	Syncs    int64 // of all replicas
@@ -62,7 +62,7 @@
 	var hosts []zinniapond.HostName
 	for i := range t.Replicas {
 		h := zinniapond.HostName("store" + strconv.Itoa(i))
-		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)) //nolint:gosec // few replicas.
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
 		s := &store.Store{
 			Folder: filepath.Join(t.Folder, string(h)), Retention: time.Hour, Single: t.Single,
 			Logger: hclog.NewNullLogger(), Clock: time.Now, Synced: func() { t.syncs.Add(1) },
@@ -76,7 +76,7 @@
 		hosts = append(hosts, h)
 	}
 	for s := range t.Shards {
-		shard := zinniapond.ShardID(s) //nolint:gosec // few shards.
+		shard := zinniapond.ShardID(s)
 		t.view.Assignments[shard] = zinniapond.Assignment{Shard: shard, Owner: "owner", Replicas: hosts}
 	}
 	_, _, err := t.Recover(ctx)
@@ -174,7 +174,7 @@
 
 // Load lets programs append concurrently, each one record after the other, for
 // the given time.
-func (t *Trial) Load(ctx context.Context, programs int, span time.Duration) Result {
+func (t *Trial) Load(ctx context.Context, programs int, span time.Duration) result {
 	before := t.syncs.Load()
 	r := drive(programs, span, func(p, _ int) error {
 		return t.append(ctx, t.record(zinniapond.RecordIntent, zinniapond.ProgramID("load-"+strconv.Itoa(p))))
--- a/internal/bench/table/table.go
+++ b/internal/bench/table/table.go
@@ -14,16 +14,16 @@
 	Title   string             `json:"title"`
 	Columns []string           `json:"columns"`
 	Rows    []string           `json:"rows"`
-	Cells   map[string]Figures `json:"cells"` // by row
+	Cells   map[string]cells `json:"cells"` // by row
 }
 
-// Figures are the figures of one experiment by name.
-type Figures = map[string]float64
+// cells are the figures of one experiment by name.
+type cells = map[string]float64
 
 // Add adds the figures of an experiment.
 func (t *Table) Add(row string, figures map[string]float64) {
 	if t.Cells == nil {
-		t.Cells = make(map[string]Figures)
+		t.Cells = make(map[string]cells)
 	}
 	t.Rows = append(t.Rows, row)
 	t.Cells[row] = figures
--- a/internal/benchcmd/run/draw.go
+++ b/internal/benchcmd/trial/draw.go
@@ -1,4 +1,4 @@
-package run
+package trial
 
 import (
 	"fmt"
--- a/internal/benchcmd/run/run.go
+++ b/internal/benchcmd/trial/trial.go
@@ -1,5 +1,5 @@
-// Package run is the command that runs the experiments on the policies.
-package run
+// Package trial is the command that runs the experiments on the policies.
+package trial
 
 import (
 	"fmt"
--- a/internal/entry/admin/status.go
+++ b/internal/entry/admin/status.go
@@ -145,7 +145,7 @@
 func shards(view *zinniapond.ControlView) shardStatus {
 	s := shardStatus{Total: view.Shards, Owners: make(map[zinniapond.HostName]int)}
 	for n := range view.Shards {
-		id := zinniapond.ShardID(n) //nolint:gosec // the shard count is small.
+		id := zinniapond.ShardID(n)
 		a, ok := view.Assignments[id]
 		if !ok || a.Owner == "" {
 			s.Unowned = append(s.Unowned, id)
--- a/internal/fleet/plan/planner.go
+++ b/internal/fleet/plan/planner.go
@@ -82,7 +82,7 @@
 	}
 	var changes []zinniapond.Assignment
 	for n := range view.Shards {
-		id := zinniapond.ShardID(n) //nolint:gosec // not negative.
+		id := zinniapond.ShardID(n)
 		a, known := view.Assignments[id]
 		a.Shard = id
 		if !known && len(f.stores) < p.Replicas && leading < p.Start {
--- a/internal/journal/store/format.go
+++ b/internal/journal/store/format.go
@@ -43,7 +43,7 @@
 func kindNumber(kind zinniapond.RecordKind) (byte, error) {
 	for i, k := range kinds {
 		if i > 0 && k == kind {
-			return byte(i), nil //nolint:gosec // fewer than 256 kinds.
+			return byte(i), nil
 		}
 	}
 	return 0, fmt.Errorf("unknown record kind %q: %w", kind, zinniapond.ErrMalformed)
@@ -70,7 +70,7 @@
 // with the key of another.
 func programKey(shard zinniapond.ShardID, program zinniapond.ProgramID) []byte {
 	key := shardKey(shard)
-	key = binary.BigEndian.AppendUint16(key, uint16(len(program))) //nolint:gosec // bounded by maxProgram.
+	key = binary.BigEndian.AppendUint16(key, uint16(len(program)))
 	return append(key, program...)
 }
 
@@ -95,7 +95,7 @@
 	value := make([]byte, 4, headerSize+len(entry.Program)+len(entry.Data))
 	value = binary.BigEndian.AppendUint64(value, uint64(entry.Epoch))
 	value = append(value, kind)
-	value = binary.BigEndian.AppendUint16(value, uint16(len(entry.Program))) //nolint:gosec // bounded above.
+	value = binary.BigEndian.AppendUint16(value, uint16(len(entry.Program)))
 	value = append(value, entry.Program...)
 	value = append(value, entry.Data...)
 	binary.BigEndian.PutUint32(value, entrySum(indexKey(shard, entry.Index), value))
--- a/internal/journal/store/keep.go
+++ b/internal/journal/store/keep.go
@@ -17,7 +17,7 @@
 const sweepEntries = 2000
 
 func dueKey(at time.Time, shard zinniapond.ShardID, index zinniapond.Index) []byte {
-	key := binary.BigEndian.AppendUint64(nil, uint64(at.UnixNano())) //nolint:gosec // after 1970.
+	key := binary.BigEndian.AppendUint64(nil, uint64(at.UnixNano()))
 	return append(key, indexKey(shard, index)...)
 }
 
@@ -61,7 +61,7 @@
 		if err := tx.Bucket(dueBucket).Delete(k); err != nil {
 			return false, err
 		}
-		at := time.Unix(0, int64(binary.BigEndian.Uint64(k))) //nolint:gosec // written by dueKey.
+		at := time.Unix(0, int64(binary.BigEndian.Uint64(k)))
 		n, err := s.expire(tx, now, at, shardOf(k[8:]), indexOf(k))
 		if err != nil {
 			return false, err
--- a/internal/journal/writer/log.go
+++ b/internal/journal/writer/log.go
@@ -193,7 +193,7 @@
 	}
 	n := 0
 	for n < len(l.entries) {
-		i := l.base + zinniapond.Index(n) //nolint:gosec // not negative.
+		i := l.base + zinniapond.Index(n)
 		if i > low && (i > l.commit || l.kept <= keepBytes) {
 			break
 		}
@@ -203,6 +203,6 @@
 	if n == 0 {
 		return
 	}
-	l.base += zinniapond.Index(n) //nolint:gosec // not negative.
+	l.base += zinniapond.Index(n)
 	l.entries = slices.Delete(l.entries, 0, n)
 }
--- a/internal/nodecmd/run/run.go
+++ b/internal/nodecmd/start/start.go
@@ -1,5 +1,5 @@
-// Package run is the command that runs a host.
-package run
+// Package start is the command that runs a host.
+package start
 
 import (
 	"context"
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -85,7 +85,7 @@
 		return 0, false
 	}
 	if b.random == nil {
-		b.random = rand.New(rand.NewPCG(b.Seed, 1)) //nolint:gosec // jitter needs no secrecy.
+		b.random = rand.New(rand.NewPCG(b.Seed, 1))
 	}
 	delay := min(firstDelay<<max(tries-1, 0), lastDelay)
 	return delay/2 + time.Duration(b.random.Int64N(int64(delay))), true
--- a/internal/quorum/node/node.go
+++ b/internal/quorum/node/node.go
@@ -115,7 +115,7 @@
 // compact takes a snapshot when enough records were applied since the last.
 func (n *Node) compact() error {
 	index := n.State.View().Index
-	if index < n.Core.Snapshot().Index+zinniapond.Index(n.Snapshot) { //nolint:gosec // positive by settings.
+	if index < n.Core.Snapshot().Index+zinniapond.Index(n.Snapshot) {
 		return nil
 	}
 	data, err := n.State.Encode()
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -144,7 +144,7 @@
 		// A third of the time in which the leader must be heard, so that one
 		// lost answer does not end a leadership.
 		Wait:   c.Fetch / 3,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads campaigns.
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, p := range c.Voters {
 		if p.Name != v.Settings.Host {
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -10,45 +10,55 @@
 	"github.com/alecthomas/kong"
 
 	"zinniapond.example/zinniapond"
-	bench "zinniapond.example/zinniapond/internal/benchcmd/run"
+	bench "zinniapond.example/zinniapond/internal/benchcmd/trial"
 	"zinniapond.example/zinniapond/internal/configcmd/apply"
 	"zinniapond.example/zinniapond/internal/configcmd/check"
 	"zinniapond.example/zinniapond/internal/configcmd/show"
 	"zinniapond.example/zinniapond/internal/core/inject"
 	"zinniapond.example/zinniapond/internal/nodecmd/drain"
-	"zinniapond.example/zinniapond/internal/nodecmd/run"
+	"zinniapond.example/zinniapond/internal/nodecmd/start"
 	"zinniapond.example/zinniapond/internal/nodecmd/status"
 	"zinniapond.example/zinniapond/internal/programcmd/view"
 	"zinniapond.example/zinniapond/internal/standincmd/engine"
-	"zinniapond.example/zinniapond/internal/standincmd/service"
+	"zinniapond.example/zinniapond/internal/standincmd/plain"
 	version "zinniapond.example/zinniapond/internal/versioncmd/show"
 )
 
 // Root is the command line.
 type Root struct {
-	Node struct {
-		Run    run.Options    `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
-		Status status.Options `cmd:"" help:"Show hosts, shards and degradation of service."`
-		Drain  drain.Options  `cmd:"" help:"Have a host give its shards away and leave."`
-	} `cmd:"" help:"Run and inspect hosts."`
-	Config struct {
-		Check check.Options `cmd:"" help:"Look for faults in lists and settings, without a host."`
-		Apply apply.Options `cmd:"" help:"Put changed lists into force."`
-		Show  show.Options  `cmd:"" help:"Read the lists in force."`
-	} `cmd:"" help:"Check, change and read the lists."`
-	Program struct {
-		View view.Options `cmd:"" help:"Show a program's history."`
-	} `cmd:"" help:"Inspect programs."`
-	Standin struct {
-		Engine  engine.Options  `cmd:"" help:"Run a stand-in model engine."`
-		Service service.Options `cmd:"" help:"Run a stand-in plain service."`
-	} `cmd:"" help:"Run stand-ins for outside systems."`
-	Bench struct {
-		Run bench.Options `cmd:"" help:"Run experiments with stand-in engines in simulated time."`
-	} `cmd:"" help:"Measure the policies."`
+	Node    nodeCommands    `cmd:"" help:"Run and inspect hosts."`
+	Config  configCommands  `cmd:"" help:"Check, change and read the lists."`
+	Program programCommands `cmd:"" help:"Inspect programs."`
+	Standin standinCommands `cmd:"" help:"Run stand-ins for outside systems."`
+	Bench   benchCommands   `cmd:"" help:"Measure the policies."`
 	Version version.Options `cmd:"" help:"Print the version."`
 }
 
+type nodeCommands struct {
+	Run    start.Options  `cmd:"" help:"Run this host until SIGTERM or SIGINT."`
+	Status status.Options `cmd:"" help:"Show hosts, shards and degradation of service."`
+	Drain  drain.Options  `cmd:"" help:"Have a host give its shards away and leave."`
+}
+
+type configCommands struct {
+	Check check.Options `cmd:"" help:"Look for faults in lists and settings, without a host."`
+	Apply apply.Options `cmd:"" help:"Put changed lists into force."`
+	Show  show.Options  `cmd:"" help:"Read the lists in force."`
+}
+
+type programCommands struct {
+	View view.Options `cmd:"" help:"Show a program's history."`
+}
+
+type standinCommands struct {
+	Engine  engine.Options `cmd:"" help:"Run a stand-in model engine."`
+	Service plain.Options  `cmd:"" help:"Run a stand-in plain service."`
+}
+
+type benchCommands struct {
+	Run bench.Options `cmd:"" help:"Run experiments with stand-in engines in their own time."`
+}
+
 // Exit codes.
 const (
 	exitFailure  = 1
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -39,7 +39,7 @@
 		Program: zinniapond.ProgramID(r.Header.Get("X-Program")),
 		Class:   in.Priority, Prompt: size, Prefix: prefix,
 		// The length is a function of the prompt, too.
-		Most: max(in.Most/2, 1) + zinniapond.Tokens(sum%uint64(in.Most/2+1)), //nolint:gosec // below Most.
+		Most: max(in.Most/2, 1) + zinniapond.Tokens(sum%uint64(in.Most/2+1)),
 	}
 	need.Most = min(need.Most, in.Most)
 	attempt := zinniapond.AttemptID(r.Header.Get("X-Request-Id"))
--- a/internal/standincmd/service/service.go
+++ b/internal/standincmd/plain/plain.go
@@ -1,5 +1,5 @@
-// Package service is the command that runs a stand-in plain service.
-package service
+// Package plain is the command that runs a stand-in plain service.
+package plain
 
 import (
 	"context"
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -97,7 +97,7 @@
 	if n > limit {
 		return errSize(n, limit)
 	}
-	binary.BigEndian.PutUint32(b.buf.Bytes(), uint32(n)) //nolint:gosec // n is at most limit.
+	binary.BigEndian.PutUint32(b.buf.Bytes(), uint32(n))
 	return nil
 }
 
--- a/internal/wire/stream/stream.go
+++ b/internal/wire/stream/stream.go
@@ -200,7 +200,7 @@
 		return
 	}
 	ctx, span := trace.Hop(r.Context(), s.Tracer, "owner", &call)
-	span.SetAttributes(attribute.String("zinniapond.sender", string(host)), attribute.Int64("zinniapond.member", int64(epoch))) //nolint:gosec // epochs are small.
+	span.SetAttributes(attribute.String("zinniapond.sender", string(host)), attribute.Int64("zinniapond.member", int64(epoch)))
 	stop := out.heartbeat(s.Beat)
 	answer, err := s.owner.Submit(ctx, s.Clock(), call, out)
 	stop()
--- a/types.go
+++ b/types.go
@@ -61,7 +61,7 @@
 
 // ShardOf returns the shard of the given key among count shards.
 func ShardOf(key string, count int) ShardID {
-	return ShardID(xxhash.Sum64String(key) % uint64(count)) //nolint:gosec // count is positive by settings.
+	return ShardID(xxhash.Sum64String(key) % uint64(count))
 }
 
 // Class orders calls of different urgency.
