--- a/fleet.go
+++ b/fleet.go
@@ -15,6 +15,12 @@
 	RoleOwner   Role = "owner"
 	RoleStore   Role = "store"
 	RoleControl Role = "control"
+	// RoleKeeper keeps the turns and budgets of programs on its disk.
+	RoleKeeper Role = "keeper"
+	// RoleFront and RoleOperators serve the callers and the operators of an
+	// outside platform.
+	RoleFront     Role = "front"
+	RoleOperators Role = "operators"
 )
 
 // MemberState is the standing of a host in the member list.
@@ -153,6 +159,11 @@
 	State      BackendState   `json:"state"`
 	// Fences tells that the server refuses orders with an old fencing number.
 	Fences bool `json:"fences"`
+	// ID tells one start of a server from the next at the same address; empty
+	// if the list does not say.
+	ID string `json:"id,omitempty"`
+	// Slots is the number of requests that the server runs at once; 0 if unknown.
+	Slots int `json:"slots,omitempty"`
 }
 
 // ControlView is the control state as one host has applied it. It is never
@@ -165,6 +176,15 @@
 	Members     map[HostName]Member      `json:"members"`
 	Assignments map[ShardID]Assignment   `json:"assignments"`
 	Orders      map[netip.AddrPort]Order `json:"orders"`
+	// Routing is the operators' configuration in force; nil before the first.
+	Routing *Routing `json:"routing,omitempty"`
+	// Disks keep turns and budgets. DisksIndex is the record that last changed
+	// them.
+	Disks      map[DiskID]Disk `json:"disks"`
+	DisksIndex Index           `json:"disksIndex"`
+	// Backends is the list of replicas, as the leader has read it last.
+	Backends      []Backend `json:"backends"`
+	BackendsIndex Index     `json:"backendsIndex"`
 }
 
 // OrderKind is what an engine is told to do.
--- a/internal/core/inject/inject.go
+++ b/internal/core/inject/inject.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/clock"
 	"zinniapond.example/zinniapond/internal/files/config"
 	"zinniapond.example/zinniapond/internal/files/lists"
 	"zinniapond.example/zinniapond/internal/standin/engine"
@@ -40,7 +41,7 @@
 // New returns the dependencies of a process.
 func New() *Factory {
 	return &Factory{
-		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Clock: time.Now,
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Clock: clock.Now,
 		Client: &http.Client{Timeout: requestTimeout},
 		Load:   new(config.Loader).Load,
 		Check: func(plans, usage string) []zinniapond.ListFault {
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -157,7 +157,8 @@
 // entry finishes its requests while the owner still runs, and the owner hands
 // its shards over while stores and control still answer.
 var roleOrder = []zinniapond.Role{
-	zinniapond.RoleControl, zinniapond.RoleStore, zinniapond.RoleOwner, zinniapond.RoleEntry,
+	zinniapond.RoleControl, zinniapond.RoleKeeper, zinniapond.RoleStore, zinniapond.RoleOwner, zinniapond.RoleEntry,
+	zinniapond.RoleOperators, zinniapond.RoleFront,
 }
 
 // Run builds the plug-ins of the host's roles and runs them until ctx is done
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -34,6 +34,18 @@
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
 
+	// Requests of an outside platform: run where they arrive, with turns and
+	// budgets on the keepers' disks.
+	_ "zinniapond.example/zinniapond/internal/backend/listed"
+	_ "zinniapond.example/zinniapond/internal/front/runner"
+	_ "zinniapond.example/zinniapond/internal/turns/client"
+	_ "zinniapond.example/zinniapond/internal/turns/keeper"
+	_ "zinniapond.example/zinniapond/internal/turns/tender"
+	_ "zinniapond.example/zinniapond/platform/front"
+	_ "zinniapond.example/zinniapond/platform/operate"
+	_ "zinniapond.example/zinniapond/platform/replica"
+	_ "zinniapond.example/zinniapond/platform/roster"
+
 	// Between hosts.
 	_ "zinniapond.example/zinniapond/internal/wire/peers"
 	_ "zinniapond.example/zinniapond/internal/wire/serve"
--- a/internal/files/config/config.go
+++ b/internal/files/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sort"
@@ -148,6 +149,7 @@
 // together checks what holds between fields.
 func (r *reader) together() {
 	s := r.settings
+	r.seeds()
 	fault := func(section, key, problem, allowed string) {
 		r.text.Fault(r.text.Line(section, key), problem, allowed)
 	}
@@ -158,14 +160,14 @@
 	if c.Fetch != 0 && c.Fetch >= c.Lease && c.Lease != 0 {
 		fault("control", "fetch", fmt.Sprintf("fetch %s is not below lease %s: an election would outlast each lease", c.Fetch, c.Lease), "less than [control] lease")
 	}
-	if s.Data == "" && (s.HasRole(zinniapond.RoleStore) || s.HasRole(zinniapond.RoleControl)) {
-		fault("node", "data", "roles store and control need [node] data", "path of a folder")
+	if s.Data == "" && (s.HasRole(zinniapond.RoleStore) || s.HasRole(zinniapond.RoleControl) || s.HasRole(zinniapond.RoleKeeper)) {
+		fault("node", "data", "roles store, keeper and control need [node] data", "path of a folder")
 	}
 	if c.Bootstrap && !s.HasRole(zinniapond.RoleControl) {
 		fault("control", "bootstrap", "bootstrap needs the role control", "true only on control hosts")
 	}
 	for _, v := range c.Voters {
-		if v.Name == s.Host && s.Peers.IsValid() && v.Peers != s.PeersAddress() {
+		if v.Name == s.Host && !c.Seeds && s.Peers.IsValid() && v.Peers != s.PeersAddress() {
 			fault("control", "voters", fmt.Sprintf("voter %s has %s, but other hosts reach it at %s", v.Name, v.Peers, s.PeersAddress()),
 				"the address of [listen] announce-peers or else peers")
 		}
@@ -183,6 +185,29 @@
 	}
 }
 
+// seeds makes voters of the seeds: the hosts are given, and the port is the one
+// at which every host listens for the others.
+func (r *reader) seeds() {
+	s := r.settings
+	v, ok := r.text.Value("control", "seeds")
+	if !ok || v == "" {
+		if len(s.Control.Voters) == 0 && !r.set("control", "voters") {
+			r.text.Fault(r.text.Line("control", "voters"), "[control] voters is not set", "NAME@IP:PORT, ...; or [control] seeds")
+		}
+		return
+	}
+	s.Control.Seeds = true
+	for _, p := range strings.Split(v, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(p))
+		if err != nil {
+			r.text.Fault(r.text.Line("control", "seeds"), fmt.Sprintf("[control] seeds: %q is not an address with a port", p), "IP:PORT, ...")
+			return
+		}
+		a = netip.AddrPortFrom(a.Addr(), s.PeersAddress().Port())
+		s.Control.Voters = append(s.Control.Voters, zinniapond.Voter{Name: zinniapond.HostName(a.String()), Peers: a})
+	}
+}
+
 func (r *reader) set(section, key string) bool {
 	v, ok := r.text.Value(section, key)
 	return ok && v != ""
--- a/internal/files/config/fields.go
+++ b/internal/files/config/fields.go
@@ -38,21 +38,24 @@
 		name("node", "cluster", &s.Cluster),
 		name("node", "data-centre", &s.DataCentre),
 		r.path("node", "data", &s.Data),
-		{"node", "roles", "entry, owner", "entry, owner, store, control", false, func(v string) (err error) {
+		{"node", "roles", "entry, owner", "entry, owner, store, control, keeper, front, operators", false, func(v string) (err error) {
 			s.Roles, err = roles(v)
 			return err
 		}},
 		span("node", "drain", "30s", time.Second, time.Hour, &s.Drain),
 		address("listen", "callers", false, true, &s.Callers),
 		address("listen", "operators", false, true, &s.Operators),
+		address("listen", "ready", false, true, &s.Ready),
+		address("listen", "metrics", false, true, &s.Metrics),
 		address("listen", "peers", true, false, &s.Peers),
 		address("listen", "streams", true, false, &s.Streams),
 		address("listen", "announce-peers", false, false, &s.AnnouncePeers),
 		address("listen", "announce-streams", false, false, &s.AnnounceStreams),
-		{"control", "voters", "", "NAME@IP:PORT, ...; 1 to 7 of them", true, func(v string) (err error) {
+		{"control", "voters", "", "NAME@IP:PORT, ...; 1 to 7 of them", false, func(v string) (err error) {
 			s.Control.Voters, err = voters(v)
 			return err
 		}},
+		{"control", "seeds", "", "IP:PORT, ...", false, func(string) error { return nil }}, // read when all else is set
 		{"control", "bootstrap", "false", "true, false", false, func(v string) (err error) {
 			s.Control.Bootstrap, err = strconv.ParseBool(v)
 			return short(err)
@@ -65,10 +68,21 @@
 		number("control", "replicas", "3", 1, 7, &s.Control.Replicas),
 		number("control", "snapshot", "512", 16, 1<<20, &s.Control.Snapshot),
 		span("journal", "retention", "24h", time.Minute, 365*24*time.Hour, &s.Journal.Retention),
+		number("keeper", "machines", "1", 0, 3, &s.Keeper.Machines),
+		number("keeper", "zones", "0", 0, 3, &s.Keeper.Zones),
+		span("keeper", "patience", "5s", 100*time.Millisecond, time.Hour, &s.Keeper.Patience),
 		r.list(),
+		span("platform", "lag", "0s", 0, time.Minute, &s.Platform.Lag),
+		span("platform", "apply", "4s", 100*time.Millisecond, time.Minute, &s.Platform.Apply),
+		span("platform", "leave", "3s", 100*time.Millisecond, time.Minute, &s.Platform.Leave),
+		{"platform", "rate", "0", "readings a second, above 0", false, func(v string) (err error) {
+			s.Platform.Rate, err = strconv.ParseFloat(v, 64)
+			return short(err)
+		}},
 		span("platform", "refresh", "1s", 50*time.Millisecond, time.Minute, &s.Platform.Refresh),
 		span("platform", "weights", "5s", time.Millisecond, time.Hour, &s.Platform.Weights),
 		r.secret(),
+		{"security", "open", "false", "true, false", false, func(string) error { return nil }}, // read with the secret
 		{"security", "operator-hash", "", "sha256: and 64 hexadecimal digits", false, func(v string) (err error) {
 			s.Security.OperatorHash, err = hash(v)
 			return err
@@ -79,6 +93,7 @@
 		number("limits", "body", "8388608", 1024, 1<<30, &s.Limits.Body),
 		number("limits", "header", "65536", 4096, 1<<20, &s.Limits.Header),
 		span("limits", "read", "30s", 100*time.Millisecond, time.Hour, &s.Limits.Read),
+		number("limits", "memory", "0", 0, 1<<40, &s.Memory),
 		number("limits", "open", "1024", 1, 1<<20, &s.Limits.Open),
 		span("limits", "progress", "10s", 100*time.Millisecond, time.Hour, &s.Limits.Progress),
 		span("limits", "attempt", "10m", time.Second, 24*time.Hour, &s.Limits.Attempt),
@@ -194,7 +209,8 @@
 
 func (r *reader) secret() field {
 	allowed := fmt.Sprintf("path of a file with at least %d bytes", secretLeast)
-	return field{"security", "secret", "", allowed, true, func(v string) error {
+	open, _ := r.text.Value("security", "open")
+	return field{"security", "secret", "", allowed, open != "true", func(v string) error {
 		b, err := os.ReadFile(r.resolve(v))
 		if err != nil {
 			return fmt.Errorf("file cannot be read: %w", errors.Unwrap(err))
@@ -221,7 +237,8 @@
 	for _, p := range strings.Split(v, ",") {
 		role := zinniapond.Role(strings.TrimSpace(p))
 		switch role {
-		case zinniapond.RoleEntry, zinniapond.RoleOwner, zinniapond.RoleStore, zinniapond.RoleControl:
+		case zinniapond.RoleEntry, zinniapond.RoleOwner, zinniapond.RoleStore, zinniapond.RoleControl,
+			zinniapond.RoleKeeper, zinniapond.RoleFront, zinniapond.RoleOperators:
 		default:
 			return nil, fmt.Errorf("unknown role %q", role)
 		}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -130,6 +130,13 @@
 		return assign(view, command)
 	case zinniapond.CommandOrder:
 		return order(view, command)
+	case zinniapond.CommandRouting:
+		return routing(view, command)
+	case zinniapond.CommandDisk:
+		return disk(view, command)
+	case zinniapond.CommandBackends:
+		view.Backends, view.BackendsIndex = command.Backends, view.Index
+		return accepted()
 	case zinniapond.CommandEmpty, "":
 		if command.Shards > 0 && view.Shards == 0 {
 			view.Shards = command.Shards
@@ -237,6 +244,11 @@
 	Outcomes    map[zinniapond.ChangeID]outcome `cbor:"c"`
 	Order       []zinniapond.ChangeID           `cbor:"co"`
 	Voters      []zinniapond.VoterKey           `cbor:"v"`
+	Routing     *zinniapond.Routing             `cbor:"r,omitempty"`
+	Disks       []zinniapond.Disk               `cbor:"d,omitempty"`
+	DisksIndex  zinniapond.Index                `cbor:"di,omitempty"`
+	Backends    []zinniapond.Backend            `cbor:"b,omitempty"`
+	BackendsAt  zinniapond.Index                `cbor:"bi,omitempty"`
 }
 
 // Encode returns the state as one snapshot, equal on all hosts.
@@ -245,6 +257,11 @@
 	i := image{
 		Index: view.Index, Shards: view.Shards, Lists: view.Lists,
 		Outcomes: s.outcomes, Order: s.order, Voters: s.voters,
+		Routing: view.Routing, DisksIndex: view.DisksIndex,
+		Backends: view.Backends, BackendsAt: view.BackendsIndex,
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Disks)) {
+		i.Disks = append(i.Disks, view.Disks[id])
 	}
 	for _, name := range slices.Sorted(maps.Keys(view.Members)) {
 		i.Members = append(i.Members, view.Members[name])
@@ -294,6 +311,11 @@
 	for _, o := range i.Orders {
 		put(&view.Orders, o.Backend, o)
 	}
+	view.Routing, view.DisksIndex = i.Routing, i.DisksIndex
+	view.Backends, view.BackendsIndex = i.Backends, i.BackendsAt
+	for _, d := range i.Disks {
+		put(&view.Disks, d.ID, d)
+	}
 	s.view, s.outcomes, s.order, s.voters = view, i.Outcomes, i.Order, i.Voters
 	s.catalog, _ = s.parse(i.Lists.Version, i.Lists.Plans, i.Lists.Usage)
 	return nil
--- /dev/null
+++ b/internal/front/runner/forward.go
@@ -0,0 +1,200 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/routes/table"
+)
+
+const (
+	// soon is when a client may come again after a refusal that passes quickly,
+	// such as full replicas.
+	soon = 100 * time.Millisecond
+	// giveUp is the share of the time left that a request waits for a free
+	// replica before it is refused: the client then has time for another host.
+	giveUp = 0.5
+	// fullPause separates two looks at replicas that are all full.
+	fullPause = 15 * time.Millisecond
+	// settleLimit bounds a settlement after the answer.
+	settleLimit = 3 * time.Second
+	// margin is left of the time for an answer that says why there is none.
+	margin = 20 * time.Millisecond
+)
+
+// run is one request on its way.
+type run struct {
+	*Runner
+	request *zinniapond.Request
+	to      zinniapond.Responder
+	route   *zinniapond.Route
+	service *zinniapond.Service
+	name    zinniapond.PoolName
+	until   time.Time // of the client or the route
+	version uint64
+	body    []byte
+	chain   []zinniapond.Turn
+	spend   zinniapond.Spend // of a turn with a budget
+	tried   []tried
+	ran     int // attempts that may have run
+	begun   bool
+	stream  stream
+}
+
+// tried is a replica that was asked, for the log.
+type tried struct {
+	replica zinniapond.Backend
+	outcome string
+}
+
+// Forward runs a request and passes the answer to the responder.
+func (r *Runner) Forward(ctx context.Context, now time.Time, request zinniapond.Request, to zinniapond.Responder) {
+	u := &run{Runner: r, request: &request, to: to}
+	err := u.forward(ctx, now)
+	u.settle()
+	u.log(err)
+	switch {
+	case err == nil:
+	case u.begun || ctx.Err() != nil:
+		to.Abort()
+	default:
+		var e *zinniapond.Error
+		refusal := zinniapond.Refusal{Reason: err}
+		if errors.As(err, &e) {
+			refusal.After = e.RetryAfter
+		}
+		if err := to.Refuse(refusal); err != nil {
+			r.Logger.Debug("refusal not delivered", "id", request.ID, "error", err)
+		}
+	}
+}
+
+// refuse returns an error after which the client may come again.
+func refuse(step string, after time.Duration, err error) error {
+	return &zinniapond.Error{Step: step, RetryAfter: after, Err: err}
+}
+
+func (u *run) forward(ctx context.Context, now time.Time) error {
+	if err := u.place(now); err != nil {
+		return err
+	}
+	// The time is the client's, so an attempt ends with it; the answer that says
+	// so is sent by the caller.
+	limited, cancel := context.WithTimeout(ctx, u.until.Sub(now))
+	defer cancel()
+	if err := u.prepare(limited, now); err != nil {
+		return err
+	}
+	return u.attempts(limited)
+}
+
+// place finds the route and the time of a request.
+func (u *run) place(now time.Time) error {
+	t := u.table.Load()
+	if t == nil {
+		return refuse("find route", soon, fmt.Errorf("no configuration yet: %w", zinniapond.ErrStale))
+	}
+	u.version = t.Routing().Version
+	route, ok := t.Find(u.request.Host, u.request.Path)
+	if !ok {
+		return fmt.Errorf("find route of %s%s in version %d: %w", u.request.Host, u.request.Path, u.version, zinniapond.ErrNotFound)
+	}
+	if most := t.Routing().Limits.Body; most > 0 && int64(len(u.request.Body)) > most {
+		return fmt.Errorf("body of %d bytes: %w", len(u.request.Body), zinniapond.ErrTooLarge)
+	}
+	u.route = route
+	key := string(u.request.Program)
+	if key == "" {
+		key = string(u.request.ID)
+	}
+	u.name = table.Choose(route, key)
+	u.service = t.Service(u.name)
+	wait := route.Timeout
+	if u.request.Wait > 0 {
+		wait = min(wait, u.request.Wait)
+	}
+	u.until = u.request.Received.Add(wait)
+	if !now.Before(u.until) {
+		return refuse("find route", 0, fmt.Errorf("its time is over: %w", zinniapond.ErrOverload))
+	}
+	return nil
+}
+
+// prepare reads the chain of a turn and reserves its tokens, both at once.
+func (u *run) prepare(ctx context.Context, now time.Time) error {
+	u.body = u.request.Body
+	if !u.route.Stream() || u.request.Program == "" {
+		return nil
+	}
+	reserved := make(chan error, 1)
+	if u.request.Budget > 0 {
+		u.spend = zinniapond.Spend{Program: u.request.Program, Turn: u.request.ID, Reserved: u.request.Most}
+		go func() { reserved <- u.Turns.Reserve(ctx, now, u.spend, u.request.Budget) }()
+	} else {
+		reserved <- nil
+	}
+	var err error
+	if u.route.Retained && u.request.Previous != "" {
+		u.chain, err = u.Turns.Chain(ctx, now, u.request.Previous)
+	}
+	if err = errors.Join(err, <-reserved); err != nil {
+		if !errors.Is(err, zinniapond.ErrNotFound) && !errors.Is(err, zinniapond.ErrBudget) {
+			return refuse("prepare turn", soon, err)
+		}
+		return err
+	}
+	if len(u.chain) > 0 {
+		u.body = nil
+		for _, t := range u.chain {
+			u.body = append(append(u.body, t.Input...), t.Output...)
+		}
+		u.body = append(u.body, u.request.Body...)
+	}
+	return nil
+}
+
+// settle returns what a turn did not use. A turn that was kept is settled with
+// it.
+func (u *run) settle() {
+	if u.spend.Program == "" || u.spend.Settled {
+		return
+	}
+	spend := u.spend
+	spend.Settled, spend.Used = true, u.stream.tokens
+	u.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+		defer cancel()
+		if err := u.Turns.Settle(ctx, u.Clock(), spend); err != nil {
+			u.Logger.Warn("tokens stay reserved", "id", u.request.ID, "program", spend.Program, "reserved", spend.Reserved, "used", spend.Used, "error", err)
+		}
+	})
+}
+
+// log writes one line for a request: what was decided, by which version, and
+// what came of it. Successes are counted and not logged, but for slow ones.
+func (u *run) log(err error) {
+	took := u.Clock().Sub(u.request.Received)
+	name := ""
+	if u.route != nil {
+		name = u.route.Name
+	}
+	if err == nil {
+		u.Stats.Add("front.served", 1)
+		u.Logger.Debug("served", "id", u.request.ID, "route", name, "took", took, "tried", u.history())
+		return
+	}
+	u.Stats.Add("front.failed", 1)
+	u.Logger.Info("not served", "id", u.request.ID, "program", u.request.Program, "route", name, "version", u.version,
+		"took", took, "tried", u.history(), "begun", u.begun, "error", err)
+}
+
+func (u *run) history() string {
+	text := ""
+	for _, t := range u.tried {
+		text += fmt.Sprintf("%s@%s:%s;", t.replica.ID, t.replica.Address, t.outcome)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/front/runner/runner.go
@@ -0,0 +1,157 @@
+// Package runner runs requests at replicas: it finds the route, reserves and
+// restores what a program needs, chooses replicas, and passes the answer on.
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/shard"
+	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/routes/table"
+)
+
+func init() {
+	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Forwarder, error) {
+		r := &Runner{DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
+		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
+		return r, r.find(k)
+	})
+}
+
+func (r *Runner) find(k *kernel.Kernel) (err error) {
+	if r.Directory, err = kernel.Find[zinniapond.Directory](k); err != nil {
+		return err
+	}
+	if r.Roster, err = kernel.Find[zinniapond.Roster](k); err != nil {
+		return err
+	}
+	if r.Turns, err = kernel.Find[zinniapond.Turns](k); err != nil {
+		return err
+	}
+	if r.Client, err = kernel.Find[zinniapond.ReplicaClient](k); err != nil {
+		return err
+	}
+	r.Stats, err = kernel.FindNamed[*stats.Set[string]](k, "default")
+	return err
+}
+
+// Runner implements zinniapond.Forwarder. Its exported fields are set before
+// Run.
+type Runner struct {
+	DataCentre zinniapond.DataCentre
+	Directory  zinniapond.Directory
+	Roster     zinniapond.Roster
+	Turns      zinniapond.Turns
+	Client     zinniapond.ReplicaClient
+	Stats      *stats.Set[string]
+	Logger     hclog.Logger
+	Clock      func() time.Time
+	NewRouter  func() (zinniapond.Router, error)
+
+	table atomic.Pointer[table.Table]
+	pools shard.Map[zinniapond.PoolName, *pool]
+	// background has the writes that go on after an answer.
+	background sync.WaitGroup
+}
+
+// pool has the replicas of one service.
+type pool struct {
+	router   zinniapond.Router
+	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
+}
+
+// sweepPause separates two looks for connections that are idle for too long.
+const sweepPause = time.Second
+
+// Run follows the configuration and the list of replicas until ctx is done.
+func (r *Runner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPause)
+	defer ticker.Stop()
+	for {
+		configured, listed := r.Directory.Changed(), r.Roster.Changed()
+		if err := r.update(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			r.background.Wait()
+			return nil
+		case <-configured:
+		case <-listed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// update takes in the newest configuration and list. A configuration never gives
+// way to an older one.
+func (r *Runner) update() error {
+	routing := r.Directory.View().Routing
+	have := r.table.Load()
+	if routing != nil && (have == nil || routing.Version > have.Routing().Version) {
+		r.table.Store(table.New(routing))
+		r.Logger.Info("configuration in force", "version", routing.Version, "routes", len(routing.Routes))
+	}
+	backends := r.Roster.Backends()
+	byPool := make(map[zinniapond.PoolName][]zinniapond.Backend)
+	for _, b := range backends {
+		byPool[b.Pool] = append(byPool[b.Pool], b)
+	}
+	now := r.Clock()
+	for name, list := range byPool {
+		p, err := r.pool(name)
+		if err != nil {
+			return err
+		}
+		p.update(now, list)
+	}
+	r.pools.Each(func(name zinniapond.PoolName, p *pool) bool {
+		if _, ok := byPool[name]; !ok {
+			p.update(now, nil)
+		}
+		return true
+	})
+	r.Client.Limit(now, backends)
+	return nil
+}
+
+func (r *Runner) pool(name zinniapond.PoolName) (*pool, error) {
+	if p, ok := r.pools.Get(name); ok {
+		return p, nil
+	}
+	router, err := r.NewRouter()
+	if err != nil {
+		return nil, err
+	}
+	return r.pools.GetOrCreate(name, func() *pool {
+		p := &pool{router: router}
+		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
+		return p
+	}), nil
+}
+
+// update sets the replicas. Only live ones get new requests.
+func (p *pool) update(now time.Time, list []zinniapond.Backend) {
+	live := slices.DeleteFunc(slices.Clone(list), func(b zinniapond.Backend) bool { return b.State != zinniapond.BackendLive })
+	replicas := make(map[netip.AddrPort]zinniapond.Backend, len(live))
+	for _, b := range live {
+		replicas[b.Address] = b
+	}
+	p.replicas.Store(&replicas)
+	p.router.Update(now, live)
+}
+
+// Ready tells whether requests can be run: there is a configuration, and a list
+// of replicas.
+func (r *Runner) Ready() bool {
+	return r.table.Load() != nil && len(r.Roster.Backends()) > 0
+}
--- a/internal/nodecmd/start/start.go
+++ b/internal/nodecmd/start/start.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -22,9 +23,13 @@
 
 // Options are the options of `node run`.
 type Options struct {
-	Settings string `required:"" type:"path" help:"Settings file of this host."`
+	Settings string `required:"" type:"path" env:"ZINNIAPOND_SETTINGS" help:"Settings file of this host."`
 }
 
+// heapShare is the part of the memory at which the collector works harder. The
+// rest is for stacks of the system and bytes that were received and not read.
+const heapShare = 0.6
+
 // exportTime bounds the export of the last spans.
 const exportTime = 2 * time.Second
 
@@ -36,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare))
+	}
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: string(s.Host), Level: hclog.LevelFromString(s.LogLevel), Output: f.Err, TimeFn: f.Clock,
 	})
--- a/internal/quorum/raft/core.go
+++ b/internal/quorum/raft/core.go
@@ -32,6 +32,10 @@
 type Core struct {
 	Self  zinniapond.VoterKey
 	Peers []zinniapond.HostName // the other voters of the settings
+	// Open lets every host that fetches with a disk become a voter, in place of
+	// one that was not heard for Patience.
+	Open     bool
+	Patience time.Duration
 	// Contact is the silence of the leader after which it counts as lost.
 	Contact time.Duration
 	// Election is the mean delay between Contact and a campaign; the delay
--- a/internal/quorum/raft/follow.go
+++ b/internal/quorum/raft/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -30,10 +31,31 @@
 	if c.voted.Name != "" && c.voted.Name != c.Self.Name && c.hunt == 0 {
 		return c.voted.Name, true
 	}
-	if len(c.Peers) == 0 {
+	peers := c.peers()
+	if len(peers) == 0 {
 		return "", false
 	}
-	return c.Peers[c.hunt%len(c.Peers)], true
+	return peers[c.hunt%len(peers)], true
+}
+
+// peers returns the hosts to ask for the leader: the other voters as far as the
+// log has them, and those of the settings.
+func (c *Core) peers() []zinniapond.HostName {
+	if !c.Open {
+		return c.Peers
+	}
+	var peers []zinniapond.HostName
+	for _, v := range c.log.voters() {
+		if v.Name != c.Self.Name {
+			peers = append(peers, v.Name)
+		}
+	}
+	for _, p := range c.Peers {
+		if !slices.Contains(peers, p) {
+			peers = append(peers, p)
+		}
+	}
+	return peers
 }
 
 // Missed tells that a fetch got no answer.
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -87,6 +87,9 @@
 			continue
 		}
 		at := slices.IndexFunc(voters, func(v zinniapond.VoterKey) bool { return v.Name == key.Name })
+		if at < 0 && c.Open {
+			return c.admit(now, key), true
+		}
 		if at < 0 && slices.Contains(c.Peers, key.Name) {
 			return append(slices.Clone(voters), key), true
 		}
@@ -97,6 +100,20 @@
 	return nil, false
 }
 
+// admit returns the next voter set on the way to making a host a voter: first
+// without a voter that was silent for long, as one that is gone for good would
+// else count towards every majority.
+func (c *Core) admit(now time.Time, key zinniapond.VoterKey) []zinniapond.VoterKey {
+	voters := slices.Clone(c.log.voters())
+	gone := slices.IndexFunc(voters, func(v zinniapond.VoterKey) bool {
+		return v != c.Self && now.Sub(c.progress[v].contact) > c.Patience
+	})
+	if gone >= 0 {
+		return slices.Delete(voters, gone, gone+1)
+	}
+	return append(voters, key)
+}
+
 // contact returns the latest instant at which a majority is known to have
 // followed this leader.
 func (c *Core) contact(now time.Time) time.Time {
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -51,13 +52,15 @@
 // leader has put its disk into the voter set. A voter that lost its disk while
 // its settings still say bootstrap would else vote a second time.
 func (v *Voter) form(ctx context.Context) error {
-	if v.log.Formed() || !v.Settings.Control.Bootstrap {
+	self := v.Settings.VoterName()
+	first := slices.ContainsFunc(v.Settings.Control.Voters, func(p zinniapond.Voter) bool { return p.Name == self })
+	if v.log.Formed() || !v.Settings.Control.Bootstrap || !first {
 		return nil
 	}
 	var voters []zinniapond.VoterKey
 	for _, p := range v.Settings.Control.Voters {
 		voters = append(voters, zinniapond.VoterKey{Name: p.Name, Disk: firstDisk})
-		if p.Name == v.Settings.Host {
+		if p.Name == self {
 			continue
 		}
 		empty, err := v.probe(ctx, p)
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -106,7 +106,7 @@
 		return errors.New("run control role: [node] data is not set")
 	}
 	v.log = &disk.Log{
-		Folder: filepath.Join(v.Settings.Data, "control"), Cluster: v.Settings.Cluster, Host: v.Settings.Host,
+		Folder: filepath.Join(v.Settings.Data, "control"), Cluster: v.Settings.Cluster, Host: v.Settings.VoterName(),
 	}
 	if err := v.open(); err != nil {
 		return err
@@ -139,7 +139,8 @@
 	}
 	c := v.Settings.Control
 	core := &raft.Core{
-		Self:    zinniapond.VoterKey{Name: v.Settings.Host, Disk: v.log.Disk()},
+		Self: zinniapond.VoterKey{Name: v.Settings.VoterName(), Disk: v.log.Disk()},
+		Open: c.Seeds, Patience: c.Session,
 		Contact: c.Fetch, Election: c.Election, Quorum: c.Fetch,
 		// A third of the time in which the leader must be heard, so that one
 		// lost answer does not end a leadership.
@@ -147,7 +148,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, p := range c.Voters {
-		if p.Name != v.Settings.Host {
+		if p.Name != core.Self.Name {
 			core.Peers = append(core.Peers, p.Name)
 		}
 	}
@@ -170,8 +171,12 @@
 	return v.settle(now)
 }
 
-// address returns the address of a voter of the settings.
+// address returns the address of a voter.
 func (v *Voter) address(name zinniapond.HostName) (netip.AddrPort, bool) {
+	if v.Settings.Control.Seeds {
+		a, err := netip.ParseAddrPort(string(name))
+		return a, err == nil
+	}
 	for _, p := range v.Settings.Control.Voters {
 		if p.Name == name {
 			return p.Peers, true
--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -31,9 +31,15 @@
 }
 
 func (w *Watcher) fetch(ctx context.Context) error {
-	name, address := w.target()
+	name, address, known := w.target()
 	request := w.request()
-	limited, cancel := context.WithTimeout(ctx, request.Wait+w.Settings.Control.Fetch)
+	limit := request.Wait + w.Settings.Control.Fetch
+	if !known {
+		// The voter is only asked who leads. One that is down must not delay the
+		// question to the next for long.
+		request.Wait, limit = 0, w.Settings.Control.Fetch/2
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var reply zinniapond.FetchReply
 	sent := w.Clock()
--- a/internal/quorum/watch/propose.go
+++ b/internal/quorum/watch/propose.go
@@ -45,8 +45,12 @@
 }
 
 func (w *Watcher) propose(ctx context.Context, command zinniapond.Command) (zinniapond.ProposeReply, error) {
-	name, address := w.target()
-	limited, cancel := context.WithTimeout(ctx, proposeLimit)
+	name, address, known := w.target()
+	limit := proposeLimit
+	if !known {
+		limit = w.Settings.Control.Fetch
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var reply zinniapond.ProposeReply
 	request := zinniapond.ProposeRequest{Sender: w.Settings.Host, Command: command}
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,7 @@
 		w.instance = uuid.NewString()
 		c := w.Settings.Control
 		w.holder = lease.Holder{
-			Host: w.Settings.Host, Lease: c.Lease, Wait: c.Lease / holds, State: &state.State{Parse: w.Parse},
+			Host: w.Settings.VoterName(), Lease: c.Lease, Wait: c.Lease / holds, State: &state.State{Parse: w.Parse},
 		}
 		w.published.Store(&publication{
 			view: w.holder.State.View(), catalog: w.holder.State.Catalog(), changed: make(chan struct{}),
@@ -135,12 +136,22 @@
 	}
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.follow(inner) })
+	if !w.registers() {
+		return group.Wait()
+	}
 	group.Go(func() error { return w.enrol(inner) })
 	err := group.Wait()
 	w.leave(context.WithoutCancel(ctx))
 	return err
 }
 
+// registers tells whether the host owns or keeps shards, or relays to those that
+// do. Other hosts only follow the log.
+func (w *Watcher) registers() bool {
+	s := w.Settings
+	return s.HasRole(zinniapond.RoleEntry) || s.HasRole(zinniapond.RoleOwner) || s.HasRole(zinniapond.RoleStore)
+}
+
 // publish shows the state to readers, under the lock.
 func (w *Watcher) publish() {
 	before := w.published.Load()
@@ -162,17 +173,45 @@
 
 // target returns the voter to ask: the leader if it is known, or the voters one
 // after another.
-func (w *Watcher) target() (zinniapond.HostName, netip.AddrPort) {
+func (w *Watcher) target() (name zinniapond.HostName, address netip.AddrPort, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	voters := w.Settings.Control.Voters
+	voters := w.voters()
 	for _, v := range voters {
 		if v.Name == w.leader {
-			return v.Name, v.Peers
+			return v.Name, v.Peers, true
 		}
 	}
 	v := voters[w.hunt%len(voters)]
-	return v.Name, v.Peers
+	return v.Name, v.Peers, false
+}
+
+// voters returns the voters as the log has them and those of the settings, which
+// may be gone by now.
+func (w *Watcher) voters() []zinniapond.Voter {
+	c := w.Settings.Control
+	if !c.Seeds {
+		return c.Voters
+	}
+	var voters []zinniapond.Voter
+	add := func(v zinniapond.Voter) {
+		if !slices.Contains(voters, v) {
+			voters = append(voters, v)
+		}
+	}
+	for _, k := range w.holder.State.Voters() {
+		if a, err := netip.ParseAddrPort(string(k.Name)); err == nil {
+			add(zinniapond.Voter{Name: k.Name, Peers: a})
+		}
+	}
+	// A leader that joined after the last snapshot may be in neither list.
+	if a, err := netip.ParseAddrPort(string(w.leader)); err == nil {
+		add(zinniapond.Voter{Name: w.leader, Peers: a})
+	}
+	for _, v := range c.Voters {
+		add(v)
+	}
+	return voters
 }
 
 // learn notes whom to ask next. An empty name means that the voter asked was of
--- /dev/null
+++ b/internal/turns/tender/decide.go
@@ -0,0 +1,125 @@
+package tender
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"zinniapond.example/zinniapond"
+)
+
+// heard is the last answer of a disk.
+type heard struct {
+	at    time.Time
+	reply zinniapond.DiskReply
+}
+
+// decide returns the changes that the set of disks needs. since is when this
+// host began to ask; a disk that has not answered yet was silent from then on.
+func decide(now, since time.Time, patience time.Duration, view *zinniapond.ControlView, reports map[zinniapond.DiskID]heard) []zinniapond.DiskChange {
+	disks := make([]zinniapond.Disk, 0, len(view.Disks))
+	for _, d := range view.Disks {
+		disks = append(disks, d)
+	}
+	slices.SortFunc(disks, func(a, b zinniapond.Disk) int { return cmp.Compare(a.ID, b.ID) })
+	f := fleet{now: now, since: since, patience: patience, disks: disks, reports: reports}
+	var changes []zinniapond.DiskChange
+	for _, d := range disks {
+		next, remove := f.next(d)
+		if next == d.State && !remove {
+			continue
+		}
+		change := zinniapond.DiskChange{Disk: d, Before: d.State, Remove: remove}
+		change.Disk.State = next
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// fleet is the basis of one decision.
+type fleet struct {
+	now, since time.Time
+	patience   time.Duration
+	disks      []zinniapond.Disk
+	reports    map[zinniapond.DiskID]heard
+}
+
+func (f *fleet) silent(d zinniapond.Disk) time.Duration {
+	if h, ok := f.reports[d.ID]; ok {
+		return f.now.Sub(h.at)
+	}
+	return f.now.Sub(f.since)
+}
+
+// replaced tells whether the host of a disk has come back with another one.
+func (f *fleet) replaced(d zinniapond.Disk) bool {
+	for _, o := range f.disks {
+		if o.Address == d.Address && o.Since > d.Since && o.ID != d.ID && f.silent(o) < f.silent(d) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) next(d zinniapond.Disk) (state zinniapond.DiskState, remove bool) {
+	gone := f.silent(d) >= f.patience || f.replaced(d)
+	switch d.State {
+	case zinniapond.DiskJoining:
+		switch {
+		case gone:
+			return d.State, true // nothing that counts is on it
+		case f.applied(d):
+			return zinniapond.DiskFilling, false
+		}
+	case zinniapond.DiskFilling, zinniapond.DiskFull:
+		switch {
+		case gone:
+			return zinniapond.DiskLost, false
+		case d.State == zinniapond.DiskFilling && f.walked(d):
+			return zinniapond.DiskFull, false
+		}
+	case zinniapond.DiskLeaving:
+		if f.walked(d) && f.self(d) {
+			return d.State, true
+		}
+		if gone {
+			return zinniapond.DiskLost, false
+		}
+	case zinniapond.DiskLost:
+		switch {
+		case !gone:
+			return zinniapond.DiskJoining, false
+		case f.walked(d):
+			return d.State, true
+		}
+	}
+	return d.State, false
+}
+
+// applied tells whether all living members know that a disk joins: from then on
+// no read can be certain without asking it.
+func (f *fleet) applied(d zinniapond.Disk) bool {
+	for _, o := range f.disks {
+		if o.State != zinniapond.DiskLost && f.reports[o.ID].reply.Applied < d.Since {
+			return false
+		}
+	}
+	return true
+}
+
+// walked tells whether all other disks have given their records away under a set
+// of disks in which d has its present state.
+func (f *fleet) walked(d zinniapond.Disk) bool {
+	for _, o := range f.disks {
+		if o.ID == d.ID || o.State == zinniapond.DiskLost || o.State == zinniapond.DiskJoining {
+			continue
+		}
+		if f.reports[o.ID].reply.Walked < d.Since {
+			return false
+		}
+	}
+	return true
+}
+
+// self tells whether a leaving disk has given its own records away.
+func (f *fleet) self(d zinniapond.Disk) bool { return f.reports[d.ID].reply.Walked >= d.Since }
--- a/messages.go
+++ b/messages.go
@@ -14,6 +14,9 @@
 	CommandAssign   CommandKind = "assign"
 	CommandVoters   CommandKind = "voters"
 	CommandOrder    CommandKind = "order"
+	CommandRouting  CommandKind = "routing"
+	CommandDisk     CommandKind = "disk"
+	CommandBackends CommandKind = "backends"
 )
 
 // Command is one change of the control state.
@@ -39,6 +42,11 @@
 	PlansEdit *ListEdit `cbor:"pe,omitempty"`
 	UsageEdit *ListEdit `cbor:"ue,omitempty"`
 	Digest    uint64    `cbor:"d,omitempty"`
+
+	Routing *Routing    `cbor:"ro,omitempty"`
+	Disk    *DiskChange `cbor:"di,omitempty"`
+	// Backends is the whole list of replicas.
+	Backends []Backend `cbor:"b,omitempty"`
 }
 
 // ListEdit says how a list differs from the one before.
--- a/settings.go
+++ b/settings.go
@@ -26,6 +26,8 @@
 
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
+	Ready     netip.AddrPort // where readiness is asked, if not with callers
+	Metrics   netip.AddrPort
 	Peers     netip.AddrPort
 	Streams   netip.AddrPort
 	// AnnouncePeers and AnnounceStreams are the addresses by which other hosts
@@ -35,11 +37,14 @@
 
 	Control  ControlSettings
 	Journal  JournalSettings
+	Keeper   KeeperSettings
 	Platform PlatformSettings
 	Security SecuritySettings
 	Limits   LimitSettings
 	Trace    TraceSettings
 	LogLevel string
+	// Memory bounds the process in bytes; 0 for no bound.
+	Memory int64
 	// Plugins names the implementation of an interface, by the interface's
 	// name in lower case.
 	Plugins map[string]string
@@ -71,10 +76,22 @@
 	return s.Streams
 }
 
+// VoterName is the name of this host as a voter.
+func (s *Settings) VoterName() HostName {
+	if s.Control.Seeds {
+		return HostName(s.PeersAddress().String())
+	}
+	return s.Host
+}
+
 // ControlSettings are the settings of the control quorum. They are equal on all
 // hosts.
 type ControlSettings struct {
-	Voters    []Voter
+	Voters []Voter
+	// Seeds tells that Voters are found by their peer addresses and only the
+	// first of a quorum that any control host may join. Their names are their
+	// addresses.
+	Seeds     bool
 	Bootstrap bool // form a new cluster; only with an empty data folder
 	Shards    int
 	Lease     time.Duration // freshness lease of a host
@@ -90,10 +107,25 @@
 	Retention time.Duration // how long ended programs are kept
 }
 
+// KeeperSettings are the settings of the disks that keep turns and budgets.
+type KeeperSettings struct {
+	// Machines and Zones may be lost at the same time with their disks.
+	Machines int
+	Zones    int
+	// Patience is the silence after which a disk counts as lost.
+	Patience time.Duration
+}
+
 // PlatformSettings say how the platform's list of backend servers is read.
 type PlatformSettings struct {
 	List    string        // path of a file, or an http URL
 	Refresh time.Duration // span between two readings
+	Lag     time.Duration // how late the list may be
+	Rate    float64       // readings a second that all hosts may make together
+	// Apply is the time in which a confirmed configuration is in force.
+	Apply time.Duration
+	// Leave is how long a leaving server may still be sent requests.
+	Leave time.Duration
 	// Weights is the least span between two loads from the weight store.
 	Weights time.Duration
 }
