--- a/errors.go
+++ b/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -63,3 +65,30 @@
 	}
 	return &Error{Step: step, Peer: peer, Err: err}
 }
+
+// joined is several errors in one line.
+type joined []error
+
+// Error returns the errors, separated by semicolons.
+func (j joined) Error() string {
+	texts := make([]string, len(j))
+	for i, err := range j {
+		texts[i] = err.Error()
+	}
+	return strings.Join(texts, "; ")
+}
+
+// Unwrap returns the errors.
+func (j joined) Unwrap() []error { return j }
+
+// Join is errors.Join with a text of one line, as logs need it.
+func Join(errs ...error) error {
+	j := joined(slices.DeleteFunc(slices.Clone(errs), func(err error) bool { return err == nil }))
+	switch len(j) {
+	case 0:
+		return nil
+	case 1:
+		return j[0]
+	}
+	return j
+}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -98,9 +98,9 @@
 // late is the end of a request whose time is over.
 func (u *run) late(last error) error {
 	if u.ran == 0 {
-		return refuse("wait for a replica", 0, errors.Join(zinniapond.ErrOverload, last))
+		return refuse("wait for a replica", 0, zinniapond.Join(zinniapond.ErrOverload, last))
 	}
-	return errors.Join(zinniapond.ErrUnknown, context.DeadlineExceeded, last)
+	return zinniapond.Join(zinniapond.ErrUnknown, context.DeadlineExceeded, last)
 }
 
 // exhausted is the end of a request that no replica has taken.
@@ -108,11 +108,11 @@
 	if u.ran > 0 {
 		return u.failed(last)
 	}
-	return refuse("choose replica", soon, errors.Join(zinniapond.ErrOverload, last))
+	return refuse("choose replica", soon, zinniapond.Join(zinniapond.ErrOverload, last))
 }
 
 // failed is the end of a request that may have run.
-func (u *run) failed(last error) error { return errors.Join(zinniapond.ErrUnknown, last) }
+func (u *run) failed(last error) error { return zinniapond.Join(zinniapond.ErrUnknown, last) }
 
 // need describes the request to the router.
 func (u *run) need() zinniapond.Need {
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -140,7 +140,7 @@
 	if u.route.Retained && u.request.Previous != "" {
 		u.chain, err = u.Turns.Chain(ctx, now, u.request.Previous)
 	}
-	if err = errors.Join(err, <-reserved); err != nil {
+	if err = zinniapond.Join(err, <-reserved); err != nil {
 		if !errors.Is(err, zinniapond.ErrNotFound) && !errors.Is(err, zinniapond.ErrBudget) {
 			return refuse("prepare turn", soon, err)
 		}
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -95,10 +94,10 @@
 	for ; open > 0; open-- {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%d disks have answered: %w", len(heard), errors.Join(zinniapond.ErrNoQuorum, ctx.Err(), failures))
+			return fmt.Errorf("%d disks have answered: %w", len(heard), zinniapond.Join(zinniapond.ErrNoQuorum, ctx.Err(), failures))
 		case a := <-answers:
 			if a.err != nil {
-				failures = errors.Join(failures, a.err)
+				failures = zinniapond.Join(failures, a.err)
 				continue
 			}
 			heard[a.disk.ID] = true
@@ -108,5 +107,5 @@
 			}
 		}
 	}
-	return fmt.Errorf("%d of %d disks have answered: %w", len(heard), len(set.Disks), errors.Join(zinniapond.ErrNoQuorum, failures))
+	return fmt.Errorf("%d of %d disks have answered: %w", len(heard), len(set.Disks), zinniapond.Join(zinniapond.ErrNoQuorum, failures))
 }
--- a/internal/turns/client/chain.go
+++ b/internal/turns/client/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -113,7 +112,7 @@
 	if left := missing(ids, have); len(left) > 0 {
 		// A turn is kept as long as those after it, so that one that is not found
 		// is on a disk that does not answer.
-		return fmt.Errorf("earlier turn %s: %w", left[0], errors.Join(zinniapond.ErrNoQuorum, err))
+		return fmt.Errorf("earlier turn %s: %w", left[0], zinniapond.Join(zinniapond.ErrNoQuorum, err))
 	}
 	return nil
 }
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -137,11 +137,11 @@
 			return nil
 		}
 		if open == 0 && sent == len(order) {
-			return fmt.Errorf("%d of %d disks have synced: %w", len(on), len(order), errors.Join(zinniapond.ErrNoQuorum, failures))
+			return fmt.Errorf("%d of %d disks have synced: %w", len(on), len(order), zinniapond.Join(zinniapond.ErrNoQuorum, failures))
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%d of %d disks have synced: %w", len(on), len(order), errors.Join(zinniapond.ErrNoQuorum, ctx.Err(), failures))
+			return fmt.Errorf("%d of %d disks have synced: %w", len(on), len(order), zinniapond.Join(zinniapond.ErrNoQuorum, ctx.Err(), failures))
 		case a := <-answers:
 			open--
 			switch {
@@ -151,7 +151,7 @@
 			case a.err == nil && a.reply.View > request.View:
 				return errView
 			}
-			failures = errors.Join(failures, a.err)
+			failures = zinniapond.Join(failures, a.err)
 			before := sent
 			send(1)
 			open += sent - before
--- a/internal/turns/tender/decide.go
+++ b/internal/turns/tender/decide.go
@@ -14,15 +14,19 @@
 	reply zinniapond.DiskReply
 }
 
-// decide returns the changes that the set of disks needs. since is when this
-// host began to ask; a disk that has not answered yet was silent from then on.
-func decide(now, since time.Time, patience time.Duration, view *zinniapond.ControlView, reports map[zinniapond.DiskID]heard) []zinniapond.DiskChange {
+// decide returns the changes that the set of disks needs. A disk that has not
+// answered yet counts as silent from the first decision about it; reports notes
+// that.
+func decide(now time.Time, patience time.Duration, view *zinniapond.ControlView, reports map[zinniapond.DiskID]heard) []zinniapond.DiskChange {
 	disks := make([]zinniapond.Disk, 0, len(view.Disks))
 	for _, d := range view.Disks {
 		disks = append(disks, d)
+		if _, ok := reports[d.ID]; !ok {
+			reports[d.ID] = heard{at: now}
+		}
 	}
 	slices.SortFunc(disks, func(a, b zinniapond.Disk) int { return cmp.Compare(a.ID, b.ID) })
-	f := fleet{now: now, since: since, patience: patience, disks: disks, reports: reports}
+	f := fleet{now: now, patience: patience, disks: disks, reports: reports}
 	var changes []zinniapond.DiskChange
 	for _, d := range disks {
 		next, remove := f.next(d)
@@ -38,23 +42,19 @@
 
 // fleet is the basis of one decision.
 type fleet struct {
-	now, since time.Time
-	patience   time.Duration
-	disks      []zinniapond.Disk
-	reports    map[zinniapond.DiskID]heard
+	now      time.Time
+	patience time.Duration
+	disks    []zinniapond.Disk
+	reports  map[zinniapond.DiskID]heard
 }
 
-func (f *fleet) silent(d zinniapond.Disk) time.Duration {
-	if h, ok := f.reports[d.ID]; ok {
-		return f.now.Sub(h.at)
-	}
-	return f.now.Sub(f.since)
-}
+func (f *fleet) silent(d zinniapond.Disk) time.Duration { return f.now.Sub(f.reports[d.ID].at) }
 
-// replaced tells whether the host of a disk has come back with another one.
+// replaced tells whether the host of a disk has come back with another one: of
+// the disks at one address only the present one answers.
 func (f *fleet) replaced(d zinniapond.Disk) bool {
 	for _, o := range f.disks {
-		if o.Address == d.Address && o.Since > d.Since && o.ID != d.ID && f.silent(o) < f.silent(d) {
+		if o.Address == d.Address && o.ID != d.ID && f.silent(o) < f.silent(d) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/turns/tender/decide_test.go
@@ -0,0 +1,115 @@
+package tender
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+const patience = 5 * time.Second
+
+// world is a set of disks with what was heard of them.
+type world struct {
+	now     time.Time
+	view    zinniapond.ControlView
+	reports map[zinniapond.DiskID]heard
+}
+
+func newWorld() *world {
+	return &world{
+		now:     time.Unix(1000, 0),
+		view:    zinniapond.ControlView{Index: 100, Disks: make(map[zinniapond.DiskID]zinniapond.Disk)},
+		reports: make(map[zinniapond.DiskID]heard),
+	}
+}
+
+// disk adds a disk on the host with the given number.
+func (w *world) disk(id zinniapond.DiskID, host byte, state zinniapond.DiskState, since zinniapond.Index) {
+	w.view.Disks[id] = zinniapond.Disk{
+		ID: id, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 7000), State: state, Since: since,
+	}
+}
+
+// hear notes that a disk has answered some time ago.
+func (w *world) hear(id zinniapond.DiskID, ago time.Duration, applied, walked zinniapond.Index) {
+	w.reports[id] = heard{at: w.now.Add(-ago), reply: zinniapond.DiskReply{Disk: id, Applied: applied, Walked: walked}}
+}
+
+// change returns the change decided for a disk, as text; empty for none.
+func (w *world) change(id zinniapond.DiskID) string {
+	for _, c := range decide(w.now, patience, &w.view, w.reports) {
+		switch {
+		case c.Disk.ID != id:
+		case c.Remove:
+			return "removed"
+		default:
+			return string(c.Disk.State)
+		}
+	}
+	return ""
+}
+
+func TestDecide(t *testing.T) {
+	t.Run("guards against removing a new disk before it was asked", func(t *testing.T) {
+		w := newWorld()
+		w.disk("new", 1, zinniapond.DiskJoining, 90)
+		assert.Equal(t, w.change("new"), "")
+		w.now = w.now.Add(patience)
+		assert.Equal(t, w.change("new"), "removed")
+	})
+	t.Run("guards against forgetting a wiped disk before the others made up for it", func(t *testing.T) {
+		w := newWorld()
+		w.disk("old", 1, zinniapond.DiskFull, 10)
+		w.disk("new", 1, zinniapond.DiskJoining, 90)
+		w.disk("other", 2, zinniapond.DiskFull, 11)
+		w.hear("old", time.Second, 80, 11)
+		w.hear("new", 0, 80, 0)
+		w.hear("other", 0, 100, 90)
+		assert.Equal(t, w.change("old"), "lost")
+		w.disk("old", 1, zinniapond.DiskLost, 95)
+		assert.Equal(t, w.change("old"), "")
+		w.hear("other", 0, 100, 95)
+		assert.Equal(t, w.change("old"), "removed")
+	})
+	t.Run("guards against counting a disk that a living member does not know", func(t *testing.T) {
+		w := newWorld()
+		w.disk("new", 1, zinniapond.DiskJoining, 90)
+		w.disk("other", 2, zinniapond.DiskFull, 11)
+		w.hear("new", 0, 95, 0)
+		w.hear("other", 0, 89, 11)
+		assert.Equal(t, w.change("new"), "")
+		w.hear("other", 0, 90, 11)
+		assert.Equal(t, w.change("new"), "filling")
+	})
+	t.Run("guards against trusting what a disk lacks before it was filled", func(t *testing.T) {
+		w := newWorld()
+		w.disk("new", 1, zinniapond.DiskFilling, 90)
+		w.disk("other", 2, zinniapond.DiskFull, 11)
+		w.hear("new", 0, 95, 90)
+		w.hear("other", 0, 95, 89)
+		assert.Equal(t, w.change("new"), "")
+		w.hear("other", 0, 95, 90)
+		assert.Equal(t, w.change("new"), "full")
+	})
+	t.Run("guards against removing a leaving disk that still has records of its own", func(t *testing.T) {
+		w := newWorld()
+		w.disk("leaves", 1, zinniapond.DiskLeaving, 90)
+		w.disk("other", 2, zinniapond.DiskFull, 11)
+		w.hear("other", 0, 95, 90)
+		w.hear("leaves", 0, 95, 89)
+		assert.Equal(t, w.change("leaves"), "")
+		w.hear("leaves", 0, 95, 90)
+		assert.Equal(t, w.change("leaves"), "removed")
+	})
+	t.Run("guards against a returning disk counting without having joined again", func(t *testing.T) {
+		w := newWorld()
+		w.disk("back", 1, zinniapond.DiskLost, 90)
+		w.disk("other", 2, zinniapond.DiskFull, 11)
+		w.hear("back", 0, 95, 0)
+		w.hear("other", 0, 95, 11)
+		assert.Equal(t, w.change("back"), "joining")
+	})
+}
--- a/internal/turns/tender/tender.go
+++ b/internal/turns/tender/tender.go
@@ -58,7 +58,6 @@
 	Logger    hclog.Logger
 	Clock     func() time.Time
 
-	since   time.Time // when this host began to lead
 	mu      sync.Mutex
 	reports map[zinniapond.DiskID]heard
 }
@@ -88,14 +87,14 @@
 func (t *Tender) round(ctx context.Context) time.Duration {
 	view := t.Directory.View()
 	if view.Leader != t.Settings.VoterName() || len(view.Disks) == 0 {
-		t.since, t.reports = time.Time{}, nil
+		t.reports = nil
 		return interval
 	}
 	if t.reports == nil {
-		t.since, t.reports = t.Clock(), make(map[zinniapond.DiskID]heard)
+		t.reports = make(map[zinniapond.DiskID]heard)
 	}
 	t.ask(ctx, view)
-	changes := decide(t.Clock(), t.since, t.Settings.Keeper.Patience, view, t.reports)
+	changes := decide(t.Clock(), t.Settings.Keeper.Patience, view, t.reports)
 	for _, c := range changes {
 		t.propose(ctx, c)
 	}
