--- a/errors.go
+++ b/errors.go
@@ -67,28 +67,28 @@
 }
 
 // joined is several errors in one line.
-type joined []error
+type joined struct{ errs []error }
 
 // Error returns the errors, separated by semicolons.
 func (j joined) Error() string {
-	texts := make([]string, len(j))
-	for i, err := range j {
+	texts := make([]string, len(j.errs))
+	for i, err := range j.errs {
 		texts[i] = err.Error()
 	}
 	return strings.Join(texts, "; ")
 }
 
 // Unwrap returns the errors.
-func (j joined) Unwrap() []error { return j }
+func (j joined) Unwrap() []error { return j.errs }
 
 // Join is errors.Join with a text of one line, as logs need it.
 func Join(errs ...error) error {
-	j := joined(slices.DeleteFunc(slices.Clone(errs), func(err error) bool { return err == nil }))
-	switch len(j) {
+	errs = slices.DeleteFunc(slices.Clone(errs), func(err error) bool { return err == nil })
+	switch len(errs) {
 	case 0:
 		return nil
 	case 1:
-		return j[0]
+		return errs[0]
 	}
-	return j
+	return joined{errs}
 }
--- a/internal/quorum/node/node.go
+++ b/internal/quorum/node/node.go
@@ -36,6 +36,7 @@
 	last    zinniapond.Index
 	commit  zinniapond.Index
 	current bool
+	source  zinniapond.HostName // whom to fetch from; empty for nobody
 }
 
 // wait is a proposal whose record is not committed yet.
@@ -65,9 +66,13 @@
 		return false, false, err
 	}
 	before := n.mark
-	n.mark = mark{n.Core.Term(), n.Core.Leader(), n.Core.Last(), n.Core.Commit(), n.Core.Current()}
+	n.mark = mark{n.Core.Term(), n.Core.Leader(), n.Core.Last(), n.Core.Commit(), n.Core.Current(), ""}
+	// A candidate that gives up has to fetch again, though nothing else changed.
+	if source, _, ok := n.Core.Next(); ok {
+		n.mark.source = source
+	}
 	voters = n.mark != before
-	before.last = n.mark.last
+	before.last, before.source = n.mark.last, n.mark.source
 	hosts = n.mark != before || n.news
 	n.news = false
 	if n.mark.term != before.term || n.mark.leader != before.leader {
--- /dev/null
+++ b/internal/quorum/node/node_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/state"
+	"zinniapond.example/zinniapond/internal/quorum/raft"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+func newNode(t *testing.T, now time.Time) *Node {
+	t.Helper()
+	voters := []zinniapond.VoterKey{{Name: "a", Disk: "first"}, {Name: "b", Disk: "first"}, {Name: "c", Disk: "first"}}
+	n := &Node{
+		Core: &raft.Core{
+			Self: voters[0], Peers: []zinniapond.HostName{"b", "c"}, Contact: time.Second, Election: time.Second,
+			Quorum: time.Second, Wait: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+		},
+		State: new(state.State), Snapshot: 100,
+	}
+	assert.NoError(t, n.Start(now, zinniapond.LogChange{Snapshot: &zinniapond.Snapshot{Voters: voters}}))
+	return n
+}
+
+// settle settles and saves, and tells whether there was news for voters.
+func settle(t *testing.T, n *Node, now time.Time) bool {
+	t.Helper()
+	news, _, err := n.Settle(now)
+	assert.NoError(t, err)
+	if change, dirty := n.Core.Unsaved(); dirty {
+		n.Saved(now, change)
+		_, _, err = n.Settle(now)
+		assert.NoError(t, err)
+	}
+	return news
+}
+
+func TestSettle(t *testing.T) {
+	t.Run("guards against a candidate that lost and never fetches again", func(t *testing.T) {
+		now := time.Unix(1000, 0)
+		n := newNode(t, now)
+		settle(t, n, now)
+		now = n.Core.Deadline(now)
+		n.Core.Tick(now)
+		settle(t, n, now)
+		for name, ballot := range n.Core.Ballots() {
+			n.Core.Voted(now, name, ballot, zinniapond.VoteReply{Granted: true})
+		}
+		settle(t, n, now)
+		_, _, fetches := n.Core.Next()
+		assert.True(t, !fetches, "a candidate fetches")
+		now = n.Core.Deadline(now)
+		n.Core.Tick(now)
+		assert.True(t, settle(t, n, now), "nobody is woken to fetch")
+		_, _, fetches = n.Core.Next()
+		assert.True(t, fetches, "there is nothing to fetch")
+	})
+}
