--- a/fleet.go
+++ b/fleet.go
@@ -182,6 +182,8 @@
 	// them.
 	Disks      map[DiskID]Disk `json:"disks"`
 	DisksIndex Index           `json:"disksIndex"`
+	// Retired has the disks that were emptied at an operator's request.
+	Retired map[DiskID]Disk `json:"retired"`
 	// Backends is the list of replicas, as the leader has read it last.
 	Backends      []Backend `json:"backends"`
 	BackendsIndex Index     `json:"backendsIndex"`
--- a/internal/fleet/state/routing.go
+++ b/internal/fleet/state/routing.go
@@ -35,6 +35,9 @@
 	}
 	change.Disk.Since = view.Index
 	put(&view.Disks, change.Disk.ID, change.Disk)
+	if change.Remove && have.State == zinniapond.DiskLeaving {
+		put(&view.Retired, have.ID, have)
+	}
 	if change.Remove {
 		delete(view.Disks, change.Disk.ID) // put has made a copy
 	}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -247,6 +247,7 @@
 	Routing     *zinniapond.Routing             `cbor:"r,omitempty"`
 	Disks       []zinniapond.Disk               `cbor:"d,omitempty"`
 	DisksIndex  zinniapond.Index                `cbor:"di,omitempty"`
+	Retired     []zinniapond.Disk               `cbor:"rt,omitempty"`
 	Backends    []zinniapond.Backend            `cbor:"b,omitempty"`
 	BackendsAt  zinniapond.Index                `cbor:"bi,omitempty"`
 }
@@ -263,6 +264,9 @@
 	for _, id := range slices.Sorted(maps.Keys(view.Disks)) {
 		i.Disks = append(i.Disks, view.Disks[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(view.Retired)) {
+		i.Retired = append(i.Retired, view.Retired[id])
+	}
 	for _, name := range slices.Sorted(maps.Keys(view.Members)) {
 		i.Members = append(i.Members, view.Members[name])
 	}
@@ -316,6 +320,9 @@
 	for _, d := range i.Disks {
 		put(&view.Disks, d.ID, d)
 	}
+	for _, d := range i.Retired {
+		put(&view.Retired, d.ID, d)
+	}
 	s.view, s.outcomes, s.order, s.voters = view, i.Outcomes, i.Order, i.Voters
 	s.catalog, _ = s.parse(i.Lists.Version, i.Lists.Plans, i.Lists.Usage)
 	return nil
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -19,6 +19,9 @@
 	giveUp = 0.5
 	// fullPause separates two looks at replicas that are all full.
 	fullPause = 15 * time.Millisecond
+	// quorumPause separates two tries to read or reserve while too few disks
+	// answer.
+	quorumPause = 50 * time.Millisecond
 	// settleLimit bounds a settlement after the answer.
 	settleLimit = 3 * time.Second
 	// margin is left of the time for an answer that says why there is none.
@@ -78,6 +81,8 @@
 }
 
 func (u *run) forward(ctx context.Context, now time.Time) error {
+	u.await(ctx, now)
+	now = u.Clock()
 	if err := u.place(now); err != nil {
 		return err
 	}
@@ -85,12 +90,45 @@
 	// so is sent by the caller.
 	limited, cancel := context.WithTimeout(ctx, u.until.Sub(now))
 	defer cancel()
-	if err := u.prepare(limited, now); err != nil {
+	if err := u.restore(limited, now); err != nil {
 		return err
 	}
 	return u.attempts(limited)
 }
 
+// await waits for the first configuration after a start, for a part of the
+// client's time.
+func (u *run) await(ctx context.Context, now time.Time) {
+	u.Runner.prepare()
+	if u.table.Load() != nil {
+		return
+	}
+	timer := time.NewTimer(time.Duration(float64(u.request.Received.Add(u.request.Wait).Sub(now)) * giveUp))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-u.configured:
+	}
+}
+
+// restore prepares a turn, and again while too few disks answer: they come back
+// within a part of the client's time, or the client is told to come again.
+func (u *run) restore(ctx context.Context, now time.Time) error {
+	patience := now.Add(time.Duration(float64(u.until.Sub(now)) * giveUp))
+	for {
+		err := u.prepare(ctx, now)
+		if !errors.Is(err, zinniapond.ErrNoQuorum) || ctx.Err() != nil || u.Clock().After(patience) {
+			return err
+		}
+		u.Stats.Add("front.restored", 1)
+		select {
+		case <-ctx.Done():
+		case <-time.After(quorumPause):
+		}
+	}
+}
+
 // place finds the route and the time of a request.
 func (u *run) place(now time.Time) error {
 	t := u.table.Load()
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -58,6 +58,9 @@
 	NewRouter  func() (zinniapond.Router, error)
 
 	table atomic.Pointer[table.Table]
+	once  sync.Once
+	// configured is closed when there is a configuration.
+	configured chan struct{}
 	pools shard.Map[zinniapond.PoolName, *pool]
 	// background has the writes that go on after an answer.
 	background sync.WaitGroup
@@ -72,8 +75,13 @@
 // sweepPause separates two looks for connections that are idle for too long.
 const sweepPause = time.Second
 
+func (r *Runner) prepare() {
+	r.once.Do(func() { r.configured = make(chan struct{}) })
+}
+
 // Run follows the configuration and the list of replicas until ctx is done.
 func (r *Runner) Run(ctx context.Context) error {
+	r.prepare()
 	ticker := time.NewTicker(sweepPause)
 	defer ticker.Stop()
 	for {
@@ -99,6 +107,9 @@
 	have := r.table.Load()
 	if routing != nil && (have == nil || routing.Version > have.Routing().Version) {
 		r.table.Store(table.New(routing))
+		if have == nil {
+			close(r.configured)
+		}
 		r.Logger.Info("configuration in force", "version", routing.Version, "routes", len(routing.Routes))
 	}
 	backends := r.Roster.Backends()
--- a/internal/quorum/raft/core.go
+++ b/internal/quorum/raft/core.go
@@ -91,6 +91,9 @@
 	c.log.restore(saved)
 	c.commit = c.log.snapshot.Index
 	c.follow(now, c.term, "")
+	// After a restart of all voters there is no leader to wait for. Where there is
+	// one, the pre-vote is refused.
+	c.deadline = now.Add(c.delay())
 }
 
 // Term returns the current term.
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -50,7 +50,7 @@
 		switch {
 		case a.reply.View > request.View:
 			return false, errView
-		case a.reply.Kept && a.reply.Disk == a.disk.ID && a.disk.Counts():
+		case a.reply.Kept && a.disk.Counts():
 			on = append(on, a.disk)
 		}
 		return set.Written(on), nil
@@ -77,7 +77,7 @@
 
 // collect asks all disks and passes their answers to take, until that says that
 // it has enough. certain tells whether what the disks so far lack does not exist.
-func collect[R any](ctx context.Context, c *Client, set ranks.Set, method string, request any, take func(a answer[R], certain bool) (bool, error)) error {
+func collect[R reply](ctx context.Context, c *Client, set ranks.Set, method string, request any, take func(a answer[R], certain bool) (bool, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	// The requests to the other disks go on: a write should reach them all.
 	defer time.AfterFunc(callLimit, cancel)
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -59,20 +59,26 @@
 	cache cache
 }
 
+// reply is an answer with the disk that gave it.
+type reply interface{ From() zinniapond.DiskID }
+
 // answer is what one disk said.
-type answer[R any] struct {
+type answer[R reply] struct {
 	disk  zinniapond.Disk
 	reply R
 	err   error
 }
 
-// ask sends a request to one disk.
-func ask[R any](ctx context.Context, c *Client, d zinniapond.Disk, method string, request any, to chan<- answer[R]) {
+// ask sends a request to one disk. An answer of another disk, as of a host that
+// has lost the one that is asked, is an error: it says nothing of what was there.
+func ask[R reply](ctx context.Context, c *Client, d zinniapond.Disk, method string, request any, to chan<- answer[R]) {
 	limited, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	a := answer[R]{disk: d}
 	if err := c.Peers.Call(limited, d.Address, method, request, &a.reply); err != nil {
 		a.err = zinniapond.Wrap(method, d.Address, err)
+	} else if from := a.reply.From(); from != d.ID {
+		a.err = zinniapond.Wrap(method, d.Address, fmt.Errorf("disk %s has taken the place of %s: %w", from, d.ID, zinniapond.ErrUnavailable))
 	}
 	to <- a
 }
@@ -145,7 +151,7 @@
 		case a := <-answers:
 			open--
 			switch {
-			case a.err == nil && a.reply.Kept && a.reply.Disk == a.disk.ID:
+			case a.err == nil && a.reply.Kept:
 				on = append(on, a.disk)
 				continue
 			case a.err == nil && a.reply.View > request.View:
--- /dev/null
+++ b/internal/turns/client/client_test.go
@@ -0,0 +1,111 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+var now = time.Unix(1000, 0)
+
+// limited returns a context that ends soon: what is not answered by then is not.
+func limited(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func keep(t *testing.T, c *Client, id zinniapond.TurnID, chain ...zinniapond.TurnID) {
+	t.Helper()
+	turn := zinniapond.Turn{ID: id, Program: "p", Chain: chain, Input: []byte("in " + id), Output: []byte("out " + id)}
+	assert.NoError(t, c.Keep(limited(t), now, turn, zinniapond.Spend{}))
+}
+
+func TestChain(t *testing.T) {
+	t.Run("guards against a chain that is cut or out of order", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		keep(t, f.client(1), "one")
+		keep(t, f.client(1), "two", "one")
+		keep(t, f.client(1), "three", "one", "two")
+		chain, err := f.client(1).Chain(limited(t), now, "three")
+		assert.NoError(t, err)
+		var ids []zinniapond.TurnID
+		for _, turn := range chain {
+			ids = append(ids, turn.ID)
+		}
+		assert.Equal(t, fmt.Sprint(ids), "[one two three]")
+	})
+	t.Run("guards against the empty disk of a wiped host saying that a turn never was", func(t *testing.T) {
+		for _, wiped := range []zinniapond.DiskID{"a", "b", "c"} {
+			for _, down := range []zinniapond.DiskID{"a", "b", "c"} {
+				if wiped == down {
+					continue
+				}
+				f := newFleet("a", "b", "c")
+				keep(t, f.client(1), "one")
+				f.wipe(wiped)
+				f.at(down).down = true
+				_, err := f.client(1).Chain(limited(t), now, "one")
+				if err != nil {
+					assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
+				}
+			}
+		}
+	})
+	t.Run("guards against doubt about a turn that never was", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.at("b").down = true
+		_, err := f.client(1).Chain(limited(t), now, "none")
+		assert.ErrorIs(t, err, zinniapond.ErrNotFound)
+	})
+	t.Run("guards against acknowledging a turn that the loss of one disk removes", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.at("a").down, f.at("b").down = true, true
+		err := f.client(1).Keep(limited(t), now, zinniapond.Turn{ID: "one"}, zinniapond.Spend{})
+		assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
+	})
+}
+
+func TestReserve(t *testing.T) {
+	t.Run("guards against reservations at once that pass the budget together", func(t *testing.T) {
+		for range 50 {
+			f := newFleet("a", "b", "c", "d", "e")
+			var group sync.WaitGroup
+			var granted atomic.Int64
+			for i := range 6 {
+				group.Go(func() {
+					s := zinniapond.Spend{Program: "p", Turn: zinniapond.AttemptID(fmt.Sprint(i)), Reserved: 40}
+					if f.client(2).Reserve(limited(t), now, s, 100) == nil {
+						granted.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			assert.True(t, granted.Load() <= 2, "more was granted than the budget holds")
+		}
+	})
+	t.Run("guards against an empty disk hiding what was spent", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		s := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 80}
+		assert.NoError(t, f.client(1).Reserve(limited(t), now, s, 100))
+		f.wipe("a")
+		f.at("c").down = true
+		s.Turn = "two"
+		assert.True(t, f.client(1).Reserve(limited(t), now, s, 100) != nil, "granted beside what was spent")
+	})
+	t.Run("guards against a settled turn counting with all that was reserved", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		s := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 80}
+		assert.NoError(t, f.client(1).Reserve(limited(t), now, s, 100))
+		s.Used = 10
+		assert.NoError(t, f.client(1).Settle(limited(t), now, s))
+		assert.NoError(t, f.client(1).Reserve(limited(t), now, zinniapond.Spend{Program: "p", Turn: "two", Reserved: 80}, 100))
+	})
+}
--- /dev/null
+++ b/internal/turns/client/fakes_test.go
@@ -0,0 +1,130 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+)
+
+// fleet is a set of disks in memory, reached as over the network.
+type fleet struct {
+	mu    sync.Mutex
+	view  zinniapond.ControlView
+	hosts map[netip.AddrPort]*fakeDisk
+}
+
+// fakeDisk is the present disk of one host.
+type fakeDisk struct {
+	id     zinniapond.DiskID
+	down   bool
+	turns  map[zinniapond.TurnID]zinniapond.Turn
+	spends map[zinniapond.ProgramID]map[zinniapond.AttemptID]zinniapond.Spend
+}
+
+func newDisk(id zinniapond.DiskID) *fakeDisk {
+	return &fakeDisk{
+		id: id, turns: make(map[zinniapond.TurnID]zinniapond.Turn),
+		spends: make(map[zinniapond.ProgramID]map[zinniapond.AttemptID]zinniapond.Spend),
+	}
+}
+
+var errDown = errors.New("host is down")
+
+func newFleet(disks ...zinniapond.DiskID) *fleet {
+	f := &fleet{hosts: make(map[netip.AddrPort]*fakeDisk)}
+	f.view = zinniapond.ControlView{Index: 1, DisksIndex: 1, Disks: make(map[zinniapond.DiskID]zinniapond.Disk)}
+	for i, id := range disks {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+		f.hosts[a] = newDisk(id)
+		f.view.Disks[id] = zinniapond.Disk{
+			ID: id, Address: a, DataCentre: zinniapond.DataCentre("dc-" + id), State: zinniapond.DiskFull, Since: 1,
+		}
+	}
+	return f
+}
+
+func (f *fleet) client(tolerated int) *Client {
+	return &Client{
+		Tolerance: zinniapond.KeeperSettings{Machines: tolerated}, DataCentre: "dc-a", Peers: f, Directory: f,
+		Logger: hclog.NewNullLogger(),
+	}
+}
+
+// at returns the present disk of the host that had the given one at first.
+func (f *fleet) at(id zinniapond.DiskID) *fakeDisk { return f.hosts[f.view.Disks[id].Address] }
+
+// wipe gives a host an empty disk with another id.
+func (f *fleet) wipe(id zinniapond.DiskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[f.view.Disks[id].Address] = newDisk(id + "-new")
+}
+
+func (f *fleet) View() *zinniapond.ControlView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view := f.view
+	return &view
+}
+func (f *fleet) Catalog() *zinniapond.Catalog { return nil }
+func (f *fleet) Fresh(time.Time) bool         { return true }
+func (f *fleet) Confirmed() time.Time         { return time.Time{} }
+func (f *fleet) Changed() <-chan struct{}     { return nil }
+
+// Call implements zinniapond.Peers.
+func (f *fleet) Call(ctx context.Context, peer netip.AddrPort, _ string, request, answer any) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.hosts[peer]
+	if d.down || ctx.Err() != nil {
+		return errDown
+	}
+	switch q := request.(type) {
+	case zinniapond.KeepRequest:
+		d.keep(f.view.DisksIndex, q, answer.(*zinniapond.KeepReply))
+	case zinniapond.FindRequest:
+		d.find(f.view.DisksIndex, q, answer.(*zinniapond.FindReply))
+	}
+	return nil
+}
+
+func (d *fakeDisk) keep(index zinniapond.Index, q zinniapond.KeepRequest, a *zinniapond.KeepReply) {
+	a.Disk, a.View = d.id, index
+	if q.View < index {
+		return
+	}
+	a.Kept = true
+	for _, t := range q.Turns {
+		d.turns[t.ID] = t
+	}
+	for _, s := range q.Spends {
+		if d.spends[s.Program] == nil {
+			d.spends[s.Program] = make(map[zinniapond.AttemptID]zinniapond.Spend)
+		}
+		if !d.spends[s.Program][s.Turn].Settled {
+			d.spends[s.Program][s.Turn] = s
+		}
+	}
+}
+
+func (d *fakeDisk) find(index zinniapond.Index, q zinniapond.FindRequest, a *zinniapond.FindReply) {
+	a.Disk, a.View = d.id, index
+	for _, id := range q.IDs {
+		t, ok := d.turns[id]
+		switch {
+		case ok && q.Whole:
+			a.Turns = append(a.Turns, t)
+		case ok:
+			a.Have = append(a.Have, zinniapond.TurnLink{ID: id, Chain: t.Chain})
+		}
+	}
+	for _, s := range d.spends[q.Program] {
+		a.Spends = append(a.Spends, s)
+	}
+}
--- a/internal/turns/keeper/keeper.go
+++ b/internal/turns/keeper/keeper.go
@@ -151,7 +151,8 @@
 	for ctx.Err() == nil {
 		changed := k.Directory.Changed()
 		view := k.Directory.View()
-		if _, member := view.Disks[k.log.ID()]; !member && view.Index > 0 {
+		_, member := view.Disks[k.log.ID()]
+		if _, retired := view.Retired[k.log.ID()]; !member && !retired && view.Index > 0 {
 			k.enter(ctx)
 		}
 		select {
--- a/internal/turns/tender/decide.go
+++ b/internal/turns/tender/decide.go
@@ -79,12 +79,10 @@
 			return zinniapond.DiskFull, false
 		}
 	case zinniapond.DiskLeaving:
-		if f.walked(d) && f.self(d) {
+		// The others make up for one that is gone before it is empty.
+		if f.walked(d) && (f.self(d) || gone) {
 			return d.State, true
 		}
-		if gone {
-			return zinniapond.DiskLost, false
-		}
 	case zinniapond.DiskLost:
 		switch {
 		case !gone:
--- a/turns.go
+++ b/turns.go
@@ -113,6 +113,9 @@
 	Spends []Spend `cbor:"s,omitempty"`
 }
 
+// From returns the disk that answered.
+func (r KeepReply) From() DiskID { return r.Disk }
+
 // FindRequest asks which turns a disk has.
 type FindRequest struct {
 	View Index    `cbor:"v,omitempty"`
@@ -133,6 +136,9 @@
 	Spends []Spend    `cbor:"s,omitempty"`
 }
 
+// From returns the disk that answered.
+func (r FindReply) From() DiskID { return r.Disk }
+
 // TurnLink is a turn with its chain but without its content.
 type TurnLink struct {
 	ID    TurnID   `cbor:"i"`
