--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -61,7 +61,7 @@
 	once  sync.Once
 	// configured is closed when there is a configuration.
 	configured chan struct{}
-	pools shard.Map[zinniapond.PoolName, *pool]
+	pools      shard.Map[zinniapond.PoolName, *pool]
 	// background has the writes that go on after an answer.
 	background sync.WaitGroup
 }
