--- a/internal/turns/keeper/account.go
+++ b/internal/turns/keeper/account.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapond.example/zinniapond"
 )
 
@@ -57,6 +59,19 @@
 	return list
 }
 
+// sum returns a checksum of the turns that have spent. Whether they are settled
+// does not count: a settlement is on some disks only, and without it a turn
+// counts with all that it reserved.
+func (a *account) sum() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var total uint64
+	for id := range a.spends {
+		total ^= xxhash.Sum64String(string(id))
+	}
+	return total
+}
+
 // live tells whether the account is within its retention, and marks the
 // segments that have its records.
 func (a *account) live(now time.Time, used map[uint32]bool) bool {
--- a/internal/turns/keeper/serve.go
+++ b/internal/turns/keeper/serve.go
@@ -30,11 +30,6 @@
 		return err
 	}
 	reply.Kept = true
-	for _, s := range request.Spends {
-		if request.View != 0 {
-			reply.Spends = append(reply.Spends, k.account(s.Program).all()...)
-		}
-	}
 	return nil
 }
 
@@ -97,7 +92,11 @@
 			continue
 		}
 		if !request.Whole {
-			reply.Have = append(reply.Have, zinniapond.TurnLink{ID: id, Chain: s.chain})
+			link := zinniapond.TurnLink{ID: id}
+			if !request.Brief {
+				link.Chain = s.chain
+			}
+			reply.Have = append(reply.Have, link)
 			continue
 		}
 		t, err := k.read(s)
@@ -128,6 +127,15 @@
 	return *e.Turn, nil
 }
 
+// Digest returns the checksums of this disk's spends.
+func (k *Keeper) Digest(_ zinniapond.DiskRequest, reply *zinniapond.DigestReply) error {
+	if !k.open.Load() {
+		return errNotOpen
+	}
+	reply.Disk, reply.Groups = k.log.ID(), k.digest()
+	return nil
+}
+
 // Report tells the control leader how far the disk is.
 func (k *Keeper) Report(_ zinniapond.DiskRequest, reply *zinniapond.DiskReply) error {
 	if !k.open.Load() {
--- a/internal/turns/keeper/walk.go
+++ b/internal/turns/keeper/walk.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/turns/ranks"
 )
@@ -13,10 +15,12 @@
 	// offerMost is the number of turns asked about in one request.
 	offerMost = 500
 	// copyMost bounds the bytes of one copy request.
-	copyMost = 1 << 20
+	copyMost = 128 << 10
 	// copyLimit bounds one request between disks.
 	copyLimit = 5 * time.Second
 	walkPause = 200 * time.Millisecond
+	// restMost bounds the rest between two copies.
+	restMost = 100 * time.Millisecond
 )
 
 // walk gives all records to the disks that should have them, after each change
@@ -59,20 +63,12 @@
 		}
 		return true
 	})
-	var spends []zinniapond.Spend
-	k.programs.Each(func(_ zinniapond.ProgramID, a *account) bool {
-		spends = append(spends, a.all()...)
-		return true
-	})
 	for _, d := range set.Disks {
 		if d.ID == k.log.ID() || !d.Asked() {
 			continue
 		}
-		for at := 0; at < len(spends); at += offerMost {
-			part := spends[at:min(at+offerMost, len(spends))]
-			if err := k.copy(ctx, d, zinniapond.KeepRequest{Spends: part, Retention: defaultRetention}); err != nil {
-				return err
-			}
+		if err := k.equal(ctx, d); err != nil {
+			return err
 		}
 		for ids := lists[d.ID]; len(ids) > 0; {
 			part := ids[:min(offerMost, len(ids))]
@@ -85,6 +81,51 @@
 	return nil
 }
 
+// groups is the number of groups of programs whose spends are compared.
+const groups = 256
+
+func groupOf(program zinniapond.ProgramID) int {
+	return int(xxhash.Sum64String(string(program)) % groups)
+}
+
+// digest returns a checksum of the spends of each group.
+func (k *Keeper) digest() []uint64 {
+	sums := make([]uint64, groups)
+	k.programs.Each(func(id zinniapond.ProgramID, a *account) bool {
+		sums[groupOf(id)] ^= a.sum()
+		return true
+	})
+	return sums
+}
+
+// equal gives a disk the spends of the groups in which it differs.
+func (k *Keeper) equal(ctx context.Context, d zinniapond.Disk) error {
+	limited, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	var there zinniapond.DigestReply
+	if err := k.Peers.Call(limited, d.Address, "Keeper.Digest", zinniapond.DiskRequest{Sender: k.Settings.Host}, &there); err != nil {
+		return zinniapond.Wrap("compare spends", d.Address, err)
+	}
+	if there.Disk != d.ID || len(there.Groups) != groups {
+		return fmt.Errorf("compare spends: %s has disk %s, not %s: %w", d.Address, there.Disk, d.ID, zinniapond.ErrNotFound)
+	}
+	here := k.digest()
+	var spends []zinniapond.Spend
+	k.programs.Each(func(id zinniapond.ProgramID, a *account) bool {
+		if g := groupOf(id); here[g] != there.Groups[g] {
+			spends = append(spends, a.all()...)
+		}
+		return true
+	})
+	for at := 0; at < len(spends); at += offerMost {
+		part := spends[at:min(at+offerMost, len(spends))]
+		if err := k.copy(ctx, d, zinniapond.KeepRequest{Spends: part, Retention: defaultRetention}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // defaultRetention is for spends, whose route is not known here; programs end
 // well within it.
 const defaultRetention = time.Minute
@@ -94,7 +135,7 @@
 	limited, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
 	var found zinniapond.FindReply
-	if err := k.Peers.Call(limited, d.Address, "Keeper.Find", zinniapond.FindRequest{IDs: ids}, &found); err != nil {
+	if err := k.Peers.Call(limited, d.Address, "Keeper.Find", zinniapond.FindRequest{IDs: ids, Brief: true}, &found); err != nil {
 		return zinniapond.Wrap("offer turns", d.Address, err)
 	}
 	if found.Disk != d.ID {
@@ -130,7 +171,11 @@
 	return k.copy(ctx, d, request)
 }
 
+// copy sends records to a disk, and then rests for half as long as that took: the
+// processors and links of both hosts serve turns meanwhile.
 func (k *Keeper) copy(ctx context.Context, d zinniapond.Disk, request zinniapond.KeepRequest) error {
+	start := k.Clock()
+	defer func() { time.Sleep(min(k.Clock().Sub(start)/2, restMost)) }()
 	limited, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
 	var reply zinniapond.KeepReply
--- a/internal/turns/ranks/ranks.go
+++ b/internal/turns/ranks/ranks.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -78,8 +79,8 @@
 	return len(on) > s.Machines && len(zones) > s.Zones
 }
 
-// Certain tells whether what the answering disks do not have does not exist:
-// the others are too few for a complete write. A disk that does not have all of
+// Certain tells whether what the answering disks do not have does not exist: no
+// complete write can be on the others alone. A disk that does not have all of
 // its records yet counts as one that did not answer.
 func (s Set) Certain(answered func(zinniapond.DiskID) bool) bool {
 	var silent []zinniapond.Disk
@@ -89,5 +90,35 @@
 			silent = append(silent, d)
 		}
 	}
-	return len(s.Disks) > 0 && !s.Written(silent)
+	if s.Written(countedBefore(silent, math.MaxUint64)) {
+		return false
+	}
+	for _, d := range silent {
+		if !d.Counts() && s.Written(countedBefore(silent, d.Since)) {
+			return false
+		}
+	}
+	return len(s.Disks) > 0
+}
+
+// countedBefore returns the disks that counted in the last view before an index.
+// A write is made under one view, so that a disk that was lost and the one that
+// came in its place are never parts of the same write.
+func countedBefore(disks []zinniapond.Disk, index zinniapond.Index) []zinniapond.Disk {
+	var counted []zinniapond.Disk
+	for _, d := range disks {
+		switch d.State {
+		case zinniapond.DiskFilling:
+			if d.Since < index {
+				counted = append(counted, d)
+			}
+		case zinniapond.DiskLost, zinniapond.DiskLeaving:
+			if d.Since >= index {
+				counted = append(counted, d)
+			}
+		default:
+			counted = append(counted, d)
+		}
+	}
+	return counted
 }
--- a/turns.go
+++ b/turns.go
@@ -109,8 +109,6 @@
 	View Index  `cbor:"v"`
 	Disk DiskID `cbor:"d"`
 	Kept bool   `cbor:"k"`
-	// Spends has all spends of the programs in the request.
-	Spends []Spend `cbor:"s,omitempty"`
 }
 
 // From returns the disk that answered.
@@ -120,8 +118,9 @@
 type FindRequest struct {
 	View Index    `cbor:"v,omitempty"`
 	IDs  []TurnID `cbor:"i"`
-	// Whole asks for the turns themselves.
+	// Whole asks for the turns themselves, and Brief for their ids only.
 	Whole bool `cbor:"w,omitempty"`
+	Brief bool `cbor:"b,omitempty"`
 	// Program asks for the spends of a program; empty for none.
 	Program ProgramID `cbor:"p,omitempty"`
 }
@@ -145,6 +144,13 @@
 	Chain []TurnID `cbor:"c,omitempty"`
 }
 
+// DigestReply has a checksum of the turns that have spent, for each group of
+// programs. Disks with equal checksums know of the same turns.
+type DigestReply struct {
+	Disk   DiskID   `cbor:"d"`
+	Groups []uint64 `cbor:"g"`
+}
+
 // DiskRequest asks a disk how far it is.
 type DiskRequest struct {
 	Sender HostName `cbor:"s"`
