--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -45,6 +45,9 @@
 	ran     int // attempts that may have run
 	begun   bool
 	stream  stream
+	// restored, first and kept are the times of the steps: to prepare a turn, to
+	// the first byte of the answer since the receipt, and to keep a turn.
+	restored, first, kept time.Duration
 }
 
 // tried is a replica that was asked, for the log.
@@ -90,7 +93,9 @@
 	// so is sent by the caller.
 	limited, cancel := context.WithTimeout(ctx, u.until.Sub(now))
 	defer cancel()
-	if err := u.restore(limited, now); err != nil {
+	err := u.restore(limited, now)
+	u.restored = u.Clock().Sub(now)
+	if err != nil {
 		return err
 	}
 	return u.attempts(limited)
@@ -221,12 +226,16 @@
 	}
 	if err == nil {
 		u.Stats.Add("front.served", 1)
-		u.Logger.Debug("served", "id", u.request.ID, "route", name, "took", took, "tried", u.history())
+		if u.first > u.route.Target {
+			u.Stats.Add("front.late", 1)
+			u.Logger.Info("served late", "id", u.request.ID, "program", u.request.Program, "route", name, "target", u.route.Target,
+				"restored", u.restored, "first", u.first, "kept", u.kept, "took", took, "tried", u.history())
+		}
 		return
 	}
 	u.Stats.Add("front.failed", 1)
 	u.Logger.Info("not served", "id", u.request.ID, "program", u.request.Program, "route", name, "version", u.version,
-		"took", took, "tried", u.history(), "begun", u.begun, "error", err)
+		"restored", u.restored, "took", took, "tried", u.history(), "begun", u.begun, "error", err)
 }
 
 func (u *run) history() string {
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -51,7 +51,9 @@
 		n, err := answer.Body.Read(part)
 		if n > 0 {
 			if first {
-				seen.First, first = u.Clock().Sub(start), false
+				now := u.Clock()
+				seen.First, first = now.Sub(start), false
+				u.first = now.Sub(u.request.Received)
 			}
 			if err := u.forwardEvents(&parser, part[:n]); err != nil {
 				return end, err
@@ -121,7 +123,10 @@
 		}
 		spend := u.spend
 		spend.Settled, spend.Used = true, u.stream.tokens
-		if err := u.Turns.Keep(ctx, u.Clock(), turn, spend); err != nil {
+		start := u.Clock()
+		err := u.Turns.Keep(ctx, start, turn, spend)
+		u.kept = u.Clock().Sub(start)
+		if err != nil {
 			return end, err
 		}
 		u.spend.Settled = true
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -14,6 +14,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/turns/ranks"
 )
 
@@ -57,6 +58,22 @@
 	Most int64
 
 	cache cache
+	// silent has the disks that did not answer in time. They are asked last until
+	// they answer again, which reservations try on all disks.
+	silent shard.Map[zinniapond.DiskID, struct{}]
+}
+
+// prefer returns the order with the disks that are silent at its end.
+func (c *Client) prefer(order []zinniapond.Disk) []zinniapond.Disk {
+	var first, last []zinniapond.Disk
+	for _, d := range order {
+		if _, silent := c.silent.Get(d.ID); silent {
+			last = append(last, d)
+		} else {
+			first = append(first, d)
+		}
+	}
+	return append(first, last...)
 }
 
 // reply is an answer with the disk that gave it.
@@ -75,11 +92,17 @@
 	limited, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	a := answer[R]{disk: d}
+	late := time.AfterFunc(hedge, func() { c.silent.Set(d.ID, struct{}{}) })
 	if err := c.Peers.Call(limited, d.Address, method, request, &a.reply); err != nil {
 		a.err = zinniapond.Wrap(method, d.Address, err)
 	} else if from := a.reply.From(); from != d.ID {
 		a.err = zinniapond.Wrap(method, d.Address, fmt.Errorf("disk %s has taken the place of %s: %w", from, d.ID, zinniapond.ErrUnavailable))
 	}
+	if late.Stop(); a.err == nil {
+		c.silent.Delete(d.ID)
+	} else {
+		c.silent.Set(d.ID, struct{}{})
+	}
 	to <- a
 }
 
@@ -126,6 +149,7 @@
 // write sends a request to the first disks of an order, and to later ones in
 // place of those that do not answer soon, until enough have synced it.
 func (c *Client) write(ctx context.Context, set ranks.Set, order []zinniapond.Disk, request zinniapond.KeepRequest) error {
+	order = c.prefer(order)
 	answers := make(chan answer[zinniapond.KeepReply], len(order))
 	sent := 0
 	send := func(n int) {
