--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -270,7 +270,7 @@
 	p := fieldOf(ts).processes[args[0]]
 	got, _ := p.wait(within)
 	if got != args[2] {
-		ts.Fatalf("%s: exit code %s within %s, want %s\n%s", args[0], got, within, args[2], readFile(ts, ts.MkAbs(args[0]+".err")))
+		ts.Fatalf("%s: exit code %s within %s, want %s\n%s", args[0], got, within, args[2], readFile(ts, ts.MkAbs(args[0]+".out")))
 	}
 }
 
@@ -300,7 +300,7 @@
 	ts.Check(err)
 	pattern := regexp.MustCompile(args[2])
 	eventually(ts, within, args[2]+" in the log of "+args[0], func() bool {
-		return pattern.Match(readFile(ts, ts.MkAbs(args[0]+".err")))
+		return pattern.Match(readFile(ts, ts.MkAbs(args[0]+".out")))
 	})
 }
 
@@ -436,7 +436,7 @@
 		shards := make(map[string]bool)
 		voters := false
 		for _, h := range args[1:] {
-			text := readFile(ts, ts.MkAbs(h+".err"))
+			text := readFile(ts, ts.MkAbs(h+".out"))
 			for _, found := range pattern.FindAllSubmatch(text, -1) {
 				shards[string(found[1])] = true
 			}
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -120,7 +120,7 @@
 
 // Read reads the body. It returns io.EOF at the end of a complete body only.
 func (a *Answer) Read(part []byte) (int, error) {
-	n, err := a.Response.Body.Read(part)
+	n, err := a.Body.Read(part)
 	if errors.Is(err, io.EOF) {
 		a.whole = true
 	} else if err != nil && a.ctx.Err() != nil {
@@ -146,7 +146,7 @@
 	l := a.link
 	if !alive || !sent || !a.whole || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
-		return l.Conn.Close()
+		return l.Close()
 	}
 	l.since = a.now()
 	l.until = l.since.Add(idleTime(a.Header.Get("Keep-Alive")))
--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -8,14 +8,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// origin is the instant from which the time is counted.
-var origin = sync.OnceValue(func() (o struct {
+// start is the instant from which the time is counted, by both clocks.
+type start struct {
 	wall time.Time
 	boot time.Duration
-}) {
-	o.wall, o.boot = time.Now().Round(0), sinceBoot()
-	return o
-})
+}
+
+var origin = sync.OnceValue(func() start { return start{time.Now().Round(0), sinceBoot()} })
 
 // Now returns the time of day at the start of the process plus the time since.
 // It counts the time in which the machine is suspended, which Go's monotonic
--- a/internal/files/config/config.go
+++ b/internal/files/config/config.go
@@ -160,8 +160,11 @@
 	if c.Fetch != 0 && c.Fetch >= c.Lease && c.Lease != 0 {
 		fault("control", "fetch", fmt.Sprintf("fetch %s is not below lease %s: an election would outlast each lease", c.Fetch, c.Lease), "less than [control] lease")
 	}
-	if s.Data == "" && (s.HasRole(zinniapond.RoleStore) || s.HasRole(zinniapond.RoleControl) || s.HasRole(zinniapond.RoleKeeper)) {
-		fault("node", "data", "roles store, keeper and control need [node] data", "path of a folder")
+	if s.Data == "" && s.HasRole(zinniapond.RoleKeeper) {
+		fault("node", "data", "role keeper needs [node] data", "path of a folder")
+	}
+	if s.Data == "" && (s.HasRole(zinniapond.RoleStore) || s.HasRole(zinniapond.RoleControl)) {
+		fault("node", "data", "roles store and control need [node] data", "path of a folder")
 	}
 	if c.Bootstrap && !s.HasRole(zinniapond.RoleControl) {
 		fault("control", "bootstrap", "bootstrap needs the role control", "true only on control hosts")
--- a/internal/files/config/config_test.go
+++ b/internal/files/config/config_test.go
@@ -56,8 +56,11 @@
 				Shards: 64, Lease: 2500 * time.Millisecond, Session: 4 * time.Second, Fetch: 600 * time.Millisecond,
 				Election: 300 * time.Millisecond, Replicas: 3, Snapshot: 512,
 			},
-			Journal:  zinniapond.JournalSettings{Retention: 24 * time.Hour},
-			Platform: zinniapond.PlatformSettings{List: filepath.Join(dir, "list.json"), Refresh: time.Second, Weights: 5 * time.Second},
+			Journal: zinniapond.JournalSettings{Retention: 24 * time.Hour},
+			Keeper:  zinniapond.KeeperSettings{Machines: 1, CatchUp: 10 * time.Second},
+			Platform: zinniapond.PlatformSettings{
+				List: filepath.Join(dir, "list.json"), Refresh: time.Second, Apply: 4 * time.Second, Weights: 5 * time.Second,
+			},
 			Security: zinniapond.SecuritySettings{Secret: []byte("0123456789abcdef")},
 			Limits: zinniapond.LimitSettings{
 				Body: 8 << 20, Header: 64 << 10, Read: 30 * time.Second, Open: 1024,
--- a/internal/files/config/fields.go
+++ b/internal/files/config/fields.go
@@ -70,15 +70,9 @@
 		span("journal", "retention", "24h", time.Minute, 365*24*time.Hour, &s.Journal.Retention),
 		number("keeper", "machines", "1", 0, 3, &s.Keeper.Machines),
 		number("keeper", "zones", "0", 0, 3, &s.Keeper.Zones),
-		span("keeper", "patience", "5s", 100*time.Millisecond, time.Hour, &s.Keeper.Patience),
+		span("keeper", "catch-up", "10s", 100*time.Millisecond, time.Hour, &s.Keeper.CatchUp),
 		r.list(),
-		span("platform", "lag", "0s", 0, time.Minute, &s.Platform.Lag),
 		span("platform", "apply", "4s", 100*time.Millisecond, time.Minute, &s.Platform.Apply),
-		span("platform", "leave", "3s", 100*time.Millisecond, time.Minute, &s.Platform.Leave),
-		{"platform", "rate", "0", "readings a second, above 0", false, func(v string) (err error) {
-			s.Platform.Rate, err = strconv.ParseFloat(v, 64)
-			return short(err)
-		}},
 		span("platform", "refresh", "1s", 50*time.Millisecond, time.Minute, &s.Platform.Refresh),
 		span("platform", "weights", "5s", time.Millisecond, time.Hour, &s.Platform.Weights),
 		r.secret(),
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -179,7 +179,7 @@
 		seen = zinniapond.Observation{Failed: ctx.Err() == nil, Cancelled: ctx.Err() != nil}
 		return repeat, err
 	}
-	defer answer.Body.Close()
+	defer func() { _ = answer.Body.Close() }() // a broken connection is dropped either way
 	if answer.NotRun {
 		if answer.Leaving {
 			u.Roster.Mark(start, replica.Address, zinniapond.BackendLeaving)
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -226,6 +226,12 @@
 	}
 	if err == nil {
 		u.Stats.Add("front.served", 1)
+		u.Meter.Observe("front.answer."+string(u.route.Kind), took)
+		if u.route.Stream() {
+			u.Meter.Observe("front.first", u.first)
+			u.Meter.Observe("front.restore", u.restored)
+			u.Meter.Observe("front.keep", u.kept)
+		}
 		if u.first > u.route.Target {
 			u.Stats.Add("front.late", 1)
 			u.Logger.Info("served late", "id", u.request.ID, "program", u.request.Program, "route", name, "target", u.route.Target,
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/meter"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/routes/table"
@@ -40,6 +41,9 @@
 	if r.Client, err = kernel.Find[zinniapond.ReplicaClient](k); err != nil {
 		return err
 	}
+	if r.Meter, err = kernel.FindNamed[*meter.Meter](k, "default"); err != nil {
+		return err
+	}
 	r.Stats, err = kernel.FindNamed[*stats.Set[string]](k, "default")
 	return err
 }
@@ -53,6 +57,7 @@
 	Turns      zinniapond.Turns
 	Client     zinniapond.ReplicaClient
 	Stats      *stats.Set[string]
+	Meter      *meter.Meter
 	Logger     hclog.Logger
 	Clock      func() time.Time
 	NewRouter  func() (zinniapond.Router, error)
--- a/internal/nodecmd/start/start.go
+++ b/internal/nodecmd/start/start.go
@@ -16,6 +16,8 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/inject"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/meter"
+	"zinniapond.example/zinniapond/internal/core/output"
 	_ "zinniapond.example/zinniapond/internal/core/plugs" // registers the plug-ins
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/core/trace"
@@ -44,8 +46,10 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare))
 	}
+	lines := &output.Writer{To: f.Out}
+	defer func() { _ = lines.Close() }() // never fails
 	logger := hclog.New(&hclog.LoggerOptions{
-		Name: string(s.Host), Level: hclog.LevelFromString(s.LogLevel), Output: f.Err, TimeFn: f.Clock,
+		Name: string(s.Host), Level: hclog.LevelFromString(s.LogLevel), Output: lines, TimeFn: f.Clock,
 	})
 	tracer, err := trace.New(ctx, s)
 	if err != nil {
@@ -59,11 +63,27 @@
 		}
 	}()
 	k := &kernel.Kernel{Settings: s, Logger: logger, Tracer: tracer.Tracer, Clock: f.Clock}
-	return supervise(ctx, k)
+	reload := func() (*zinniapond.Settings, error) { return f.Load(o.Settings) }
+	return supervise(ctx, k, reload)
 }
 
-// supervise runs the kernel and turns signals into its end.
-func supervise(ctx context.Context, k *kernel.Kernel) error {
+// renew takes in changed settings. Only the log level changes in a running host;
+// seeds are for the next start, as members are learned from the control log.
+func renew(k *kernel.Kernel, reload func() (*zinniapond.Settings, error)) {
+	s, err := reload()
+	if err != nil {
+		k.Logger.Error("settings not reloaded; the old ones stay in force", "error", err)
+		return
+	}
+	k.Logger.SetLevel(hclog.LevelFromString(s.LogLevel))
+	k.Logger.Info("settings reloaded", "level", s.LogLevel, "voters", fmt.Sprint(s.Control.Voters))
+}
+
+// supervise runs the kernel and turns signals into its end, or into a reload.
+func supervise(ctx context.Context, k *kernel.Kernel, reload func() (*zinniapond.Settings, error)) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -72,12 +92,16 @@
 	done := make(chan error, 1)
 	go func() { done <- runKernel(ctx, k) }()
 	k.Logger.Info("host started", "cluster", k.Settings.Cluster, "roles", fmt.Sprint(k.Settings.Roles), "pid", os.Getpid())
-	select {
-	case err := <-done:
-		return err
-	case s := <-signals:
-		k.Logger.Info("stopping", "signal", s.String(), "drain", k.Settings.Drain)
-		cancel()
+	for ctx.Err() == nil {
+		select {
+		case err := <-done:
+			return err
+		case <-hangup:
+			renew(k, reload)
+		case s := <-signals:
+			k.Logger.Info("stopping", "signal", s.String(), "drain", k.Settings.Drain)
+			cancel()
+		}
 	}
 	select {
 	case err := <-done:
@@ -102,5 +126,8 @@
 		return err
 	}
 	counters.Publish("zinniapond")
+	if _, err := kernel.FindNamed[*meter.Meter](k, "default"); err != nil {
+		return err
+	}
 	return k.Run(ctx)
 }
--- a/internal/turns/tender/tender.go
+++ b/internal/turns/tender/tender.go
@@ -94,7 +94,7 @@
 		t.reports = make(map[zinniapond.DiskID]heard)
 	}
 	t.ask(ctx, view)
-	changes := decide(t.Clock(), t.Settings.Keeper.Patience, view, t.reports)
+	changes := decide(t.Clock(), t.Settings.Keeper.Patience(), view, t.reports)
 	for _, c := range changes {
 		t.propose(ctx, c)
 	}
--- a/settings.go
+++ b/settings.go
@@ -112,20 +112,20 @@
 	// Machines and Zones may be lost at the same time with their disks.
 	Machines int
 	Zones    int
-	// Patience is the silence after which a disk counts as lost.
-	Patience time.Duration
+	// CatchUp is the time in which others have to make up for a disk.
+	CatchUp time.Duration
 }
 
+// Patience is the silence after which a disk counts as lost: half of the time to
+// make up for it, so that the other half is left for the copies.
+func (s KeeperSettings) Patience() time.Duration { return s.CatchUp / 2 }
+
 // PlatformSettings say how the platform's list of backend servers is read.
 type PlatformSettings struct {
 	List    string        // path of a file, or an http URL
 	Refresh time.Duration // span between two readings
-	Lag     time.Duration // how late the list may be
-	Rate    float64       // readings a second that all hosts may make together
 	// Apply is the time in which a confirmed configuration is in force.
 	Apply time.Duration
-	// Leave is how long a leaving server may still be sent requests.
-	Leave time.Duration
 	// Weights is the least span between two loads from the weight store.
 	Weights time.Duration
 }
