--- a/cmd/zinniapond/lists_test.go
+++ b/cmd/zinniapond/lists_test.go
@@ -57,7 +57,7 @@
 	ts.Check(err)
 	addresses := args[1:]
 	for n := range rounds {
-		before := int(version(ts, addresses[0]))
+		before := newest(ts, addresses)
 		try := func(i int) int {
 			return put(ts, addresses[i], before, fmt.Sprintf("round-%d-%d", before, i), plansText(ts, 1000*(2*n+i+1)))
 		}
@@ -85,6 +85,20 @@
 	}
 }
 
+// newest returns the highest version that one of the hosts has in force, once all
+// have it: a change that was accepted by one host is at the others a moment later,
+// and a round that begins with an older version has no winner.
+func newest(ts *testscript.TestScript, addresses []string) int {
+	most := 0
+	for _, a := range addresses {
+		most = max(most, int(version(ts, a)))
+	}
+	for _, a := range addresses {
+		eventually(ts, 4*time.Second, "version in force before the round", func() bool { return int(version(ts, a)) >= most })
+	}
+	return most
+}
+
 // changes makes many changes of the lists: changes COUNT ADDRESS.
 func changes(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
--- /dev/null
+++ b/internal/backend/links/links_test.go
@@ -0,0 +1,165 @@
+package links
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// server answers each request with the given text and counts connections.
+type server struct {
+	address     netip.AddrPort
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func serve(t *testing.T, answer func(c net.Conn, n int64)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	s := &server{address: l.Addr().(*net.TCPAddr).AddrPort()}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.conn(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) conn(c net.Conn, answer func(net.Conn, int64)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		answer(c, s.requests.Add(1))
+	}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// get sends a request and returns its body.
+func get(t *testing.T, p *Pool, s *server) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, time.Now, s.address, http.MethodGet, true, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a)
+	// The writer's goroutine may still be about to tell that it is done.
+	time.Sleep(time.Millisecond)
+	assert.NoError(t, a.Close())
+	return string(body), err
+}
+
+func TestDo(t *testing.T) {
+	says := func(text string) func(net.Conn, int64) {
+		return func(c net.Conn, _ int64) { _, _ = io.WriteString(c, text) }
+	}
+	t.Run("guards against a new connection for each request", func(t *testing.T) {
+		s, p := serve(t, says(ok)), new(Pool)
+		for range 5 {
+			body, err := get(t, p, s)
+			assert.NoError(t, err)
+			assert.Equal(t, body, "ok")
+		}
+		assert.Equal(t, s.connections.Load(), int64(1))
+	})
+	t.Run("guards against bytes after an answer being taken for the next one", func(t *testing.T) {
+		s, p := serve(t, says(ok+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")), new(Pool)
+		for range 3 {
+			body, err := get(t, p, s)
+			assert.NoError(t, err)
+			assert.Equal(t, body, "ok")
+		}
+		assert.Equal(t, s.connections.Load(), int64(3))
+	})
+	t.Run("guards against a second answer that comes late on an idle connection", func(t *testing.T) {
+		s, p := serve(t, func(c net.Conn, _ int64) {
+			_, _ = io.WriteString(c, ok)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+		}), new(Pool)
+		for range 3 {
+			body, err := get(t, p, s)
+			assert.NoError(t, err)
+			assert.Equal(t, body, "ok")
+			time.Sleep(40 * time.Millisecond)
+		}
+	})
+	t.Run("guards against an answer that breaks off and looks complete", func(t *testing.T) {
+		s := serve(t, func(c net.Conn, _ int64) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+			_ = c.Close()
+		})
+		_, err := get(t, new(Pool), s)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+	t.Run("guards against a request that is sent twice", func(t *testing.T) {
+		s := serve(t, func(c net.Conn, _ int64) { _ = c.Close() })
+		_, err := get(t, new(Pool), s)
+		assert.True(t, err != nil && !errors.Is(err, zinniapond.ErrNotSent), "a request that may have run is called not sent")
+		assert.Equal(t, s.requests.Load(), int64(1))
+	})
+	t.Run("guards against calling a request sent that had no peer", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		s := &server{address: l.Addr().(*net.TCPAddr).AddrPort()}
+		assert.NoError(t, l.Close())
+		_, err = get(t, new(Pool), s)
+		assert.ErrorIs(t, err, zinniapond.ErrNotSent)
+	})
+	t.Run("guards against the use of a connection that the replica has closed", func(t *testing.T) {
+		s := serve(t, func(c net.Conn, _ int64) {
+			_, _ = io.WriteString(c, ok)
+			time.AfterFunc(10*time.Millisecond, func() { _ = c.Close() })
+		})
+		p := new(Pool)
+		for range 3 {
+			_, err := get(t, p, s)
+			assert.NoError(t, err)
+			time.Sleep(30 * time.Millisecond)
+		}
+	})
+	t.Run("guards against a silent replica that holds a request for ever", func(t *testing.T) {
+		s := serve(t, func(net.Conn, int64) { time.Sleep(3 * time.Second) })
+		start := time.Now()
+		_, err := get(t, new(Pool), s)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.True(t, time.Since(start) < 2*time.Second, "the deadline has no effect")
+	})
+}
+
+func TestIdleTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": usualIdle, "timeout=5": 4 * time.Second, "max=3, timeout=1": 500 * time.Millisecond, "timeout=x": usualIdle,
+	} {
+		t.Run(fmt.Sprintf("guards against idle connections that outlive %q", value), func(t *testing.T) {
+			assert.Equal(t, idleTime(value), want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/runner/fakes_test.go
@@ -0,0 +1,182 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/policy/robin"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// world is everything around a runner.
+type world struct {
+	*Runner
+	view    zinniapond.ControlView
+	list    []zinniapond.Backend
+	replies []func(zinniapond.Sending) (*zinniapond.Received, error)
+	sent    []zinniapond.Sending
+	turns   fakeTurns
+	marked  []netip.AddrPort
+}
+
+func (w *world) View() *zinniapond.ControlView  { return &w.view }
+func (w *world) Catalog() *zinniapond.Catalog   { return nil }
+func (w *world) Fresh(time.Time) bool           { return true }
+func (w *world) Confirmed() time.Time           { return time.Now() }
+func (w *world) Changed() <-chan struct{}       { return nil }
+func (w *world) Backends() []zinniapond.Backend { return w.list }
+func (w *world) Mark(_ time.Time, a netip.AddrPort, _ zinniapond.BackendState) {
+	w.marked = append(w.marked, a)
+}
+
+// Send answers with the next reply; the last one is repeated.
+func (w *world) Send(_ context.Context, _ time.Time, s zinniapond.Sending) (*zinniapond.Received, error) {
+	n := min(len(w.sent), len(w.replies)-1)
+	w.sent = append(w.sent, s)
+	return w.replies[n](s)
+}
+
+func (w *world) Limit(time.Time, []zinniapond.Backend) {}
+
+// body is the body of an answer that may break off.
+type body struct {
+	io.Reader
+	err error
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.err != nil {
+		err = b.err
+	}
+	return n, err
+}
+func (b *body) Close() error { return nil }
+
+type reply = func(zinniapond.Sending) (*zinniapond.Received, error)
+
+// says answers with a status and a body that ends with err, or whole if it is
+// nil.
+func says(status int, text string, stream bool, err error) reply {
+	return func(zinniapond.Sending) (*zinniapond.Received, error) {
+		r := &zinniapond.Received{
+			Status: status, Length: -1, Genuine: true, Stream: stream, Body: &body{bytes.NewReader([]byte(text)), err},
+		}
+		return r, nil
+	}
+}
+
+// refuses answers that the request was not run.
+func refuses(zinniapond.Sending) (*zinniapond.Received, error) {
+	return &zinniapond.Received{Status: 503, NotRun: true, Body: &body{Reader: bytes.NewReader(nil)}}, nil
+}
+
+var errBroken = errors.New("connection reset")
+
+func breaks(zinniapond.Sending) (*zinniapond.Received, error) { return nil, errBroken }
+
+func unsent(zinniapond.Sending) (*zinniapond.Received, error) { return nil, zinniapond.ErrNotSent }
+
+// fakeTurns keeps turns in memory.
+type fakeTurns struct {
+	mu      sync.Mutex
+	kept    []zinniapond.Turn
+	chain   []zinniapond.Turn
+	reserve error
+	keepErr error
+	settled []zinniapond.Spend
+}
+
+func (f *fakeTurns) Chain(context.Context, time.Time, zinniapond.TurnID) ([]zinniapond.Turn, error) {
+	if f.chain == nil {
+		return nil, zinniapond.ErrNotFound
+	}
+	return f.chain, nil
+}
+
+func (f *fakeTurns) Reserve(context.Context, time.Time, zinniapond.Spend, zinniapond.Tokens) error {
+	return f.reserve
+}
+
+func (f *fakeTurns) Settle(_ context.Context, _ time.Time, s zinniapond.Spend) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settled = append(f.settled, s)
+	return nil
+}
+
+func (f *fakeTurns) Keep(_ context.Context, _ time.Time, t zinniapond.Turn, s zinniapond.Spend) error {
+	if f.keepErr != nil {
+		return f.keepErr
+	}
+	f.kept = append(f.kept, t)
+	return f.Settle(context.Background(), time.Time{}, s)
+}
+
+// recorder takes an answer.
+type recorder struct {
+	status  int
+	body    bytes.Buffer
+	ended   bool
+	aborted bool
+	refused error
+}
+
+func (r *recorder) Begin(status int, _ []zinniapond.Field, _ int64) error {
+	r.status = status
+	return nil
+}
+func (r *recorder) Write(p []byte) error { _, err := r.body.Write(p); return err }
+func (r *recorder) End() error           { r.ended = true; return nil }
+func (r *recorder) Abort()               { r.aborted = true }
+func (r *recorder) Refuse(f zinniapond.Refusal) error {
+	r.refused = f.Reason
+	return nil
+}
+
+// newWorld returns a world of three replicas and one route.
+func newWorld(t *testing.T, route zinniapond.Route, replies ...reply) *world {
+	t.Helper()
+	route.Name, route.Host, route.Prefix, route.Timeout = "r", "h", "/r/", time.Second
+	route.Splits = []zinniapond.Split{{Service: "pool", Weight: 1}}
+	w := &world{replies: replies}
+	w.view.Routing = &zinniapond.Routing{
+		Version: 3, Routes: []zinniapond.Route{route},
+		Services: []zinniapond.Service{{Name: "pool", Engine: &zinniapond.Engine{Stride: 10}}},
+	}
+	for i := range 3 {
+		w.list = append(w.list, zinniapond.Backend{
+			ID: string(rune('a' + i)), Pool: "pool", State: zinniapond.BackendLive,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		})
+	}
+	w.Runner = &Runner{
+		Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: new(stats.Set[string]), Logger: hclog.NewNullLogger(),
+		Clock: time.Now, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
+	}
+	w.prepare()
+	assert.NoError(t, w.update())
+	return w
+}
+
+// forward runs a request of the route.
+func (w *world) forward(q zinniapond.Request) *recorder {
+	q.ID, q.Host, q.Path, q.Received = "id", "h", "/r/x", time.Now()
+	if q.Wait == 0 {
+		q.Wait = 400 * time.Millisecond
+	}
+	to := new(recorder)
+	w.Forward(context.Background(), time.Now(), q, to)
+	w.background.Wait()
+	return to
+}
--- /dev/null
+++ b/internal/front/runner/runner_test.go
@@ -0,0 +1,170 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+const (
+	wholeText = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+	first     = "id: 1\ndata: one\n\n"
+)
+
+func TestAttempts(t *testing.T) {
+	safe := zinniapond.Route{Kind: zinniapond.RequestSafe, Attempts: 2}
+	unsafe := zinniapond.Route{Kind: zinniapond.RequestUnsafe, Attempts: 2}
+	whole := says(200, "answer", false, nil)
+	t.Run("guards against running an unsafe request twice", func(t *testing.T) {
+		for _, failure := range []reply{breaks, says(200, "ans", false, errBroken)} {
+			w := newWorld(t, unsafe, failure, whole)
+			to := w.forward(zinniapond.Request{})
+			assert.Equal(t, len(w.sent), 1)
+			assert.ErrorIs(t, to.refused, zinniapond.ErrUnknown)
+		}
+	})
+	t.Run("guards against giving up a request that provably did not run", func(t *testing.T) {
+		for _, refusal := range []reply{refuses, unsent} {
+			w := newWorld(t, unsafe, refusal, refusal, whole)
+			to := w.forward(zinniapond.Request{})
+			assert.Equal(t, to.body.String(), "answer")
+			assert.True(t, to.ended, "the answer is not complete")
+		}
+	})
+	t.Run("guards against a safe request failing with its first replica", func(t *testing.T) {
+		w := newWorld(t, safe, breaks, whole)
+		assert.Equal(t, w.forward(zinniapond.Request{}).body.String(), "answer")
+		assert.True(t, w.sent[0].Replica.ID != w.sent[1].Replica.ID, "the same replica was asked again")
+	})
+	t.Run("guards against more attempts than the route allows", func(t *testing.T) {
+		w := newWorld(t, safe, breaks)
+		assert.ErrorIs(t, w.forward(zinniapond.Request{}).refused, zinniapond.ErrUnknown)
+		assert.Equal(t, len(w.sent), 2)
+	})
+	t.Run("guards against passing on an answer that is not the replica's", func(t *testing.T) {
+		w := newWorld(t, unsafe, func(zinniapond.Sending) (*zinniapond.Received, error) {
+			r, err := says(200, "foreign", false, nil)(zinniapond.Sending{})
+			r.Genuine = false
+			return r, err
+		})
+		to := w.forward(zinniapond.Request{})
+		assert.ErrorIs(t, to.refused, zinniapond.ErrUnknown)
+		assert.Equal(t, to.body.Len(), 0)
+	})
+	t.Run("guards against a false word that a request has not run", func(t *testing.T) {
+		w := newWorld(t, safe, breaks, refuses)
+		to := w.forward(zinniapond.Request{})
+		assert.ErrorIs(t, to.refused, zinniapond.ErrUnknown)
+	})
+	t.Run("guards against a late refusal while all replicas are full", func(t *testing.T) {
+		w := newWorld(t, unsafe, refuses)
+		start := time.Now()
+		assert.ErrorIs(t, w.forward(zinniapond.Request{}).refused, zinniapond.ErrOverload)
+		assert.True(t, time.Since(start) < 350*time.Millisecond, "refused after %s of 400 ms", time.Since(start))
+	})
+	t.Run("guards against new work for a replica that leaves", func(t *testing.T) {
+		w := newWorld(t, unsafe, whole)
+		for i := range w.list {
+			w.list[i].State = zinniapond.BackendLeaving
+		}
+		w.list[1].State = zinniapond.BackendLive
+		assert.NoError(t, w.update())
+		for range 4 {
+			w.forward(zinniapond.Request{})
+		}
+		for _, s := range w.sent {
+			assert.Equal(t, s.Replica.ID, "b")
+		}
+	})
+	t.Run("guards against an answer for a path without a route", func(t *testing.T) {
+		w := newWorld(t, safe, whole)
+		to := new(recorder)
+		w.Forward(t.Context(), time.Now(), zinniapond.Request{Host: "h", Path: "/other/", Received: time.Now(), Wait: time.Second}, to)
+		assert.ErrorIs(t, to.refused, zinniapond.ErrNotFound)
+	})
+	t.Run("guards against going back to an older configuration", func(t *testing.T) {
+		w := newWorld(t, safe, whole)
+		old := *w.view.Routing
+		old.Version, old.Routes = 2, nil
+		w.view.Routing = &old
+		assert.NoError(t, w.update())
+		assert.Equal(t, w.forward(zinniapond.Request{}).body.String(), "answer")
+	})
+}
+
+func TestStreams(t *testing.T) {
+	kept := zinniapond.Route{Kind: zinniapond.RequestStream, Attempts: 1, Retained: true, Retention: time.Minute}
+	resumable := zinniapond.Route{Kind: zinniapond.RequestStream, Attempts: 2, Resumable: true}
+	turn := zinniapond.Request{Program: "p", Session: "s", Budget: 100, Most: 50, Body: []byte("in")}
+	t.Run("guards against a turn that is told whole before it is kept", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, wholeText, true, nil))
+		w.turns.keepErr = zinniapond.ErrNoQuorum
+		to := w.forward(turn)
+		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
+	})
+	t.Run("guards against a turn kept with other data than was sent", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, wholeText, true, nil))
+		to := w.forward(turn)
+		assert.Equal(t, to.body.String(), wholeText)
+		assert.Equal(t, string(w.turns.kept[0].Output), "one\ntwo\n")
+		assert.Equal(t, string(w.turns.kept[0].Input), "in")
+		assert.Equal(t, w.turns.settled[0].Used, zinniapond.Tokens(20))
+	})
+	t.Run("guards against a chain that is not in order before the new input", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, wholeText, true, nil))
+		w.turns.chain = []zinniapond.Turn{{ID: "1", Input: []byte("a"), Output: []byte("b\n")}, {ID: "2", Input: []byte("c"), Output: []byte("d\n")}}
+		q := turn
+		q.Previous = "2"
+		w.forward(q)
+		assert.Equal(t, string(w.sent[0].Body), "ab\ncd\nin")
+		assert.Equal(t, len(w.turns.kept[0].Chain), 2)
+	})
+	t.Run("guards against running a turn over its budget", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, wholeText, true, nil))
+		w.turns.reserve = zinniapond.ErrBudget
+		assert.ErrorIs(t, w.forward(turn).refused, zinniapond.ErrBudget)
+		assert.Equal(t, len(w.sent), 0)
+	})
+	t.Run("guards against tokens that stay reserved after a refusal, or are given back after a part was sent", func(t *testing.T) {
+		w := newWorld(t, kept, refuses)
+		w.forward(turn)
+		assert.Equal(t, w.turns.settled[0].Used, zinniapond.Tokens(0))
+		w = newWorld(t, kept, says(200, first, true, errBroken))
+		w.forward(turn)
+		assert.Equal(t, w.turns.settled[0].Used, zinniapond.Tokens(10))
+	})
+	t.Run("guards against a broken stream that looks complete", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, first+"id: 2\nda", true, errBroken))
+		to := w.forward(turn)
+		assert.Equal(t, to.body.String(), first)
+		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
+		assert.Equal(t, len(w.sent), 1)
+	})
+	t.Run("guards against a piece twice or missing where a stream is resumed", func(t *testing.T) {
+		w := newWorld(t, resumable, says(200, first+"id: 2\nda", true, errBroken), says(200, "id: 2\ndata: two\n\n", true, nil))
+		to := w.forward(zinniapond.Request{Session: "s"})
+		assert.Equal(t, to.body.String(), wholeText)
+		assert.Equal(t, w.sent[1].LastEvent, "1")
+	})
+}
+
+func TestAwait(t *testing.T) {
+	t.Run("guards against refusing a request that comes before the first configuration", func(t *testing.T) {
+		w := newWorld(t, zinniapond.Route{Kind: zinniapond.RequestSafe}, says(200, "answer", false, nil))
+		routing := w.view.Routing
+		fresh := &Runner{
+			Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: w.Stats, Logger: w.Logger, Clock: time.Now, NewRouter: w.NewRouter,
+		}
+		w.view.Routing = nil
+		assert.NoError(t, func() error { fresh.prepare(); return fresh.update() }())
+		w.Runner = fresh
+		done := make(chan *recorder, 1)
+		go func() { done <- w.forward(zinniapond.Request{Wait: time.Second}) }()
+		time.Sleep(20 * time.Millisecond)
+		w.view.Routing = routing
+		assert.NoError(t, fresh.update())
+		assert.Equal(t, (<-done).body.String(), "answer")
+	})
+}
--- /dev/null
+++ b/internal/turns/disk/log_test.go
@@ -0,0 +1,105 @@
+package disk
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// open opens a log and returns it with the records that were on the disk.
+func open(t *testing.T, folder string) (*Log, []string) {
+	t.Helper()
+	l := &Log{Folder: folder, Segment: 64}
+	var records []string
+	assert.NoError(t, l.Open(func(r []byte, _ uint32, _ int64) { records = append(records, string(r)) }))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+		assert.NoError(t, l.Close())
+	})
+	return l, records
+}
+
+func write(t *testing.T, l *Log, records ...string) []uint32 {
+	t.Helper()
+	var data [][]byte
+	for _, r := range records {
+		data = append(data, []byte(r))
+	}
+	segments, offsets, err := l.Append(context.Background(), data)
+	assert.NoError(t, err)
+	for i, r := range records {
+		got, err := l.Read(segments[i], offsets[i])
+		assert.NoError(t, err)
+		assert.Equal(t, string(got), r)
+	}
+	return segments
+}
+
+// last returns the newest segment file.
+func last(t *testing.T, folder string) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
+	assert.NoError(t, err)
+	return names[len(names)-1]
+}
+
+func TestLog(t *testing.T) {
+	t.Run("guards against records lost over a restart", func(t *testing.T) {
+		folder := t.TempDir()
+		first, _ := open(t, folder)
+		write(t, first, "one", "two")
+		write(t, first, "three")
+		again, records := open(t, folder)
+		assert.Equal(t, fmt.Sprint(records), "[one two three]")
+		assert.Equal(t, again.ID(), first.ID())
+	})
+	t.Run("guards against a torn tail that hides what was synced before it", func(t *testing.T) {
+		folder := t.TempDir()
+		l, _ := open(t, folder)
+		write(t, l, "one")
+		f, err := os.OpenFile(last(t, folder), os.O_WRONLY|os.O_APPEND, 0)
+		assert.NoError(t, err)
+		_, err = f.Write([]byte{200, 0, 0, 0, 1, 2, 3, 4, 'x'})
+		assert.NoError(t, err)
+		assert.NoError(t, f.Close())
+		again, records := open(t, folder)
+		assert.Equal(t, fmt.Sprint(records), "[one]")
+		write(t, again, "two")
+		_, records = open(t, folder)
+		assert.Equal(t, fmt.Sprint(records), "[one two]")
+	})
+	t.Run("guards against a damaged record that is taken for a whole one", func(t *testing.T) {
+		folder := t.TempDir()
+		l, _ := open(t, folder)
+		write(t, l, "one")
+		f, err := os.OpenFile(last(t, folder), os.O_WRONLY, 0)
+		assert.NoError(t, err)
+		_, err = f.WriteAt([]byte("X"), headSize)
+		assert.NoError(t, err)
+		assert.NoError(t, f.Close())
+		_, records := open(t, folder)
+		assert.Equal(t, len(records), 0)
+	})
+	t.Run("guards against space that never comes back", func(t *testing.T) {
+		folder := t.TempDir()
+		l, _ := open(t, folder)
+		old := write(t, l, "a record of some size that fills more than one half of a segment")
+		write(t, l, "new")
+		assert.NoError(t, l.Drop(func(s uint32) bool { return s == old[0] }))
+		_, records := open(t, folder)
+		assert.Equal(t, fmt.Sprint(records), "[new]")
+	})
+	t.Run("guards against two disks with one id", func(t *testing.T) {
+		one, _ := open(t, t.TempDir())
+		two, _ := open(t, t.TempDir())
+		assert.True(t, one.ID() != two.ID(), "an empty folder has the id of another")
+	})
+}
