--- a/errors.go
+++ b/errors.go
@@ -70,7 +70,7 @@
 type joined struct{ errs []error }
 
 // Error returns the errors, separated by semicolons.
-func (j joined) Error() string {
+func (j *joined) Error() string {
 	texts := make([]string, len(j.errs))
 	for i, err := range j.errs {
 		texts[i] = err.Error()
@@ -79,7 +79,7 @@
 }
 
 // Unwrap returns the errors.
-func (j joined) Unwrap() []error { return j.errs }
+func (j *joined) Unwrap() []error { return j.errs }
 
 // Join is errors.Join with a text of one line, as logs need it.
 func Join(errs ...error) error {
@@ -90,5 +90,5 @@
 	case 1:
 		return errs[0]
 	}
-	return joined{errs}
+	return &joined{errs}
 }
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -57,7 +57,8 @@
 	// Most bounds the bytes of turns kept in memory; 0 for the default.
 	Most int64
 
-	cache cache
+	cache   cache
+	touched touched
 	// silent has the disks that did not answer in time. They are asked last until
 	// they answer again, which reservations try on all disks.
 	silent shard.Map[zinniapond.DiskID, struct{}]
@@ -143,6 +144,7 @@
 		return fmt.Errorf("keep turn %s: %w", turn.ID, err)
 	}
 	c.cache.add(turn, c.Most)
+	c.touched.add(turn.Chain, turn.Retention)
 	return nil
 }
 
--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -73,6 +73,19 @@
 	})
 }
 
+func TestFlush(t *testing.T) {
+	t.Run("guards against the beginning of a chain that expires before its end", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		c := f.client(1)
+		keep(t, c, "one")
+		keep(t, c, "two", "one")
+		c.flush(context.Background())
+		for _, id := range []zinniapond.DiskID{"a", "b", "c"} {
+			assert.Equal(t, fmt.Sprint(f.at(id).touched), "[one]")
+		}
+	})
+}
+
 func TestReserve(t *testing.T) {
 	t.Run("guards against reservations at once that pass the budget together", func(t *testing.T) {
 		for range 50 {
--- a/internal/turns/client/fakes_test.go
+++ b/internal/turns/client/fakes_test.go
@@ -21,10 +21,12 @@
 
 // fakeDisk is the present disk of one host.
 type fakeDisk struct {
-	id     zinniapond.DiskID
-	down   bool
-	turns  map[zinniapond.TurnID]zinniapond.Turn
-	spends map[zinniapond.ProgramID]map[zinniapond.AttemptID]zinniapond.Spend
+	id    zinniapond.DiskID
+	down  bool
+	turns map[zinniapond.TurnID]zinniapond.Turn
+	// touched has the turns that were told to be in use.
+	touched []zinniapond.TurnID
+	spends  map[zinniapond.ProgramID]map[zinniapond.AttemptID]zinniapond.Spend
 }
 
 func newDisk(id zinniapond.DiskID) *fakeDisk {
@@ -96,6 +98,7 @@
 
 func (d *fakeDisk) keep(index zinniapond.Index, q zinniapond.KeepRequest, a *zinniapond.KeepReply) {
 	a.Disk, a.View = d.id, index
+	d.touched = append(d.touched, q.Touch...)
 	if q.View < index {
 		return
 	}
--- /dev/null
+++ b/internal/turns/keeper/keeper_test.go
@@ -0,0 +1,225 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// hosts are keepers that reach each other, with one view of the control log.
+type hosts struct {
+	t       *testing.T
+	mu      sync.Mutex
+	view    zinniapond.ControlView
+	changed chan struct{}
+	keepers map[netip.AddrPort]*Keeper
+}
+
+func newHosts(t *testing.T) *hosts {
+	return &hosts{
+		t: t, changed: make(chan struct{}), keepers: make(map[netip.AddrPort]*Keeper),
+		view: zinniapond.ControlView{Index: 1, Disks: make(map[zinniapond.DiskID]zinniapond.Disk)},
+	}
+}
+
+func (h *hosts) View() *zinniapond.ControlView {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	view := h.view
+	return &view
+}
+func (h *hosts) Catalog() *zinniapond.Catalog { return nil }
+func (h *hosts) Fresh(time.Time) bool         { return true }
+func (h *hosts) Confirmed() time.Time         { return time.Time{} }
+func (h *hosts) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Propose applies a change of a disk at once. A disk that joins is full, as
+// nothing was before it.
+func (h *hosts) Propose(_ context.Context, _ time.Time, c zinniapond.Command) (zinniapond.CommandResult, error) {
+	d := c.Disk.Disk
+	if d.State == zinniapond.DiskJoining {
+		d.State = zinniapond.DiskFull
+	}
+	h.set(d)
+	return zinniapond.CommandResult{Accepted: true}, nil
+}
+
+func (h *hosts) set(d zinniapond.Disk) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.view.Index++
+	h.view.DisksIndex = h.view.Index
+	d.Since = h.view.Index
+	disks := map[zinniapond.DiskID]zinniapond.Disk{d.ID: d}
+	for id, have := range h.view.Disks {
+		if id != d.ID {
+			disks[id] = have
+		}
+	}
+	h.view.Disks = disks
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+var errGone = errors.New("host is gone")
+
+func (h *hosts) Call(_ context.Context, to netip.AddrPort, method string, request, answer any) error {
+	h.mu.Lock()
+	k := h.keepers[to]
+	h.mu.Unlock()
+	if k == nil {
+		return errGone
+	}
+	switch q := request.(type) {
+	case zinniapond.KeepRequest:
+		return k.Keep(q, answer.(*zinniapond.KeepReply))
+	case zinniapond.FindRequest:
+		return k.Find(q, answer.(*zinniapond.FindReply))
+	case zinniapond.DiskRequest:
+		return k.Digest(q, answer.(*zinniapond.DigestReply))
+	}
+	h.t.Errorf("unknown call %s", method)
+	return errGone
+}
+
+// start runs a keeper on a folder until the end of the test, or until the
+// returned function is called.
+func (h *hosts) start(folder string, host byte) (*Keeper, func()) {
+	h.t.Helper()
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 7000)
+	k := &Keeper{
+		Settings: &zinniapond.Settings{
+			Data: folder, Peers: address, DataCentre: zinniapond.DataCentre(rune('a' + host)),
+			Keeper: zinniapond.KeeperSettings{Machines: 1},
+		},
+		Peers: h, Directory: h, Control: h, Logger: hclog.NewNullLogger(), Clock: time.Now,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		assert.NoError(h.t, <-done)
+		h.mu.Lock()
+		delete(h.keepers, address)
+		h.mu.Unlock()
+	})
+	h.t.Cleanup(stop)
+	assert.Eventually(h.t, 5*time.Second, "keeper has joined", func() bool {
+		return k.open.Load() && h.View().Disks[k.log.ID()].State == zinniapond.DiskFull
+	})
+	h.mu.Lock()
+	h.keepers[address] = k
+	h.mu.Unlock()
+	return k, stop
+}
+
+func (h *hosts) keep(k *Keeper, request zinniapond.KeepRequest) bool {
+	h.t.Helper()
+	var reply zinniapond.KeepReply
+	assert.NoError(h.t, k.Keep(request, &reply))
+	return reply.Kept
+}
+
+// has tells whether a keeper has a turn whole.
+func (h *hosts) has(k *Keeper, id zinniapond.TurnID) bool {
+	h.t.Helper()
+	var reply zinniapond.FindReply
+	assert.NoError(h.t, k.Find(zinniapond.FindRequest{IDs: []zinniapond.TurnID{id}, Whole: true}, &reply))
+	return len(reply.Turns) == 1 && string(reply.Turns[0].Input) == "in "+string(id)
+}
+
+func turn(id zinniapond.TurnID) zinniapond.Turn {
+	return zinniapond.Turn{ID: id, Program: "p", Input: []byte("in " + id), Origin: "b", Retention: time.Minute}
+}
+
+func TestKeep(t *testing.T) {
+	t.Run("guards against turns and spends lost over a restart", func(t *testing.T) {
+		h, folder := newHosts(t), t.TempDir()
+		k, stop := h.start(folder, 1)
+		spend := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 5}
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Turns: []zinniapond.Turn{turn("one")}, Spends: []zinniapond.Spend{spend}}), "not kept")
+		stop()
+		k, _ = h.start(folder, 1)
+		assert.True(t, h.has(k, "one"), "the turn is gone")
+		var reply zinniapond.FindReply
+		assert.NoError(t, k.Find(zinniapond.FindRequest{Program: "p"}, &reply))
+		assert.Equal(t, len(reply.Spends), 1)
+	})
+	t.Run("guards against a write under a set of disks that has changed", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		old := h.View().DisksIndex
+		h.start(t.TempDir(), 2)
+		assert.True(t, !h.keep(k, zinniapond.KeepRequest{View: old, Turns: []zinniapond.Turn{turn("one")}}), "kept under an old view")
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{View: h.View().DisksIndex, Turns: []zinniapond.Turn{turn("one")}}), "not kept")
+	})
+	t.Run("guards against a settled turn that is reserved again by a late copy", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		s := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 50}
+		settled := s
+		settled.Settled, settled.Used = true, 10
+		for _, spend := range []zinniapond.Spend{s, settled, s} {
+			assert.True(t, h.keep(k, zinniapond.KeepRequest{Spends: []zinniapond.Spend{spend}}), "not kept")
+		}
+		var reply zinniapond.FindReply
+		assert.NoError(t, k.Find(zinniapond.FindRequest{Program: "p"}, &reply))
+		assert.Equal(t, reply.Spends[0].Cost(), zinniapond.Tokens(10))
+	})
+	t.Run("guards against new records on a disk that leaves", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		d := h.View().Disks[k.log.ID()]
+		d.State = zinniapond.DiskLeaving
+		h.set(d)
+		assert.True(t, !h.keep(k, zinniapond.KeepRequest{View: h.View().DisksIndex, Turns: []zinniapond.Turn{turn("one")}}), "kept")
+	})
+}
+
+func TestWalk(t *testing.T) {
+	t.Run("guards against an empty disk that stays empty beside records that it should have", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		spend := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 5}
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Turns: []zinniapond.Turn{turn("one")}, Spends: []zinniapond.Spend{spend}}), "not kept")
+		other, _ := h.start(t.TempDir(), 2)
+		d := h.View().Disks[other.log.ID()]
+		d.State = zinniapond.DiskFilling
+		h.set(d)
+		assert.Eventually(t, 5*time.Second, "the records are copied", func() bool {
+			return h.has(other, "one") && len(other.account("p").all()) == 1
+		})
+		assert.Eventually(t, 5*time.Second, "the copy is reported", func() bool {
+			var reply zinniapond.DiskReply
+			assert.NoError(t, k.Report(zinniapond.DiskRequest{}, &reply))
+			return reply.Walked == h.View().DisksIndex
+		})
+	})
+}
+
+func TestSweep(t *testing.T) {
+	t.Run("guards against a turn that is dropped while a later one needs it", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Turns: []zinniapond.Turn{turn("one"), turn("two")}}), "not kept")
+		later := time.Now().Add(time.Minute)
+		k.Clock = func() time.Time { return later }
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Touch: []zinniapond.TurnID{"one"}, Retention: time.Minute}), "not touched")
+		assert.NoError(t, k.sweep(later.Add(30*time.Second)))
+		assert.True(t, h.has(k, "one"), "the turn that is needed is gone")
+		assert.True(t, !h.has(k, "two"), "the turn that nobody needs is kept")
+	})
+}
