--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -77,6 +77,7 @@
 	shown   []zinniapond.Backend // list with marks
 	changed chan struct{}
 	alone   bool // reads for itself
+	failed  bool // the last reading failed
 }
 
 // Role returns the role that the plug-in belongs to.
@@ -180,8 +181,12 @@
 	limited, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	list, err := r.Lister.List(limited)
+	// One line for each change, not for each reading.
+	if failed := err != nil; failed != r.failed {
+		r.failed = failed
+		r.Logger.Warn("platform's list", "readable", !failed, "error", err)
+	}
 	if err != nil {
-		r.Logger.Warn("replica list not read", "error", err)
 		return
 	}
 	if alone {
--- a/internal/turns/tender/decide.go
+++ b/internal/turns/tender/decide.go
@@ -51,10 +51,12 @@
 func (f *fleet) silent(d zinniapond.Disk) time.Duration { return f.now.Sub(f.reports[d.ID].at) }
 
 // replaced tells whether the host of a disk has come back with another one: of
-// the disks at one address only the present one answers.
+// the disks at one address only the present one answers. A disk that has not
+// answered this leader yet replaces none.
 func (f *fleet) replaced(d zinniapond.Disk) bool {
 	for _, o := range f.disks {
-		if o.Address == d.Address && o.ID != d.ID && f.silent(o) < f.silent(d) {
+		answered := f.reports[o.ID].reply.Disk == o.ID
+		if answered && o.Address == d.Address && o.ID != d.ID && f.silent(o) < f.silent(d) {
 			return true
 		}
 	}
--- a/internal/turns/tender/decide_test.go
+++ b/internal/turns/tender/decide_test.go
@@ -74,6 +74,13 @@
 		w.hear("other", 0, 100, 95)
 		assert.Equal(t, w.change("old"), "removed")
 	})
+	t.Run("guards against taking a disk that a new leader has not heard for the one that answers", func(t *testing.T) {
+		w := newWorld()
+		w.disk("old", 1, zinniapond.DiskFull, 10)
+		w.disk("new", 1, zinniapond.DiskJoining, 90)
+		w.hear("new", 4*time.Millisecond, 80, 0)
+		assert.Equal(t, w.change("new"), "")
+	})
 	t.Run("guards against counting a disk that a living member does not know", func(t *testing.T) {
 		w := newWorld()
 		w.disk("new", 1, zinniapond.DiskJoining, 90)
