--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -27,8 +27,9 @@
 	dialLimit = time.Second
 	// readSize is the buffer of a connection; an event of a stream fits in.
 	readSize = 4 << 10
-	// usualIdle is for replicas that do not say when they close a connection.
-	usualIdle = 4 * time.Second
+	// usualIdle is for replicas that do not say when they close a connection. One
+	// that was closed is noticed before its use.
+	usualIdle = 30 * time.Second
 	// margin is how long before a replica closes an idle connection it is given
 	// up, so that no request meets the close.
 	margin = time.Second
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -145,6 +145,15 @@
 			time.Sleep(30 * time.Millisecond)
 		}
 	})
+	t.Run("guards against a request that nobody repeats on a connection that was idle for long", func(t *testing.T) {
+		s, p := serve(t, says(ok)), &Pool{Fresh: 10 * time.Millisecond}
+		for range 2 {
+			_, err := get(t, p, s)
+			assert.NoError(t, err)
+			time.Sleep(30 * time.Millisecond)
+		}
+		assert.Equal(t, s.connections.Load(), int64(2))
+	})
 	t.Run("guards against a silent replica that holds a request for ever", func(t *testing.T) {
 		s := serve(t, func(net.Conn, int64) { time.Sleep(3 * time.Second) })
 		start := time.Now()
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -168,6 +168,7 @@
 	}()
 	answer, err := u.Client.Send(ctx, start, zinniapond.Sending{
 		Request: u.request, Replica: replica, Body: u.body, Until: u.until,
+		Once:     u.route.Kind == zinniapond.RequestUnsafe,
 		Priority: u.urgency(), LastEvent: u.resume(),
 	})
 	switch {
--- a/request.go
+++ b/request.go
@@ -80,6 +80,8 @@
 	Body []byte
 	// Until is when the replica is to stop.
 	Until time.Time
+	// Once is set for a request that its client does not repeat either.
+	Once bool
 	// Priority is the urgency of a model request, 0 to 9, 0 first; negative for
 	// none.
 	Priority int
