--- a/internal/quorum/node/node.go
+++ b/internal/quorum/node/node.go
@@ -14,6 +14,10 @@
 	"zinniapond.example/zinniapond/internal/quorum/raft"
 )
 
+// snapshotBytes is the size of records after which a snapshot is taken whatever
+// their number: the disk has to hold them, and a restart to read them.
+const snapshotBytes = 8 << 20
+
 // Node is one voter. It is not safe for concurrent use. The exported fields are
 // set before Start. After each call of a method of Core, Settle is called.
 type Node struct {
@@ -23,6 +27,7 @@
 	// Snapshot is the number of records between two snapshots.
 	Snapshot int
 
+	grown int // bytes of the records applied since the last snapshot
 	mark  mark
 	saved uint64
 	news  bool // the duties have more to do
@@ -105,6 +110,7 @@
 		}
 	}
 	for _, e := range n.Core.Entries(n.State.View().Index + 1) {
+		n.grown += len(e.Data)
 		result, err := n.State.Apply(e)
 		if err != nil {
 			return err
@@ -120,9 +126,10 @@
 // compact takes a snapshot when enough records were applied since the last.
 func (n *Node) compact() error {
 	index := n.State.View().Index
-	if index < n.Core.Snapshot().Index+zinniapond.Index(n.Snapshot) {
+	if index < n.Core.Snapshot().Index+zinniapond.Index(n.Snapshot) && n.grown < snapshotBytes {
 		return nil
 	}
+	n.grown = 0
 	data, err := n.State.Encode()
 	if err != nil {
 		return err
--- a/internal/quorum/node/node_test.go
+++ b/internal/quorum/node/node_test.go
@@ -38,6 +38,34 @@
 	return news
 }
 
+func TestCompact(t *testing.T) {
+	t.Run("guards against a log of large records that outgrows the disk before it has many", func(t *testing.T) {
+		now := time.Unix(1000, 0)
+		self := zinniapond.VoterKey{Name: "a", Disk: "first"}
+		n := &Node{
+			Core: &raft.Core{
+				Self: self, Contact: time.Second, Election: time.Second, Quorum: time.Second, Wait: time.Second,
+				Random: rand.New(rand.NewPCG(1, 1)),
+			},
+			State: new(state.State), Snapshot: 1000,
+		}
+		assert.NoError(t, n.Start(now, zinniapond.LogChange{Snapshot: &zinniapond.Snapshot{Voters: []zinniapond.VoterKey{self}}}))
+		now = n.Core.Deadline(now)
+		n.Core.Tick(now)
+		settle(t, n, now)
+		settle(t, n, now)
+		for i := range 40 {
+			n.Propose(now, zinniapond.Command{Kind: zinniapond.CommandRouting, Routing: &zinniapond.Routing{
+				Version: uint64(i + 1), Source: make([]byte, 1<<20),
+			}}, func(zinniapond.ProposeReply) {})
+			settle(t, n, now)
+		}
+		assert.Equal(t, n.State.View().Routing.Version, uint64(40))
+		assert.True(t, n.Core.Snapshot().Index > 20, "no snapshot after 40 MB, the last covers %d", n.Core.Snapshot().Index)
+		assert.True(t, n.Core.Entries(2) == nil, "40 MB of records are in memory")
+	})
+}
+
 func TestSettle(t *testing.T) {
 	t.Run("guards against a candidate that lost and never fetches again", func(t *testing.T) {
 		now := time.Unix(1000, 0)
--- a/internal/quorum/raft/log.go
+++ b/internal/quorum/raft/log.go
@@ -133,7 +133,7 @@
 		Index: index, Term: l.term(index), Voters: l.configs[0].voters, Data: data,
 	}
 	l.snapshotDirty = true
-	if drop := int(index-l.base) - keep; drop > 0 {
+	if drop := l.surplus(int(index-l.base), keep); drop > 0 {
 		l.baseTerm = l.entries[drop-1].Term
 		l.base += zinniapond.Index(drop)
 		l.entries = append([]zinniapond.LogEntry(nil), l.entries[drop:]...)
@@ -143,6 +143,21 @@
 	}
 }
 
+// keepBytes bounds the records before a snapshot that stay in memory. A record
+// has a whole configuration, which may be hundreds of kilobytes.
+const keepBytes = 4 << 20
+
+// surplus returns how many of the first covered records are not kept.
+func (l *log) surplus(covered, keep int) int {
+	drop, size := max(covered-keep, 0), 0
+	for at := covered - 1; at >= drop; at-- {
+		if size += len(l.entries[at].Data); size > keepBytes {
+			return at + 1
+		}
+	}
+	return drop
+}
+
 func (l *log) dirty() bool {
 	return l.saved < l.last() || l.snapshotDirty || l.tailDirty
 }
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -38,7 +38,7 @@
 run "$plain" || failed=1
 run "$seeded" -args -rapid.seed=1 -rapid.nofailfile || failed=1
 # Packages with concurrent state run again under the race detector.
-racing='/(core|wire|quorum|journal|program|policy|entry|fleet|backend)/'
+racing='/(core|wire|quorum|journal|program|policy|entry|fleet|backend|turns|front|routes)/|/platform'
 echo "== tests with the race detector"
 run "$(echo "$plain" | grep -E "$racing")" -race || failed=1
 run "$(echo "$seeded" | grep -E "$racing")" -race -args -rapid.seed=1 -rapid.nofailfile || failed=1
