--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
@@ -30,22 +31,8 @@
 }
 
 func build(k *kernel.Kernel) (*Roster, error) {
-	lister, err := kernel.Find[zinniapond.Lister](k)
-	if err != nil {
-		return nil, err
-	}
-	directory, err := kernel.Find[zinniapond.Directory](k)
-	if err != nil {
-		return nil, err
-	}
-	control, err := kernel.Find[zinniapond.Control](k)
-	if err != nil {
-		return nil, err
-	}
-	return &Roster{
-		Settings: k.Settings, Lister: lister, Directory: directory, Control: control,
-		Logger: k.Logger.Named("roster"), Clock: k.Now,
-	}, nil
+	r := &Roster{Settings: k.Settings, Logger: k.Logger.Named("roster"), Clock: k.Now}
+	return r, errors.Join(kernel.Fill(k, &r.Lister), kernel.Fill(k, &r.Directory), kernel.Fill(k, &r.Control))
 }
 
 const (
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -64,6 +64,15 @@
 	return FindNamed[T](k, name)
 }
 
+// Fill is Find for a field of a plug-in that is being built.
+func Fill[T any](k *Kernel, field *T) error {
+	found, err := Find[T](k)
+	if err == nil {
+		*field = found
+	}
+	return err
+}
+
 // FindNamed is Find for the implementation of the given name.
 func FindNamed[T any](k *Kernel, name string) (T, error) {
 	var none T
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -24,30 +25,13 @@
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Forwarder, error) {
 		r := &Runner{DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
-		return r, r.find(k)
+		return r, errors.Join(
+			kernel.Fill(k, &r.Directory), kernel.Fill(k, &r.Roster), kernel.Fill(k, &r.Turns), kernel.Fill(k, &r.Client),
+			kernel.Fill(k, &r.Meter), kernel.Fill(k, &r.Stats),
+		)
 	})
 }
 
-func (r *Runner) find(k *kernel.Kernel) (err error) {
-	if r.Directory, err = kernel.Find[zinniapond.Directory](k); err != nil {
-		return err
-	}
-	if r.Roster, err = kernel.Find[zinniapond.Roster](k); err != nil {
-		return err
-	}
-	if r.Turns, err = kernel.Find[zinniapond.Turns](k); err != nil {
-		return err
-	}
-	if r.Client, err = kernel.Find[zinniapond.ReplicaClient](k); err != nil {
-		return err
-	}
-	if r.Meter, err = kernel.FindNamed[*meter.Meter](k, "default"); err != nil {
-		return err
-	}
-	r.Stats, err = kernel.FindNamed[*stats.Set[string]](k, "default")
-	return err
-}
-
 // Runner implements zinniapond.Forwarder. Its exported fields are set before
 // Run.
 type Runner struct {
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -20,18 +20,11 @@
 
 func init() {
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Turns, error) {
-		peers, err := kernel.Find[zinniapond.Peers](k)
-		if err != nil {
-			return nil, err
+		c := &Client{
+			Tolerance: k.Settings.Keeper, DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("turns"),
+			Most: k.Settings.Memory / cachePart,
 		}
-		directory, err := kernel.Find[zinniapond.Directory](k)
-		if err != nil {
-			return nil, err
-		}
-		return &Client{
-			Tolerance: k.Settings.Keeper, DataCentre: k.Settings.DataCentre, Peers: peers, Directory: directory,
-			Logger: k.Logger.Named("turns"), Most: k.Settings.Memory / cachePart,
-		}, nil
+		return c, zinniapond.Join(kernel.Fill(k, &c.Peers), kernel.Fill(k, &c.Directory))
 	})
 }
 
--- a/internal/turns/keeper/keeper.go
+++ b/internal/turns/keeper/keeper.go
@@ -26,26 +26,12 @@
 }
 
 func build(k *kernel.Kernel) (zinniapond.RolePlugin, error) {
-	peers, err := kernel.Find[zinniapond.Peers](k)
-	if err != nil {
-		return nil, err
-	}
-	directory, err := kernel.Find[zinniapond.Directory](k)
-	if err != nil {
-		return nil, err
-	}
-	control, err := kernel.Find[zinniapond.Control](k)
-	if err != nil {
-		return nil, err
-	}
+	r := &Keeper{Settings: k.Settings, Logger: k.Logger.Named("keeper"), Clock: k.Now}
 	mounter, err := kernel.Find[zinniapond.Mounter](k)
+	err = errors.Join(err, kernel.Fill(k, &r.Peers), kernel.Fill(k, &r.Directory), kernel.Fill(k, &r.Control))
 	if err != nil {
 		return nil, err
 	}
-	r := &Keeper{
-		Settings: k.Settings, Peers: peers, Directory: directory, Control: control,
-		Logger: k.Logger.Named("keeper"), Clock: k.Now,
-	}
 	if err := mounter.Mount("Keeper", r); err != nil {
 		return nil, fmt.Errorf("mount keeper: %w", err)
 	}
--- a/internal/turns/tender/tender.go
+++ b/internal/turns/tender/tender.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -19,22 +20,8 @@
 }
 
 func build(k *kernel.Kernel) (zinniapond.RolePlugin, error) {
-	peers, err := kernel.Find[zinniapond.Peers](k)
-	if err != nil {
-		return nil, err
-	}
-	directory, err := kernel.Find[zinniapond.Directory](k)
-	if err != nil {
-		return nil, err
-	}
-	control, err := kernel.Find[zinniapond.Control](k)
-	if err != nil {
-		return nil, err
-	}
-	return &Tender{
-		Settings: k.Settings, Peers: peers, Directory: directory, Control: control,
-		Logger: k.Logger.Named("tender"), Clock: k.Now,
-	}, nil
+	t := &Tender{Settings: k.Settings, Logger: k.Logger.Named("tender"), Clock: k.Now}
+	return t, errors.Join(kernel.Fill(k, &t.Peers), kernel.Fill(k, &t.Directory), kernel.Fill(k, &t.Control))
 }
 
 const (
