--- a/internal/turns/ranks/ranks_test.go
+++ b/internal/turns/ranks/ranks_test.go
@@ -44,6 +44,10 @@
 		}}
 		assert.True(t, !s.Certain(answers("a", "b", "new")), "both counted under view 11")
 	})
+	t.Run("guards against trusting what a filling disk lacks", func(t *testing.T) {
+		s := Set{Machines: 1, Disks: []zinniapond.Disk{disk("a", "1", full, 1), disk("b", "2", full, 2), disk("new", "3", filling, 12)}}
+		assert.True(t, !s.Certain(answers("a", "new")), "the silent disk and the filling one may hold a write")
+	})
 	t.Run("guards against counting a disk that only joins", func(t *testing.T) {
 		s := Set{Machines: 1, Disks: append([]zinniapond.Disk{disk("d", "1", joining, 9)}, three.Disks...)}
 		assert.True(t, s.Certain(answers("a", "b")), "a joining disk holds no write")
