--- a/internal/turns/client/fuzz_test.go
+++ b/internal/turns/client/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -114,6 +115,8 @@
 // lose takes one disk down or wipes it, if all others are full and up: more is
 // not to be borne.
 func (m *model) lose() {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
 	for _, d := range m.fleet.view.Disks {
 		if d.State != zinniapond.DiskFull || m.fleet.hosts[d.Address].down || m.fleet.hosts[d.Address].id != d.ID {
 			return
@@ -122,7 +125,7 @@
 	ids := sorted(m.fleet.view.Disks)
 	id := rapid.SampledFrom(ids).Draw(m.t, "disk")
 	if rapid.Bool().Draw(m.t, "wiped") {
-		m.fleet.wipe(id)
+		m.fleet.hosts[m.fleet.view.Disks[id].Address] = newDisk(zinniapond.DiskID(m.name()))
 	} else {
 		m.fleet.at(id).down = true
 	}
@@ -140,6 +143,9 @@
 // tend does one step of the repair, in the order that the tender keeps.
 func (m *model) tend() {
 	f := m.fleet
+	// Requests to slower disks go on after an operation has returned.
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, id := range sorted(f.view.Disks) {
 		d := f.view.Disks[id]
 		host := f.hosts[d.Address]
@@ -152,8 +158,8 @@
 				return
 			}
 			f.walk()
-			delete(f.view.Disks, id)
 			f.step()
+			delete(f.view.Disks, id)
 			return
 		case host.down:
 			host.down = false
@@ -176,7 +182,9 @@
 	f.view.Disks[d.ID] = d
 }
 
+// step begins a new view. Readers share the disks of the one before.
 func (f *fleet) step() {
+	f.view.Disks = maps.Clone(f.view.Disks)
 	f.view.Index++
 	f.view.DisksIndex = f.view.Index
 }
