--- a/internal/journal/writer/copy.go
+++ b/internal/journal/writer/copy.go
@@ -27,9 +27,11 @@
 	return m
 }
 
-// tellPause is the silence after which a replica is told the commit index. It
-// needs it only to remove ended programs.
-const tellPause = time.Second
+// tellPause is the silence after which a replica is told the commit index, which
+// it needs to remove ended programs. Its answer shows whether it still has its
+// log: without new records a replica that was restarted without it would go on
+// counting for nothing until the next append.
+const tellPause = 500 * time.Millisecond
 
 // replicate keeps one replica up to date until ctx is done. One message is
 // under way at a time, and takes all entries that came since the one before.
@@ -46,14 +48,6 @@
 			case <-time.After(tellPause):
 				request, err = l.batch(ctx, m, true)
 			}
-			if request == nil && err == nil {
-				select {
-				case <-ctx.Done():
-					return
-				case <-m.wake:
-					continue
-				}
-			}
 		}
 		if err == nil {
 			err = l.send(ctx, m, request)
@@ -76,11 +70,11 @@
 }
 
 // batch returns the next message to a replica, or nil if there is none to send.
-// With tell it is sent also if only the commit index is news.
+// With tell it is sent also if there is no news.
 func (l *shardLog) batch(ctx context.Context, m *member, tell bool) (*zinniapond.AppendRequest, error) {
 	l.mu.Lock()
 	vote := l.mayVote(m)
-	if m.next > l.last && !vote && (!tell || m.told == l.commit) {
+	if m.next > l.last && !vote && !tell {
 		l.mu.Unlock()
 		return nil, nil
 	}
@@ -221,7 +215,6 @@
 		m.next = reply.Last + 1
 		return nil
 	}
-	m.told = min(request.Commit, request.Last)
 	m.match = request.Last
 	m.next = request.Last + 1
 	if request.Vote {
--- a/internal/journal/writer/writer.go
+++ b/internal/journal/writer/writer.go
@@ -188,7 +188,6 @@
 	next    zinniapond.Index // first index to send
 	match   zinniapond.Index // last index known to agree and be synced
 	voting  bool             // counts towards a majority
-	told    zinniapond.Index // commit index that the replica knows
 	barrier zinniapond.Index // to be committed before the replica may count
 }
 
--- a/internal/journal/writer/writer_test.go
+++ b/internal/journal/writer/writer_test.go
@@ -105,6 +105,21 @@
 		})
 		assert.Equal(t, c.held(t, "a", "x"), c.held(t, "b", "x"))
 	})
+	t.Run("guards against an idle replica that lost its log and is not missed until the next append", func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.stop()
+		o, _ := c.takeover(t, "o", "a", "b", "c")
+		o.put(t, "x", 0)
+		assert.Eventually(t, testWait, "a has all", func() bool { return len(c.held(t, "a", "x")) == 1 })
+		// Everything that is news has been told by then.
+		time.Sleep(3 * tellPause)
+		c.halt("a", false)
+		assert.NoError(t, os.Remove(filepath.Join(c.stores["a"].folder, "journal.db")))
+		c.start("a")
+		assert.Eventually(t, testWait, "a is rebuilt", func() bool {
+			return c.votes(t, "a") && len(c.held(t, "a", "x")) == 1
+		})
+	})
 	t.Run("guards against a replica that missed the removal of ended programs losing live ones", func(t *testing.T) {
 		c := newCluster(t, "a", "b", "c")
 		defer c.stop()
--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -51,7 +51,7 @@
 				f := newFleet("a", "b", "c")
 				keep(t, f.client(1), "one")
 				f.wipe(wiped)
-				f.at(down).down = true
+				f.stop(down)
 				_, err := f.client(1).Chain(limited(t), now, "one")
 				if err != nil {
 					assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
@@ -61,13 +61,13 @@
 	})
 	t.Run("guards against doubt about a turn that never was", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
-		f.at("b").down = true
+		f.stop("b")
 		_, err := f.client(1).Chain(limited(t), now, "none")
 		assert.ErrorIs(t, err, zinniapond.ErrNotFound)
 	})
 	t.Run("guards against acknowledging a turn that the loss of one disk removes", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
-		f.at("a").down, f.at("b").down = true, true
+		f.stop("a", "b")
 		err := f.client(1).Keep(limited(t), now, zinniapond.Turn{ID: "one"}, zinniapond.Spend{})
 		assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
 	})
@@ -81,7 +81,7 @@
 		keep(t, c, "two", "one")
 		c.flush(context.Background())
 		for _, id := range []zinniapond.DiskID{"a", "b", "c"} {
-			assert.Equal(t, fmt.Sprint(f.at(id).touched), "[one]")
+			assert.Equal(t, f.touched(id), "[one]")
 		}
 	})
 }
@@ -109,7 +109,7 @@
 		s := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 80}
 		assert.NoError(t, f.client(1).Reserve(limited(t), now, s, 100))
 		f.wipe("a")
-		f.at("c").down = true
+		f.stop("c")
 		s.Turn = "two"
 		assert.True(t, f.client(1).Reserve(limited(t), now, s, 100) != nil, "granted beside what was spent")
 	})
--- a/internal/turns/client/fakes_test.go
+++ b/internal/turns/client/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -61,6 +62,22 @@
 // at returns the present disk of the host that had the given one at first.
 func (f *fleet) at(id zinniapond.DiskID) *fakeDisk { return f.hosts[f.view.Disks[id].Address] }
 
+// stop takes hosts down. Requests of earlier operations may still be under way.
+func (f *fleet) stop(ids ...zinniapond.DiskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.at(id).down = true
+	}
+}
+
+// touched returns the turns that a disk was told to be in use.
+func (f *fleet) touched(id zinniapond.DiskID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprint(f.at(id).touched)
+}
+
 // wipe gives a host an empty disk with another id.
 func (f *fleet) wipe(id zinniapond.DiskID) {
 	f.mu.Lock()
