--- a/internal/test/proxy/proxy.go
+++ b/internal/test/proxy/proxy.go
@@ -1,5 +1,6 @@
 // Package proxy is a TCP proxy for tests. It can drop the bytes of open
-// connections, cut them, close one direction or slow them down.
+// connections in one or both directions, delay, cut or reset them, close one
+// direction or slow them down.
 package proxy
 
 import (
@@ -21,7 +22,7 @@
 	address  netip.AddrPort
 
 	mu     sync.Mutex
-	barred func(source netip.Addr) bool // nil for none
+	shape  func(source netip.Addr) Fault // nil for none
 	pairs  map[*pair]struct{}
 	closed bool
 	group  sync.WaitGroup
@@ -29,10 +30,28 @@
 	bytes  atomic.Int64
 }
 
+// Fault is what a connection suffers.
+type Fault struct {
+	// Request and Answer drop the bytes to the target and from it, for as long as
+	// the connection lives: what comes later would not fit what was lost.
+	Request, Answer bool
+	// Delay holds each block up.
+	Delay time.Duration
+	// Refuse closes new connections at once.
+	Refuse bool
+}
+
 // pair is one connection with its continuation to the target.
 type pair struct {
 	client, server *net.TCPConn
-	silent         atomic.Bool
+	request        way // from client to server
+	answer         way
+}
+
+// way is one direction of a connection.
+type way struct {
+	silent atomic.Bool
+	delay  atomic.Int64 // nanoseconds
 }
 
 const block = 32 << 10
@@ -40,7 +59,13 @@
 // New returns a proxy to target that ends with the test.
 func New(t testing.TB, target netip.AddrPort) *Proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewAt(t, netip.MustParseAddrPort("127.0.0.1:0"), target)
+}
+
+// NewAt returns a proxy that listens at the given address.
+func NewAt(t testing.TB, listen, target netip.AddrPort) *Proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
@@ -63,26 +88,61 @@
 
 // Silence drops all further bytes of the connections that are open now. They
 // stay open, and new connections work.
-func (t *Proxy) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
+func (t *Proxy) Silence() {
+	t.each(func(p *pair) {
+		p.request.silent.Store(true)
+		p.answer.silent.Store(true)
+	})
+}
 
 // Bar drops all bytes from and to the sources for which barred is true, on open
 // and on new connections, as a partition does. Connections that were open stay
 // silent after Bar(nil).
 func (t *Proxy) Bar(barred func(source netip.Addr) bool) {
+	if barred == nil {
+		t.Shape(nil)
+		return
+	}
+	t.Shape(func(source netip.Addr) Fault {
+		cut := barred(source)
+		return Fault{Request: cut, Answer: cut}
+	})
+}
+
+// Shape sets what open and new connections suffer, by the address that they
+// come from; nil for nothing.
+func (t *Proxy) Shape(shape func(source netip.Addr) Fault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.barred = barred
+	t.shape = shape
 	for p := range t.pairs {
-		t.bar(p)
+		t.apply(p)
 	}
 }
 
-// bar silences a pair whose source is barred. The lock is held.
-func (t *Proxy) bar(p *pair) {
-	source := p.client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-	if t.barred != nil && t.barred(source) {
-		p.silent.Store(true)
+// apply sets the present fault of a pair. The lock is held.
+func (t *Proxy) apply(p *pair) (refused bool) {
+	var f Fault
+	if t.shape != nil {
+		f = t.shape(p.client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
+	}
+	if f.Request {
+		p.request.silent.Store(true)
 	}
+	if f.Answer {
+		p.answer.silent.Store(true)
+	}
+	p.request.delay.Store(int64(f.Delay))
+	p.answer.delay.Store(int64(f.Delay))
+	return f.Refuse
+}
+
+// Reset breaks the connections off that are open now.
+func (t *Proxy) Reset() {
+	t.each(func(p *pair) {
+		_, _ = p.client.SetLinger(0), p.server.SetLinger(0)
+		p.close()
+	})
 }
 
 // Cut closes the connections that are open now.
@@ -126,9 +186,9 @@
 		t.mu.Lock()
 		closed := t.closed
 		t.pairs[p] = struct{}{}
-		t.bar(p)
+		refused := t.apply(p)
 		t.mu.Unlock()
-		if closed {
+		if closed || refused {
 			p.close()
 		}
 		t.group.Go(func() { t.serve(p) })
@@ -139,9 +199,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.pass(p, p.client, p.server)
+		t.pass(p, &p.request, p.client, p.server)
 	}()
-	t.pass(p, p.server, p.client)
+	t.pass(p, &p.answer, p.server, p.client)
 	<-done
 	p.close()
 	t.mu.Lock()
@@ -149,16 +209,14 @@
 	t.mu.Unlock()
 }
 
-// pass copies one direction. Bytes of a silent pair are read and dropped, so
-// that the sender sees no back-pressure, as with a network that loses packets.
-func (t *Proxy) pass(p *pair, from, to *net.TCPConn) {
+// pass copies one direction. Bytes of a silent one are read and dropped, so that
+// the sender sees no back-pressure, as with a network that loses packets.
+func (t *Proxy) pass(p *pair, w *way, from, to *net.TCPConn) {
 	buf := make([]byte, block)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.silent.Load() {
-			if t.Pace > 0 {
-				time.Sleep(t.Pace)
-			}
+		if n > 0 && !w.silent.Load() {
+			time.Sleep(t.Pace + time.Duration(w.delay.Load()))
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				p.close()
 				return
@@ -166,7 +224,7 @@
 			t.bytes.Add(int64(n))
 		}
 		if err != nil {
-			if !p.silent.Load() { // the end of a silent connection is lost too
+			if !w.silent.Load() { // the end of a silent connection is lost too
 				_ = to.CloseWrite()
 			}
 			return
