Copy no spends that enough disks have; prefer kept connections

Reservations go to all disks, so that the six that are left are enough. Ruled out: reading the logs at the start (0.26 s), joining (0.1 s). Change: spends of a second are given away only if too few disks have the same.

Calls of plain services did not go by load at all: their cost has no tokens. Change: among replicas that cost about the same, one with an idle connection is taken first, then one in the same data centre; the cost of a plain call grows with the requests beside it.

--- a/interfaces.go
+++ b/interfaces.go
@@ -150,8 +150,10 @@
 	Prefix     []uint64 // cumulative hashes of the prompt's blocks
 	// Home is the server that read the beginning of the prompt last, and Held the
 	// size of that beginning; not valid if unknown.
-	Home    netip.AddrPort
-	Held    Tokens
+	Home netip.AddrPort
+	Held Tokens
+	// Warm tells whether there is an idle connection to a server; nil if unknown.
+	Warm    func(netip.AddrPort) bool
 	Exclude []netip.AddrPort // servers that this call has tried
 }
 
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -186,7 +186,7 @@
 			break
 		}
 		if now.Before(l.until) && l.silent() {
-			if !once || p.Fresh == 0 || now.Sub(l.since) <= p.Fresh {
+			if p.usable(now, l, once) {
 				return l, nil
 			}
 			r.put(l)
@@ -205,6 +205,26 @@
 	return &link{Conn: c, owner: r, reader: bufio.NewReaderSize(c, readSize)}, nil
 }
 
+// Idle tells whether a request to a replica would find an idle connection.
+func (p *Pool) Idle(now time.Time, to netip.AddrPort, once bool) bool {
+	r, ok := p.replicas.Get(to)
+	if !ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.idle) == 0 {
+		return false
+	}
+	l := r.idle[len(r.idle)-1]
+	return now.Before(l.until) && p.usable(now, l, once)
+}
+
+// usable tells whether a connection is fresh enough for a request.
+func (p *Pool) usable(now time.Time, l *link, once bool) bool {
+	return !once || p.Fresh == 0 || now.Sub(l.since) <= p.Fresh
+}
+
 func (r *replica) pop() *link {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -154,6 +154,16 @@
 		}
 		assert.Equal(t, s.connections.Load(), int64(2))
 	})
+	t.Run("guards against a route that counts on a connection that will not be used", func(t *testing.T) {
+		s, p := serve(t, says(ok)), &Pool{Fresh: time.Second}
+		assert.True(t, !p.Idle(time.Now(), s.address, false), "there is none yet")
+		_, err := get(t, p, s)
+		assert.NoError(t, err)
+		assert.True(t, p.Idle(time.Now(), s.address, true), "the connection is not seen")
+		later := time.Now().Add(2 * time.Second)
+		assert.True(t, !p.Idle(later, s.address, true), "too old for a request that nobody repeats")
+		assert.True(t, p.Idle(later, s.address, false), "good for any other")
+	})
 	t.Run("guards against a silent replica that holds a request for ever", func(t *testing.T) {
 		s := serve(t, func(net.Conn, int64) { time.Sleep(3 * time.Second) })
 		start := time.Now()
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -119,6 +119,7 @@
 	n := zinniapond.Need{
 		Call: zinniapond.CallID(u.request.ID), Program: u.request.Program, DataCentre: u.DataCentre,
 		Prompt: u.request.Prompt, Most: u.request.Most, Home: u.home.Replica, Held: min(u.home.Tokens, u.request.Prompt),
+		Warm: func(a netip.AddrPort) bool { return u.Client.Idle(u.Clock(), a, u.once()) },
 	}
 	hash := xxhash.New()
 	add := func(name string, tokens zinniapond.Tokens) {
@@ -169,7 +170,7 @@
 	}()
 	answer, err := u.Client.Send(ctx, start, zinniapond.Sending{
 		Request: u.request, Replica: replica, Body: u.body, Until: u.until,
-		Once:     u.route.Kind == zinniapond.RequestUnsafe,
+		Once:     u.once(),
 		Priority: u.urgency(), LastEvent: u.resume(),
 	})
 	switch {
@@ -218,6 +219,10 @@
 	u.tried = append(u.tried, tried{replica, outcome})
 }
 
+// once tells whether nobody repeats the request, so that it must not meet a
+// connection that the replica has dropped.
+func (u *run) once() bool { return u.route.Kind == zinniapond.RequestUnsafe }
+
 func (u *run) urgency() int {
 	if !u.route.Stream() {
 		return -1
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -48,6 +48,8 @@
 
 func (w *world) Limit(time.Time, []zinniapond.Backend) {}
 
+func (w *world) Idle(time.Time, netip.AddrPort, bool) bool { return false }
+
 // body is the body of an answer that may break off.
 type body struct {
 	io.Reader
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -289,9 +289,10 @@
 	if len(able) == 0 {
 		return nil
 	}
-	if local := slices.DeleteFunc(slices.Clone(able), func(o *option) bool { return o.dataCentre != need.DataCentre }); len(local) > 0 {
-		able = local
+	if need.Warm != nil {
+		able = prefer(able, func(o *option) bool { return need.Warm(o.address) })
 	}
+	able = prefer(able, func(o *option) bool { return o.dataCentre == need.DataCentre })
 	count := uint64(len(able))
 	a, b := able[random%count], able[(random>>32)%count]
 	if b.seen.load < a.seen.load {
@@ -300,6 +301,14 @@
 	return a
 }
 
+// prefer returns the options for which better is true, or all if there are none.
+func prefer(options []*option, better func(*option) bool) []*option {
+	if some := slices.DeleteFunc(slices.Clone(options), func(o *option) bool { return !better(o) }); len(some) > 0 {
+		return some
+	}
+	return options
+}
+
 // Started counts a request in flight.
 func (r *Router) Started(now time.Time, address netip.AddrPort, need zinniapond.Need) {
 	if s, ok := r.servers.Get(address); ok {
--- a/internal/policy/prefix/prefix_test.go
+++ b/internal/policy/prefix/prefix_test.go
@@ -227,4 +227,31 @@
 		assert.True(t, ok, "no choice")
 		assert.True(t, choice.Backend != at(33), "the call waits behind 60 others")
 	})
+	t.Run("guards against a new connection to one of several equal servers", func(t *testing.T) {
+		r := newRouter()
+		tool := zinniapond.Need{Call: "tool", Warm: func(a netip.AddrPort) bool { return a == at(5) }}
+		for i := range 20 {
+			tool.Call = zinniapond.CallID(fmt.Sprint("tool", i))
+			if choice, ok := r.Pick(time.Unix(1001, 0), tool, all); ok && choice.Backend == at(5) {
+				return
+			}
+		}
+		t.Error("the server with an open connection is never taken")
+	})
+	t.Run("guards against calls of a plain service that wait beside an idle server", func(t *testing.T) {
+		r := newRouter()
+		for i := range 40 {
+			if i != 9 {
+				r.Report(time.Unix(1001, 0), zinniapond.LoadReport{Backend: at(i), Taken: time.Unix(1001, 0), Running: 8})
+			}
+		}
+		for i := range 40 {
+			choice, _ := r.Pick(time.Unix(1001, 0), zinniapond.Need{Call: zinniapond.CallID(fmt.Sprint(i))}, all)
+			// Large pools are sampled.
+			if choice.Backend == at(9) {
+				return
+			}
+		}
+		t.Error("the idle server is never taken")
+	})
 }
--- a/internal/policy/prefix/speed.go
+++ b/internal/policy/prefix/speed.go
@@ -77,14 +77,18 @@
 // expected returns what a call costs on a server with the given load, of which
 // the given part is cached: its own time and the time by which it delays the
 // requests beside it. Its prefill stops all of them, and each request that runs
-// makes the tokens of all others slower by about one slot's share.
+// makes the others slower by about one slot's share.
 func (s *speed) expected(need zinniapond.Need, cached zinniapond.Tokens, load, slots float64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	prefill := s.prefill * float64(max(need.Prompt-cached, 0)+overhead)
+	work := s.decode * s.filled * float64(need.Most)
+	if need.Most == 0 {
+		// A call of a plain service: all of its time is that to its answer.
+		prefill, work = 0, prefill
+	}
 	running, waiting := min(load, slots)/slots, max(load-slots+1, 0)/slots
-	prefill := s.prefill * float64(max(need.Prompt-cached, 0)+overhead) * max(1+min(load, slots), shared)
-	decode := s.decode * s.filled * float64(need.Most) * (1 + 2*running)
-	return prefill + decode + queued*waiting*s.decode*s.filled*float64(need.Most)
+	return prefill*max(1+min(load, slots), shared) + work*(1+2*running+queued*waiting)
 }
 
 func (s *speed) estimate(need zinniapond.Need, cached zinniapond.Tokens) time.Duration {
--- a/internal/turns/client/fuzz_test.go
+++ b/internal/turns/client/fuzz_test.go
@@ -297,17 +297,30 @@
 		}
 		whole = whole && enough
 	}
+	for program, spends := range from.spends {
+		for turn, s := range spends {
+			f.spread(set, there, program, turn, s)
+		}
+	}
+	return whole
+}
+
+// spread gives a spend to all disks if too few have it.
+func (f *fleet) spread(set ranks.Set, there map[zinniapond.DiskID]*fakeDisk, program zinniapond.ProgramID, turn zinniapond.AttemptID, s zinniapond.Spend) {
+	var on []zinniapond.Disk
 	for _, d := range set.Disks {
-		if !d.Counts() {
-			continue
+		if _, ok := there[d.ID].spends[program][turn]; d.Counts() && ok {
+			on = append(on, d)
 		}
-		for _, spends := range from.spends {
-			for _, s := range spends {
-				there[d.ID].keep(0, zinniapond.KeepRequest{Spends: []zinniapond.Spend{s}}, new(zinniapond.KeepReply))
-			}
+	}
+	if set.Written(on) {
+		return
+	}
+	for _, d := range set.Disks {
+		if d.Counts() {
+			there[d.ID].keep(0, zinniapond.KeepRequest{Spends: []zinniapond.Spend{s}}, new(zinniapond.KeepReply))
 		}
 	}
-	return whole
 }
 
 // TestOracle guards against an acknowledged turn that is said not to exist or is
--- a/internal/turns/keeper/keeper_test.go
+++ b/internal/turns/keeper/keeper_test.go
@@ -224,6 +224,20 @@
 		reported(t, h, k)
 		assert.True(t, !h.has(other, "one"), "the record was copied")
 	})
+	t.Run("guards against spends that are copied though enough disks have them", func(t *testing.T) {
+		h := newHosts(t)
+		one, _ := h.start(t.TempDir(), 1)
+		two, _ := h.start(t.TempDir(), 2)
+		three, _ := h.start(t.TempDir(), 3)
+		spend := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 5}
+		for _, k := range []*Keeper{one, two} {
+			assert.True(t, h.keep(k, zinniapond.KeepRequest{Spends: []zinniapond.Spend{spend}}), "not kept")
+		}
+		h.set(zinniapond.Disk{ID: "gone", State: zinniapond.DiskLost})
+		reported(t, h, one)
+		reported(t, h, two)
+		assert.Equal(t, len(three.account("p").all()), 0)
+	})
 	t.Run("guards against a report while there are too few disks for the copies", func(t *testing.T) {
 		h := newHosts(t)
 		k, _ := h.start(t.TempDir(), 1)
--- a/internal/turns/keeper/walk.go
+++ b/internal/turns/keeper/walk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,13 +65,8 @@
 	}) {
 		return nil
 	}
-	for _, d := range set.Disks {
-		if d.ID == k.log.ID() || !d.Counts() {
-			continue
-		}
-		if err := k.equal(ctx, d); err != nil {
-			return err
-		}
+	if err := k.equal(ctx, set); err != nil {
+		return err
 	}
 	var ids []zinniapond.TurnID
 	k.turns.Each(func(id zinniapond.TurnID, _ *stored) bool {
@@ -158,36 +154,51 @@
 	return holders, group.Wait()
 }
 
-// equal gives a disk the spends of the seconds in which it differs. The seconds
-// are taken in random order, so that several disks do not send the same ones.
-func (k *Keeper) equal(ctx context.Context, d zinniapond.Disk) error {
-	there, err := k.sums(ctx, d)
-	if err != nil {
-		return err
+// equal gives the other disks the spends of those seconds in which too few have
+// the same spends as this one. The seconds are taken in random order, so that
+// several disks do not send the same ones.
+func (k *Keeper) equal(ctx context.Context, set ranks.Set) error {
+	here := k.digest()
+	there := make(map[zinniapond.DiskID]map[int64]uint64)
+	for _, d := range set.Disks {
+		if !d.Counts() {
+			continue
+		}
+		if there[d.ID] = here; d.ID == k.log.ID() {
+			continue
+		}
+		sums, err := k.sums(ctx, d)
+		if err != nil {
+			return err
+		}
+		there[d.ID] = sums
 	}
-	differ := make(map[int64][]zinniapond.Spend)
-	for at, sum := range k.digest() {
-		if there[at] != sum {
-			differ[at] = nil
+	short := make(map[int64][]zinniapond.Spend)
+	for at, sum := range here {
+		same := slices.DeleteFunc(slices.Clone(set.Disks), func(d zinniapond.Disk) bool { return there[d.ID][at] != sum })
+		if !set.Written(same) {
+			short[at] = nil
 		}
 	}
 	k.programs.Each(func(_ zinniapond.ProgramID, a *account) bool {
 		for _, s := range a.all() {
-			if list, ok := differ[s.At.Unix()]; ok {
-				differ[s.At.Unix()] = append(list, s)
+			if list, ok := short[s.At.Unix()]; ok {
+				short[s.At.Unix()] = append(list, s)
 			}
 		}
 		return true
 	})
-	var lists [][]zinniapond.Spend
-	for _, list := range differ {
-		lists = append(lists, list)
-	}
-	rand.Shuffle(len(lists), func(a, b int) { lists[a], lists[b] = lists[b], lists[a] })
-	for _, list := range lists {
-		for part := range slices.Chunk(list, offerMost) {
-			if err := k.offer(ctx, d, part); err != nil {
-				return err
+	seconds := slices.Collect(maps.Keys(short))
+	rand.Shuffle(len(seconds), func(a, b int) { seconds[a], seconds[b] = seconds[b], seconds[a] })
+	for _, at := range seconds {
+		for _, d := range set.Disks {
+			if !d.Counts() || there[d.ID][at] == here[at] {
+				continue
+			}
+			for part := range slices.Chunk(short[at], offerMost) {
+				if err := k.offer(ctx, d, part); err != nil {
+					return err
+				}
 			}
 		}
 	}
--- a/request.go
+++ b/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -122,6 +123,9 @@
 	// Send sends a request and returns the header of the answer. The error wraps
 	// ErrNotSent if no byte of the request can have reached the replica.
 	Send(ctx context.Context, now time.Time, sending Sending) (*Received, error)
+	// Idle tells whether a request to a replica would find a kept connection. once
+	// is as in Sending.
+	Idle(now time.Time, replica netip.AddrPort, once bool) bool
 	// Limit closes connections that are idle for too long, and those to replicas
 	// that are gone.
 	Limit(now time.Time, replicas []Backend)
