--- a/internal/quorum/raft/fuzz_test.go
+++ b/internal/quorum/raft/fuzz_test.go
@@ -147,7 +147,7 @@
 		},
 		"wipe":    func(t *rapid.T) { w.wipe(w.anyNode(t)) },
 		"replace": func(t *rapid.T) { w.replace(w.anyNode(t)) },
-		"cut":  func(t *rapid.T) { w.cut[w.anyNode(t).name] = true },
+		"cut":     func(t *rapid.T) { w.cut[w.anyNode(t).name] = true },
 		"cut host": func(t *rapid.T) {
 			w.cut[w.anyHost(t).name] = true
 		},
--- a/internal/quorum/raft/world_test.go
+++ b/internal/quorum/raft/world_test.go
@@ -64,7 +64,7 @@
 	slow   time.Duration // greatest extra delay of a message
 	loss   float64       // share of messages lost
 	oracle oracle
-	open bool // any control host may become a voter
+	open   bool // any control host may become a voter
 }
 
 func (w *world) after(d time.Duration, run func()) {
