--- a/internal/turns/client/chain.go
+++ b/internal/turns/client/chain.go
@@ -38,9 +38,12 @@
 	if t, ok := c.cache.get(id); ok {
 		return found{ids: append(t.Chain[:len(t.Chain):len(t.Chain)], id)}, nil
 	}
+	request := zinniapond.FindRequest{View: view, IDs: []zinniapond.TurnID{id}}
+	if f, ok := c.guess(ctx, set, id, request); ok {
+		return f, nil
+	}
 	var f found
 	absent := false
-	request := zinniapond.FindRequest{View: view, IDs: []zinniapond.TurnID{id}}
 	err := collect(ctx, c, set, "Keeper.Find", request, func(a answer[zinniapond.FindReply], certain bool) (bool, error) {
 		for _, h := range a.reply.Have {
 			f = found{ids: append(h.Chain[:len(h.Chain):len(h.Chain)], id), at: &a.disk}
@@ -58,6 +61,27 @@
 	return f, err
 }
 
+// guess asks the disk that most likely has a turn: the first in its order, if it
+// was kept in this data centre. After a restart of all fronts each turn of a
+// program is read from the disks, and asking all of them each time would take
+// more than their processors have.
+func (c *Client) guess(ctx context.Context, set ranks.Set, id zinniapond.TurnID, request zinniapond.FindRequest) (found, bool) {
+	order := c.prefer(set.Order(id, c.DataCentre))
+	if len(order) == 0 {
+		return found{}, false
+	}
+	limited, cancel := context.WithTimeout(ctx, hedge)
+	defer cancel()
+	answers := make(chan answer[zinniapond.FindReply], 1)
+	ask(limited, c, order[0], "Keeper.Find", request, answers)
+	a := <-answers
+	if a.err != nil || len(a.reply.Have) == 0 {
+		return found{}, false
+	}
+	h := a.reply.Have[0]
+	return found{ids: append(h.Chain[:len(h.Chain):len(h.Chain)], id), at: &a.disk}, true
+}
+
 // load reads the turns of a chain, those that are not in memory first from the
 // disk that has the last one: turns of one program mostly are on the same disks.
 func (c *Client) load(ctx context.Context, set ranks.Set, view zinniapond.Index, f found) ([]zinniapond.Turn, error) {
--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -60,6 +60,14 @@
 			}
 		}
 	})
+	t.Run("guards against asking all disks for a turn that the first one has", func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d", "e", "f", "g", "h")
+		keep(t, f.client(2), "one")
+		before := f.calls()
+		_, err := f.client(2).Chain(limited(t), now, "one")
+		assert.NoError(t, err)
+		assert.True(t, f.calls()-before <= 2, "%d requests", f.calls()-before)
+	})
 	t.Run("guards against doubt about a turn that never was", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		f.stop("b")
--- a/internal/turns/client/fakes_test.go
+++ b/internal/turns/client/fakes_test.go
@@ -19,6 +19,7 @@
 	view  zinniapond.ControlView
 	hosts map[netip.AddrPort]*fakeDisk
 	added int // hosts so far
+	asked int // requests so far
 }
 
 // fakeDisk is the present disk of one host.
@@ -75,6 +76,13 @@
 // at returns the present disk of the host that had the given one at first.
 func (f *fleet) at(id zinniapond.DiskID) *fakeDisk { return f.hosts[f.view.Disks[id].Address] }
 
+// calls returns the number of requests so far.
+func (f *fleet) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked
+}
+
 // stop takes hosts down. Requests of earlier operations may still be under way.
 func (f *fleet) stop(ids ...zinniapond.DiskID) {
 	f.mu.Lock()
@@ -113,6 +121,7 @@
 func (f *fleet) Call(ctx context.Context, peer netip.AddrPort, _ string, request, answer any) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked++
 	d := f.hosts[peer]
 	if d == nil || d.down || ctx.Err() != nil {
 		return errDown
