Settle a reservation with the second in which it was made

Cause: the client stamped the second into its own copy of a reservation, and the settlement, which is written to f + 1 disks only, had none. Found by reading; a unit test fails before. Ruled out: that it touches what is durable or certain, as the second is used in comparing only. Change: the front stamps the reservation, and the settlement keeps that.

--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -91,13 +91,14 @@
 
 // fakeTurns keeps turns in memory.
 type fakeTurns struct {
-	mu      sync.Mutex
-	kept    []zinniapond.Turn
-	chain   []zinniapond.Turn
-	others  []zinniapond.Spend
-	reserve error
-	keepErr error
-	settled []zinniapond.Spend
+	mu       sync.Mutex
+	kept     []zinniapond.Turn
+	chain    []zinniapond.Turn
+	others   []zinniapond.Spend
+	reserved zinniapond.Spend
+	reserve  error
+	keepErr  error
+	settled  []zinniapond.Spend
 }
 
 func (f *fakeTurns) Chain(context.Context, time.Time, zinniapond.TurnID) ([]zinniapond.Turn, error) {
@@ -107,7 +108,8 @@
 	return f.chain, nil
 }
 
-func (f *fakeTurns) Reserve(context.Context, time.Time, zinniapond.Spend, zinniapond.Tokens) ([]zinniapond.Spend, error) {
+func (f *fakeTurns) Reserve(_ context.Context, _ time.Time, s zinniapond.Spend, _ zinniapond.Tokens) ([]zinniapond.Spend, error) {
+	f.reserved = s
 	return f.others, f.reserve
 }
 
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -178,7 +178,10 @@
 	reserved := make(chan error, 1)
 	var others []zinniapond.Spend
 	if u.request.Budget > 0 {
-		u.spend = zinniapond.Spend{Program: u.request.Program, Turn: u.request.ID, Reserved: u.request.Most}
+		// The settlement has the same second, as disks compare their spends by it.
+		u.spend = zinniapond.Spend{
+			Program: u.request.Program, Turn: u.request.ID, Reserved: u.request.Most, At: now.Truncate(time.Second),
+		}
 		go func() {
 			var err error
 			others, err = u.Turns.Reserve(ctx, now, u.spend, u.request.Budget)
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -113,6 +113,12 @@
 		assert.Equal(t, string(w.turns.kept[0].Input), "in")
 		assert.Equal(t, w.turns.settled[0].Used, zinniapond.Tokens(20))
 	})
+	t.Run("guards against a settlement that disks take for another second's spend", func(t *testing.T) {
+		w := newWorld(t, kept, says(200, wholeText, true, nil))
+		w.forward(turn)
+		assert.True(t, !w.turns.reserved.At.IsZero(), "the reservation has no time")
+		assert.True(t, w.turns.settled[0].At.Equal(w.turns.reserved.At), "settled at %s, reserved at %s", w.turns.settled[0].At, w.turns.reserved.At)
+	})
 	t.Run("guards against a chain that is not in order before the new input", func(t *testing.T) {
 		w := newWorld(t, kept, says(200, wholeText, true, nil))
 		w.turns.chain = []zinniapond.Turn{{ID: "1", Input: []byte("a"), Output: []byte("b\n")}, {ID: "2", Input: []byte("c"), Output: []byte("d\n")}}
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -21,7 +21,6 @@
 	if final := c.spent.get(now, spend.Program); final+spend.Reserved > budget {
 		return nil, overdrawn(spend, final, budget)
 	}
-	spend.At = now.Truncate(time.Second)
 	var all map[zinniapond.AttemptID]zinniapond.Spend
 	err := c.retry(ctx, func(view zinniapond.Index, set ranks.Set) error {
 		var err error
