Run the soak alone in the check script

Its processes stand for hosts of their own, and its bounds are those of the settings; beside the race detector's builds they would measure the machine.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -25,7 +25,8 @@
 # Packages with rapid tests take a fixed seed, so that the verdict is the same
 # every time; longer runs with other seeds are for development.
 seeded=$(go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' ./... | sed -n 's/ .*pgregory.net\/rapid.*//p')
-plain=$(go list ./... | grep -vxF "$seeded")
+soak=$(go list ./platform/soak)
+plain=$(go list ./... | grep -vxF "$seeded" | grep -vxF "$soak")
 run() { # packages, arguments
   local packages=$1
   shift
@@ -42,4 +43,8 @@
 echo "== tests with the race detector"
 run "$(echo "$plain" | grep -E "$racing")" -race || failed=1
 run "$(echo "$seeded" | grep -E "$racing")" -race -args -rapid.seed=1 -rapid.nofailfile || failed=1
+# The soak runs alone: its bounds are those of the settings, on hosts that have
+# processors of their own.
+echo "== fault soak"
+run "$soak" || failed=1
 exit $failed
