--- a/internal/test/proxy/proxy.go
+++ b/internal/test/proxy/proxy.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"zinniapond.example/zinniapond/internal/test/fault"
 )
 
 // Proxy passes connections on to a target.
@@ -22,7 +24,7 @@
 	address  netip.AddrPort
 
 	mu     sync.Mutex
-	shape  func(source netip.Addr) Fault // nil for none
+	shape  func(source netip.Addr) fault.Fault // nil for none
 	pairs  map[*pair]struct{}
 	closed bool
 	group  sync.WaitGroup
@@ -30,17 +32,6 @@
 	bytes  atomic.Int64
 }
 
-// Fault is what a connection suffers.
-type Fault struct {
-	// Request and Answer drop the bytes to the target and from it, for as long as
-	// the connection lives: what comes later would not fit what was lost.
-	Request, Answer bool
-	// Delay holds each block up.
-	Delay time.Duration
-	// Refuse closes new connections at once.
-	Refuse bool
-}
-
 // pair is one connection with its continuation to the target.
 type pair struct {
 	client, server *net.TCPConn
@@ -103,15 +94,15 @@
 		t.Shape(nil)
 		return
 	}
-	t.Shape(func(source netip.Addr) Fault {
+	t.Shape(func(source netip.Addr) fault.Fault {
 		cut := barred(source)
-		return Fault{Request: cut, Answer: cut}
+		return fault.Fault{Request: cut, Answer: cut}
 	})
 }
 
 // Shape sets what open and new connections suffer, by the address that they
 // come from; nil for nothing.
-func (t *Proxy) Shape(shape func(source netip.Addr) Fault) {
+func (t *Proxy) Shape(shape func(source netip.Addr) fault.Fault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.shape = shape
@@ -122,7 +113,7 @@
 
 // apply sets the present fault of a pair. The lock is held.
 func (t *Proxy) apply(p *pair) (refused bool) {
-	var f Fault
+	var f fault.Fault
 	if t.shape != nil {
 		f = t.shape(p.client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
 	}
