Keep connections to replicas as long as the replica says

Cause, found on reading a request's way from the front to the replica: the platform's client takes the fields of one connection out of the answer's head before the body is closed, and the pool read Keep-Alive only then. Each idle connection was kept for the usual 30 s, and a request could meet the replica's close. Ruled out: that a close is noticed anyway, as it may come between the look and the write. Change: Keep-Alive is read with the head (a test fails before). Do returns an http.Response whose body gives the connection back, so that the package has one exported type.

--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -65,45 +65,48 @@
 	until  time.Time // the replica may close it from then on
 }
 
-// Answer is the head of an answer with its body to be read.
-type Answer struct {
-	*http.Response
-
+// body is the body of an answer. It implements io.ReadCloser.
+type body struct {
+	answer *http.Response
+	raw    io.ReadCloser // as net/http decodes it
 	link   *link
 	stop   func() bool
 	wrote  chan error
 	whole  bool
 	closed bool
+	idle   time.Duration // how long the connection may rest after the answer
 	now    func() time.Time
 	ctx    context.Context
 }
 
-// Do sends a request and returns the answer's head. request has the head and
-// body as bytes. The error wraps ErrNotSent if no byte was written. The
-// connection is closed when ctx ends before the answer does. The caller closes
-// the answer.
-func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method string, once bool, request []byte) (*Answer, error) {
+// Do sends a request and returns the answer. request has the head and body as
+// bytes. The error wraps ErrNotSent if no byte was written. The connection is
+// closed when ctx ends before the answer does. The caller closes the answer's
+// body.
+func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method string, once bool, request []byte) (*http.Response, error) {
 	l, err := p.take(ctx, now(), to, once)
 	if err != nil {
 		return nil, zinniapond.Wrap("connect", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err))
 	}
-	a := &Answer{link: l, now: now, ctx: ctx, wrote: make(chan error, 1)}
-	a.stop = context.AfterFunc(ctx, func() { l.Close() })
+	b := &body{link: l, now: now, ctx: ctx, wrote: make(chan error, 1)}
+	b.stop = context.AfterFunc(ctx, func() { l.Close() })
 	go func() {
 		// An answer may come before the whole request is sent.
 		_, err := l.Write(request)
-		a.wrote <- err
+		b.wrote <- err
 	}()
-	a.Response, err = readHead(l.reader, method)
+	answer, err := readHead(l.reader, method)
 	if err != nil {
-		a.stop()
+		b.stop()
 		l.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
 		return nil, zinniapond.Wrap("read answer", to, err)
 	}
-	return a, nil
+	b.answer, b.raw, b.idle = answer, answer.Body, idleTime(answer.Header.Get("Keep-Alive"))
+	answer.Body = b
+	return answer, nil
 }
 
 // readHead reads the head of the final answer.
@@ -120,37 +123,37 @@
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body only.
-func (a *Answer) Read(part []byte) (int, error) {
-	n, err := a.Body.Read(part)
+func (b *body) Read(part []byte) (int, error) {
+	n, err := b.raw.Read(part)
 	if errors.Is(err, io.EOF) {
-		a.whole = true
-	} else if err != nil && a.ctx.Err() != nil {
-		err = a.ctx.Err()
+		b.whole = true
+	} else if err != nil && b.ctx.Err() != nil {
+		err = b.ctx.Err()
 	}
 	return n, err
 }
 
 // Close gives the connection back if the answer was read to its end, and closes
 // it otherwise.
-func (a *Answer) Close() error {
-	if a.closed {
+func (b *body) Close() error {
+	if b.closed {
 		return nil
 	}
-	a.closed = true
+	b.closed = true
 	sent := false
 	select {
-	case err := <-a.wrote:
+	case err := <-b.wrote:
 		sent = err == nil
 	default:
 	}
-	alive := a.stop()
-	l := a.link
-	if !alive || !sent || !a.whole || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 ||
+	alive := b.stop()
+	l := b.link
+	if !alive || !sent || !b.whole || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
 		return l.Close()
 	}
-	l.since = a.now()
-	l.until = l.since.Add(idleTime(a.Header.Get("Keep-Alive")))
+	l.since = b.now()
+	l.until = l.since.Add(b.idle)
 	l.owner.put(l)
 	return nil
 }
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -69,10 +69,10 @@
 	if err != nil {
 		return "", err
 	}
-	body, err := io.ReadAll(a)
+	body, err := io.ReadAll(a.Body)
 	// The writer's goroutine may still be about to tell that it is done.
 	time.Sleep(time.Millisecond)
-	assert.NoError(t, a.Close())
+	assert.NoError(t, a.Body.Close())
 	return string(body), err
 }
 
@@ -154,6 +154,18 @@
 		}
 		assert.Equal(t, s.connections.Load(), int64(2))
 	})
+	t.Run("guards against a connection kept for longer than the replica says, when the caller takes fields out of the head", func(t *testing.T) {
+		s, p := serve(t, says("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok")), new(Pool)
+		a, err := p.Do(context.Background(), time.Now, s.address, http.MethodGet, false, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		assert.NoError(t, err)
+		a.Header.Del("Keep-Alive")
+		_, err = io.ReadAll(a.Body)
+		assert.NoError(t, err)
+		time.Sleep(time.Millisecond) // the writer's goroutine may still be about to tell that it is done
+		assert.NoError(t, a.Body.Close())
+		assert.True(t, p.Idle(time.Now(), s.address, false), "the connection is not kept")
+		assert.True(t, !p.Idle(time.Now().Add(2*time.Second), s.address, false), "the replica has closed it by then")
+	})
 	t.Run("guards against a route that counts on a connection that will not be used", func(t *testing.T) {
 		s, p := serve(t, says(ok)), &Pool{Fresh: time.Second}
 		assert.True(t, !p.Idle(time.Now(), s.address, false), "there is none yet")
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -169,7 +169,7 @@
 		Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: new(stats.Set[string]), Logger: hclog.NewNullLogger(),
 		Clock: time.Now, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
 	}
-	w.prepare()
+	w.initialise()
 	assert.NoError(t, w.update())
 	return w
 }
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -107,7 +107,7 @@
 // await waits for the first configuration after a start, for a part of the
 // client's time.
 func (u *run) await(ctx context.Context, now time.Time) {
-	u.Runner.prepare()
+	u.initialise()
 	if u.table.Load() != nil {
 		return
 	}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -112,13 +112,13 @@
 // sweepPause separates two looks for connections that are idle for too long.
 const sweepPause = time.Second
 
-func (r *Runner) prepare() {
+func (r *Runner) initialise() {
 	r.once.Do(func() { r.configured = make(chan struct{}) })
 }
 
 // Run follows the configuration and the list of replicas until ctx is done.
 func (r *Runner) Run(ctx context.Context) error {
-	r.prepare()
+	r.initialise()
 	group, ctx := errgroup.WithContext(ctx)
 	if r.Board.Peers != nil {
 		r.Board.Loads, r.Board.Learn, r.Board.Directory = r.loads, r.learn, r.Directory
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -165,7 +165,7 @@
 			Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: w.Stats, Logger: w.Logger, Clock: time.Now, NewRouter: w.NewRouter,
 		}
 		w.view.Routing = nil
-		assert.NoError(t, func() error { fresh.prepare(); return fresh.update() }())
+		assert.NoError(t, func() error { fresh.initialise(); return fresh.update() }())
 		w.Runner = fresh
 		done := make(chan *recorder, 1)
 		go func() { done <- w.forward(zinniapond.Request{Wait: time.Second}) }()
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -9,10 +9,6 @@
 	"zinniapond.example/zinniapond/internal/turns/ranks"
 )
 
-// spendRetention is how long the spends of a program are kept after the last
-// one. It outlasts the retention of any route in use.
-const spendRetention = 2 * time.Minute
-
 // Reserve writes the reservation to all disks, each of which answers with what the
 // whole program has spent. Of two reservations that are made at once, one comes
 // second on a disk that answers both, so that together they stay within the
@@ -25,7 +21,7 @@
 	err := c.retry(ctx, func(view zinniapond.Index, set ranks.Set) error {
 		var err error
 		all, err = c.announce(ctx, set, zinniapond.KeepRequest{
-			View: view, Spends: []zinniapond.Spend{spend}, Retention: spendRetention, Program: spend.Program,
+			View: view, Spends: []zinniapond.Spend{spend}, Retention: zinniapond.SpendRetention, Program: spend.Program,
 		})
 		return err
 	})
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -196,7 +196,7 @@
 func (c *Client) Settle(ctx context.Context, _ time.Time, spend zinniapond.Spend) error {
 	spend.Settled = true
 	err := c.retry(ctx, func(view zinniapond.Index, set ranks.Set) error {
-		request := zinniapond.KeepRequest{View: view, Spends: []zinniapond.Spend{spend}, Retention: spendRetention}
+		request := zinniapond.KeepRequest{View: view, Spends: []zinniapond.Spend{spend}, Retention: zinniapond.SpendRetention}
 		return c.write(ctx, set, set.Order(zinniapond.TurnID(spend.Turn), c.DataCentre), request)
 	})
 	if err != nil {
--- a/internal/turns/client/spent.go
+++ b/internal/turns/client/spent.go
@@ -13,7 +13,7 @@
 	// spentMost bounds the programs whose settled spends are remembered.
 	spentMost = 4096
 	// spentAge is how long they are: for less than the disks keep them.
-	spentAge = spendRetention / 2
+	spentAge = zinniapond.SpendRetention / 2
 )
 
 // spent has what programs that have asked for more than their budget had settled
--- a/internal/turns/keeper/keeper.go
+++ b/internal/turns/keeper/keeper.go
@@ -42,8 +42,6 @@
 	// appendLimit bounds the wait for a sync. A disk that stalls for longer
 	// counts as one that does not answer.
 	appendLimit = 4 * time.Second
-	// slack is added to each retention: hosts count it from different instants.
-	slack = 15 * time.Second
 )
 
 // errNotOpen answers requests that come before the disk is read.
@@ -118,13 +116,13 @@
 		k.index(now, e.Turn, segment, offset)
 	}
 	if e.Spend != nil {
-		k.account(e.Spend.Program).merge(*e.Spend, segment, now.Add(e.Retention+slack))
+		k.account(e.Spend.Program).merge(*e.Spend, segment, now.Add(e.Retention+zinniapond.RetentionSlack))
 	}
 }
 
 func (k *Keeper) index(now time.Time, t *zinniapond.Turn, segment uint32, offset int64) {
 	s := &stored{chain: t.Chain, origin: t.Origin, segment: segment, offset: offset}
-	s.until.Store(now.Add(t.Retention + slack).UnixNano())
+	s.until.Store(now.Add(t.Retention + zinniapond.RetentionSlack).UnixNano())
 	k.turns.Set(t.ID, s)
 }
 
@@ -164,7 +162,7 @@
 
 // expire forgets what is past its retention, and frees segments.
 func (k *Keeper) expire(ctx context.Context) error {
-	ticker := time.NewTicker(slack / 2)
+	ticker := time.NewTicker(zinniapond.RetentionSlack / 2)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/turns/keeper/serve.go
+++ b/internal/turns/keeper/serve.go
@@ -28,7 +28,7 @@
 	now := k.Clock()
 	for _, id := range request.Touch {
 		if s, ok := k.turns.Get(id); ok {
-			s.until.Store(max(s.until.Load(), now.Add(request.Retention+slack).UnixNano()))
+			s.until.Store(max(s.until.Load(), now.Add(request.Retention+zinniapond.RetentionSlack).UnixNano()))
 		}
 	}
 	if err := k.store(request); err != nil {
@@ -49,7 +49,7 @@
 // store appends what is news.
 func (k *Keeper) store(request zinniapond.KeepRequest) error {
 	now := k.Clock()
-	until := now.Add(request.Retention + slack)
+	until := now.Add(request.Retention + zinniapond.RetentionSlack)
 	var entries []entry
 	for i := range request.Turns {
 		if _, ok := k.turns.Get(request.Turns[i].ID); !ok {
--- a/internal/turns/keeper/spends.go
+++ b/internal/turns/keeper/spends.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/turns/ranks"
@@ -81,10 +80,6 @@
 	return sums, nil
 }
 
-// defaultRetention is for spends, whose route is not known here; programs end
-// well within it.
-const defaultRetention = time.Minute
-
 // offer copies those of the spends that a disk does not have.
 func (k *Keeper) offer(ctx context.Context, d zinniapond.Disk, spends []zinniapond.Spend) error {
 	limited, cancel := context.WithTimeout(ctx, copyLimit)
@@ -110,5 +105,5 @@
 	if len(missing) == 0 {
 		return nil
 	}
-	return k.copy(ctx, d, zinniapond.KeepRequest{Spends: missing, Retention: defaultRetention})
+	return k.copy(ctx, d, zinniapond.KeepRequest{Spends: missing, Retention: zinniapond.SpendRetention})
 }
--- a/internal/turns/tender/tender.go
+++ b/internal/turns/tender/tender.go
@@ -34,10 +34,6 @@
 	askLimit = 400 * time.Millisecond
 	// proposeLimit bounds one change; it is decided anew afterwards.
 	proposeLimit = 2 * time.Second
-	// spends is how long what programs have spent is kept at most, and slack what
-	// disks add to each retention.
-	spends = 2 * time.Minute
-	slack  = time.Minute
 )
 
 // Tender runs on every control host and acts on the leader. Its exported fields
@@ -101,13 +97,13 @@
 // forget returns the silence after which no record of a disk is within its
 // retention.
 func forget(view *zinniapond.ControlView) time.Duration {
-	longest := spends
+	longest := zinniapond.SpendRetention
 	if view.Routing != nil {
 		for _, r := range view.Routing.Routes {
 			longest = max(longest, r.Retention)
 		}
 	}
-	return longest + slack
+	return longest + 2*zinniapond.RetentionSlack
 }
 
 func (t *Tender) ask(ctx context.Context, view *zinniapond.ControlView) {
--- a/turns.go
+++ b/turns.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+const (
+	// SpendRetention is how long what a program has spent is kept after its last
+	// turn. It outlasts the programs that callers still wait for.
+	SpendRetention = 2 * time.Minute
+	// RetentionSlack is added to each retention: hosts count it from different
+	// instants.
+	RetentionSlack = 15 * time.Second
+)
+
 // TurnID identifies one turn of a program. It is the id of the client's attempt
 // that the turn answered.
 type TurnID string
