--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -131,6 +131,12 @@
 		_, err := f.client(1).Reserve(limited(t), now, s, 100)
 		assert.True(t, err != nil, "granted beside what was spent")
 	})
+	t.Run("guards against a grant while disks that may hold another one are silent", func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d")
+		f.stop("c", "d")
+		_, err := f.client(1).Reserve(limited(t), now, zinniapond.Spend{Program: "p", Turn: "one", Reserved: 80}, 100)
+		assert.ErrorIs(t, err, zinniapond.ErrNoQuorum)
+	})
 	t.Run("guards against a settled turn counting with all that was reserved", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		s := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 80}
--- a/internal/turns/client/fakes_test.go
+++ b/internal/turns/client/fakes_test.go
@@ -64,8 +64,6 @@
 	return a
 }
 
-func netipCompare(a, b netip.AddrPort) int { return a.Compare(b) }
-
 func (f *fleet) client(tolerated int) *Client {
 	return &Client{
 		Tolerance: zinniapond.KeeperSettings{Machines: tolerated}, DataCentre: "dc-a", Peers: f, Directory: f,
--- a/internal/turns/client/fuzz_test.go
+++ b/internal/turns/client/fuzz_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -155,7 +156,7 @@
 func (m *model) reach() {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
-	for _, address := range slices.SortedFunc(maps.Keys(m.fleet.hosts), netipCompare) {
+	for _, address := range m.addresses() {
 		m.fleet.hosts[address].down = rapid.Bool().Draw(m.t, "down")
 	}
 }
@@ -220,8 +221,12 @@
 
 // host draws a host.
 func (m *model) host() *fakeDisk {
-	addresses := slices.SortedFunc(maps.Keys(m.fleet.hosts), netipCompare)
-	return m.fleet.hosts[rapid.SampledFrom(addresses).Draw(m.t, "host")]
+	return m.fleet.hosts[rapid.SampledFrom(m.addresses()).Draw(m.t, "host")]
+}
+
+// addresses returns the hosts' addresses in a fixed order, for reproduction.
+func (m *model) addresses() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(m.fleet.hosts), netip.AddrPort.Compare)
 }
 
 // tend lets disks report, join and change their state as the control leader
@@ -231,7 +236,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.now = m.now.Add(m.tolerance().Patience())
-	for address, h := range f.hosts {
+	for _, address := range m.addresses() {
+		h := f.hosts[address]
 		if h.down {
 			continue
 		}
