Bound the header of an answer from a replica

Cause: http.ReadResponse collects header fields, and lines, for as long as they arrive. A server in trouble that sends them without end filled the memory of a front until the caller's deadline.

Change: the reader of a connection takes at most 64 KiB until the header of the final answer ends, interim answers included. Beyond it the attempt ends, the connection is closed, and the request counts as one that may have run.

--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -28,6 +28,8 @@
 	// readBufferBytes is the size of a connection's read buffer; one event of a
 	// stream fits in.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the header of an answer with all interim answers before it.
+	maxHeadBytes = 64 << 10
 	// defaultIdleTimeout applies to replicas that do not announce their own idle
 	// timeout. A connection that the replica has closed is detected before its
 	// reuse.
@@ -60,11 +62,15 @@
 	removed bool
 }
 
+// errHeadTooLarge reports a header that has not ended after maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("header of the answer has more than %d bytes", maxHeadBytes)
+
 // connection is a connection to a replica with its buffered reader.
 type connection struct {
 	net.Conn
 	replica       *replicaConns
 	reader        *bufio.Reader
+	limiter       *headLimiter // source of reader
 	idleSince     time.Time
 	reusableUntil time.Time // the replica may close the connection after that
 }
@@ -83,6 +89,32 @@
 	ctx              context.Context
 }
 
+// headLimiter limits the bytes that are read from a connection while a header is
+// expected. net/http would collect header fields for as long as they arrive.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// expectHead sets the limit for the next header.
+func (h *headLimiter) expectHead() { h.limited, h.remaining = true, maxHeadBytes }
+
+// expectBody removes the limit.
+func (h *headLimiter) expectBody() { h.limited = false }
+
+func (h *headLimiter) Read(part []byte) (int, error) {
+	if !h.limited {
+		return h.source.Read(part)
+	}
+	if h.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.source.Read(part[:min(len(part), h.remaining)])
+	h.remaining -= n
+	return n, err
+}
+
 // Do sends a request and returns the answer once its header has arrived.
 // request is the encoded request, header and body. nonRepeatable limits the
 // idle time of a reused connection to MaxIdleNonRepeatable. The error wraps
@@ -100,7 +132,9 @@
 		_, err := l.Write(request)
 		b.writeResult <- err
 	}()
+	l.limiter.expectHead()
 	answer, err := readHead(l.reader, method)
+	l.limiter.expectBody()
 	if err != nil {
 		b.stopCancellation()
 		l.Close()
@@ -214,7 +248,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: c, replica: r, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limiter := &headLimiter{source: c}
+	return &connection{Conn: c, replica: r, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
 }
 
 // HasIdleConnection reports whether a request to a replica would find a
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -194,3 +195,43 @@
 		})
 	}
 }
+
+// repeat sends a text on a connection until the connection is closed, and sends the
+// number of bytes that were accepted.
+func repeat(c net.Conn, text string, sent chan<- int) {
+	total := 0
+	for {
+		n, err := io.WriteString(c, text)
+		total += n
+		if err != nil {
+			sent <- total
+			return
+		}
+	}
+}
+
+func TestEndlessHead(t *testing.T) {
+	// The socket buffers of a connection take bytes that are never read.
+	const socketBuffers = 8 << 20
+	for _, c := range []struct{ name, start, repeated string }{
+		{"header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		{"a header line", "HTTP/1.1 200 OK\r\nX-Field: ", "value "},
+		{"a status line", "HTTP/1.1 200 ", "OK "},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"bytes that are no answer", "", "\x00\xff no answer "},
+	} {
+		t.Run("guards against memory and time spent on "+c.name+" without end", func(t *testing.T) {
+			sent := make(chan int, 1)
+			s := serve(t, func(conn net.Conn, _ int64) {
+				_, _ = io.WriteString(conn, c.start)
+				repeat(conn, strings.Repeat(c.repeated, 1000), sent)
+			})
+			start := time.Now()
+			_, err := get(t, new(Pool), s)
+			assert.True(t, err != nil, "the bytes were taken for an answer")
+			assert.True(t, time.Since(start) < 2*time.Second, "ended only after %s", time.Since(start))
+			total := <-sent
+			assert.True(t, total < socketBuffers, "%d bytes were taken before the connection was closed", total)
+		})
+	}
+}
