Bound an event and the output of a turn

Cause: an event without end was kept in memory until the caller's deadline, and searched from its beginning at each read; the output of a retained turn grew with the stream. A server in trouble may send either without end.

Change: an event has at most 1 MiB and the output of a retained turn at most 4 MiB, beyond which the stream is broken off after its complete events; the search goes on where it stopped.

--- a/internal/front/events/events.go
+++ b/internal/front/events/events.go
@@ -1,39 +1,70 @@
 // Package events splits a stream of server-sent events into complete events.
 package events
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+
+	"zinniapond.example/zinniapond"
+)
+
+// maxEventBytes bounds one event. A stream with a larger one is broken off.
+const maxEventBytes = 1 << 20
 
 // Parser buffers the bytes of a stream that are not yet consumed. Its zero value is
 // ready for use.
 type Parser struct {
 	buffer []byte
+	// searched is the length of the beginning of buffer that has no end of an event.
+	searched int
 }
 
-// Add appends bytes and returns all buffered bytes, which Next splits into events.
-// The result is valid until the next call of Add or SetRemainder.
-func (p *Parser) Add(part []byte) []byte {
-	p.buffer = append(p.buffer, part...)
-	return p.buffer
+// Add appends bytes of the stream.
+func (p *Parser) Add(part []byte) { p.buffer = append(p.buffer, part...) }
+
+// Complete splits off all complete events: raw is their text with the blank lines that
+// end them, and is valid until the next call of Add. The error wraps
+// ErrBackendFailed if the event that has begun is too large.
+func (p *Parser) Complete() (raw []byte, err error) {
+	end := 0
+	for {
+		// An end of an event has up to four bytes, of which three may have been
+		// searched before.
+		from := max(p.searched-3, end)
+		length, ok := findEnd(p.buffer[from:])
+		if !ok {
+			break
+		}
+		end = from + length
+		p.searched = end
+	}
+	raw = p.buffer[:end:end]
+	p.buffer = p.buffer[end:]
+	p.searched = len(p.buffer)
+	if len(p.buffer) > maxEventBytes {
+		err = fmt.Errorf("event of more than %d bytes: %w", maxEventBytes, zinniapond.ErrBackendFailed)
+	}
+	return raw, err
 }
 
-// Next splits the first complete event off the bytes. raw includes the closing blank
-// line; ok is false if there is no complete event.
+// Next splits the first event off complete events. raw includes the closing blank
+// line; ok is false at the end.
 func Next(data []byte) (raw, rest []byte, ok bool) {
-	at := bytes.Index(data, []byte("\n\n"))
-	end := at + 2
-	if crlf := bytes.Index(data, []byte("\r\n\r\n")); crlf >= 0 && (at < 0 || crlf < at) {
-		at, end = crlf, crlf+4
-	}
-	if at < 0 {
+	end, ok := findEnd(data)
+	if !ok {
 		return nil, data, false
 	}
 	return data[:end], data[end:], true
 }
 
-// SetRemainder drops the consumed bytes: rest is the part of the last result
-// of Add that is not yet a complete event.
-func (p *Parser) SetRemainder(rest []byte) {
-	p.buffer = append(p.buffer[:0], rest...)
+// findEnd returns the length of the first event, with the blank line that ends it.
+func findEnd(data []byte) (int, bool) {
+	at := bytes.Index(data, []byte("\n\n"))
+	end := at + 2
+	if crlf := bytes.Index(data, []byte("\r\n\r\n")); crlf >= 0 && (at < 0 || crlf < at) {
+		at, end = crlf, crlf+4
+	}
+	return end, at >= 0
 }
 
 // HasPartialEvent reports whether the buffer has the beginning of an incomplete
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -20,8 +20,13 @@
 	status    int
 }
 
-// streamReadSize is the size in bytes of one read from a stream.
-const streamReadSize = 8 << 10
+const (
+	// streamReadSize is the size in bytes of one read from a stream.
+	streamReadSize = 8 << 10
+	// maxTurnBytes bounds the output of a retained turn, which is in memory until it
+	// is stored.
+	maxTurnBytes = 4 << 20
+)
 
 // resumeID returns the id of the event after which a stream is to be resumed.
 func (u *run) resumeID() string {
@@ -80,9 +85,9 @@
 }
 
 func (u *run) forwardEvents(parser *events.Parser, part []byte) error {
-	data := parser.Add(part)
-	unparsed := data
-	for {
+	parser.Add(part)
+	complete, tooLarge := parser.Complete()
+	for unparsed := complete; ; {
 		raw, rest, ok := events.Next(unparsed)
 		if !ok {
 			break
@@ -102,13 +107,15 @@
 		}
 		unparsed = rest
 	}
-	sent := data[:len(data)-len(unparsed)]
-	var err error
-	if len(sent) > 0 {
-		err = u.responder.Write(sent)
+	if len(u.stream.output) > maxTurnBytes {
+		return fmt.Errorf("turn of more than %d bytes: %w", maxTurnBytes, zinniapond.ErrBackendFailed)
+	}
+	if len(complete) > 0 {
+		if err := u.responder.Write(complete); err != nil {
+			return err
+		}
 	}
-	parser.SetRemainder(unparsed)
-	return err
+	return tooLarge
 }
 
 // finishStream stores a retained turn and ends the stream.
