Take no late second copy of an answer for the next one of a plain service

Cause: a server that sends an answer once more, after the next request was sent on the connection, has its copy taken for the next answer: net/http pairs answers with requests by their order, and the id of the request was compared only if the answer had one.

Change: the client of plain services reuses connections only to servers whose last answer had the id of its request, and an answer without it on a reused connection is a failure of the server.

Result: TestSecondCopy (idempotent GETs): "/1" got the body "/0" before; after, each answer is its own or a failure. The clients of engines compare ids as before: an engine that sends no ids can still confuse its answers. That is open.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -37,6 +37,9 @@
 	maxDrainBytes = 4 << 10
 	// maxHeaderBytes is the maximum size of an answer's header.
 	maxHeaderBytes = 64 << 10
+	// RequestIDField is the header field with the id of a request, which a server
+	// repeats in its answer.
+	RequestIDField = "X-Request-Id"
 )
 
 // keepAlive detects an unreachable peer within 6 s, also while a request waits
@@ -59,8 +62,14 @@
 	// DisableReuse disables the reuse of connections: net/http repeats a request
 	// by itself only when a reused connection breaks.
 	DisableReuse bool
+	// RequireID restricts the reuse of connections to servers whose answers have the
+	// ids of their requests. A server may send a second copy of an answer late. On a
+	// connection that is used again, only the id distinguishes it from the next one.
+	RequireID bool
 
 	transports shard.Map[netip.AddrPort, *http.Transport]
+	// echoing has the servers whose last answer had the id of its request.
+	echoing shard.Map[netip.AddrPort, struct{}]
 }
 
 // Exchange is one request with its answer, whose body is read by Exchange.Read.
@@ -77,6 +86,8 @@
 	deadlineMode  int
 	bytesRead     int64
 
+	reused atomic.Bool // the connection has carried an earlier request
+
 	mu            sync.Mutex
 	assignedConns []assignedConn
 }
@@ -146,6 +157,10 @@
 	x.progressTimer.Stop()
 	clientTrace := &httptrace.ClientTrace{GotConn: x.recordConn}
 	request = request.WithContext(httptrace.WithClientTrace(x.ctx, clientTrace))
+	id := request.Header.Get(RequestIDField)
+	if _, echoes := p.echoing.Get(server); p.RequireID && !echoes {
+		request.Close = true
+	}
 	answer, err := x.transport.RoundTrip(request)
 	if err != nil {
 		err = x.cancelCause(err)
@@ -157,13 +172,34 @@
 		return nil, zinniapond.Wrap("send request", server, err)
 	}
 	x.Answer = answer
+	if err := x.checkID(id); err != nil {
+		x.Close()
+		return nil, zinniapond.Wrap("read answer", server, err)
+	}
 	x.resetProgressTimer()
 	return x, nil
 }
 
+// checkID checks that the answer has the id of the request. It may have none unless
+// the connection was reused in a pool with RequireID.
+func (x *Exchange) checkID(id string) error {
+	switch answered := x.Answer.Header.Get(RequestIDField); {
+	case answered == id:
+		x.pool.echoing.Set(x.server, struct{}{})
+		return nil
+	case answered == "" && (!x.pool.RequireID || !x.reused.Load()):
+		x.pool.echoing.Delete(x.server)
+		return nil
+	default:
+		x.pool.echoing.Delete(x.server)
+		return fmt.Errorf("%w: answer is for request %q", zinniapond.ErrBackendFailed, answered)
+	}
+}
+
 // recordConn records a connection that net/http has chosen for the request, and
 // starts the progress deadline if the deadline mode asks for it.
 func (x *Exchange) recordConn(info httptrace.GotConnInfo) {
+	x.reused.Store(info.Reused)
 	if c, ok := info.Conn.(*countingConn); ok {
 		x.mu.Lock()
 		x.assignedConns = append(x.assignedConns, assignedConn{conn: c, writtenBefore: c.written.Load()})
--- a/internal/backend/plain/plain.go
+++ b/internal/backend/plain/plain.go
@@ -65,7 +65,7 @@
 
 func (c *Client) initPools() {
 	c.once.Do(func() {
-		c.reusePool = &conns.Pool{ProgressTimeout: c.Limits.ProgressTimeout, AttemptTimeout: c.Limits.AttemptTimeout}
+		c.reusePool = &conns.Pool{ProgressTimeout: c.Limits.ProgressTimeout, AttemptTimeout: c.Limits.AttemptTimeout, RequireID: true}
 		// net/http sends a request again when a reused connection breaks and
 		// the request counts as repeatable, for which an Idempotency-Key header
 		// is enough. It does not do so on a connection that is used only once.
@@ -114,9 +114,6 @@
 		answer.Outcome = zinniapond.OutcomeNotRun
 		return answer, zinniapond.Wrap("read answer", server.Address, fmt.Errorf("%w: server is leaving", zinniapond.ErrUnavailable))
 	}
-	if id := header.Get("X-Request-Id"); id != "" && id != string(attempt) {
-		return answer, zinniapond.Wrap("read answer", server.Address, fmt.Errorf("%w: answer is for attempt %q", zinniapond.ErrBackendFailed, id))
-	}
 	for n, values := range header {
 		for _, v := range values {
 			if forwardedAnswerFields[n] {
@@ -150,7 +147,7 @@
 			request.Header.Add(n, f.Value)
 		}
 	}
-	request.Header.Set("X-Request-Id", string(attempt))
+	request.Header.Set(conns.RequestIDField, string(attempt))
 	request.Header.Set("X-Program", string(call.Program))
 	if call.IdempotencyKey != "" {
 		request.Header.Set("Idempotency-Key", call.IdempotencyKey)
--- a/internal/backend/plain/plain_test.go
+++ b/internal/backend/plain/plain_test.go
@@ -1,6 +1,7 @@
 package plain
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -195,3 +196,59 @@
 		assert.Contains(t, err.Error(), "more than")
 	})
 }
+
+// startRepeatingServer starts a server that answers each request with its path, and
+// sends the answer to the last request on the connection once more before it. With
+// echo the answers have the ids of their requests.
+func startRepeatingServer(t *testing.T, echo bool) zinniapond.Backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		reader, last := bufio.NewReader(c), ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			answer := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+			if echo {
+				answer = "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n" + answer
+			}
+			answer = "HTTP/1.1 200 OK\r\n" + answer
+			if _, err := io.WriteString(c, last+answer); err != nil {
+				return
+			}
+			last = answer
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return zinniapond.Backend{Address: l.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+func TestSecondCopy(t *testing.T) {
+	for _, echo := range []bool{false, true} {
+		t.Run(fmt.Sprintf("guards against a late second copy of an answer taken for the next one: ids in answers %t", echo), func(t *testing.T) {
+			server, c := startRepeatingServer(t, echo), newClient()
+			for n := range 8 {
+				path := fmt.Sprint("/", n)
+				a, err := c.Do(t.Context(), zinniapond.AttemptID(fmt.Sprint(n)), server, zinniapond.Call{Method: "GET", Path: path, Idempotent: true}, nil)
+				if err != nil {
+					assert.ErrorIs(t, err, zinniapond.ErrBackendFailed)
+					continue
+				}
+				assert.Equal(t, string(a.Body), path)
+			}
+		})
+	}
+}
