Spread the exchange of replica loads over all control hosts

Cause: all fronts report their requests at each replica to the control leader, and take the sums from it.

Control hosts relay the sums of their reports to each other each 100 ms.

--- a/fleet.go
+++ b/fleet.go
@@ -180,6 +180,7 @@
 type ControlView struct {
 	Index       Index                    `json:"index"`
 	Leader      HostName                 `json:"leader"`
+	Voters      []VoterKey               `json:"voters"`
 	Shards      int                      `json:"shards"`
 	Lists       Lists                    `json:"lists"`
 	Members     map[HostName]Member      `json:"members"`
--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -1,24 +1,29 @@
 // Package loads adds up the requests that all hosts have in flight at each replica.
-// The control leader keeps the sums in memory; after a change of the leader they
-// are complete again within one pause between reports.
+// Each host reports to one control host. The control hosts relay the sums of these
+// reports to each other, so that neither the rate of reports nor an election of the
+// leader limits how recent the sums are. All sums are in memory only.
 package loads
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/shard"
 )
 
 func init() {
-	kernel.Register[zinniapond.RolePlugin](string(zinniapond.RoleControl)+".loads", func(k *kernel.Kernel) (zinniapond.RolePlugin, error) {
-		l := &Loads{Clock: k.Now}
+	kernel.Register(string(zinniapond.RoleControl)+".loads", func(k *kernel.Kernel) (zinniapond.RolePlugin, error) {
+		l := &Loads{Name: k.Settings.VoterName(), Logger: k.Logger.Named("loads"), Clock: k.Now}
 		mounter, err := kernel.Find[zinniapond.Mounter](k)
-		if err != nil {
+		if err = errors.Join(err, kernel.FindInto(k, &l.Peers), kernel.FindInto(k, &l.Directory)); err != nil {
 			return nil, err
 		}
 		if err := mounter.Mount("Loads", l); err != nil {
@@ -29,12 +34,13 @@
 }
 
 const (
-	// minReportPause is the least time between two reports of one host; routing
-	// decisions use sums of about this age.
+	// minReportPause is the least time between two reports of one host.
 	minReportPause = 100 * time.Millisecond
-	// leaderTimePerReport is the time that one report may take on the leader: it
-	// bounds the reports of all hosts to 500 a second.
-	leaderTimePerReport = 2 * time.Millisecond
+	// timePerReport is the time that one report may take on a control host: it
+	// bounds the reports that a control host receives to 500 a second.
+	timePerReport = 2 * time.Millisecond
+	// relayInterval is the time between two relayed sums.
+	relayInterval = 100 * time.Millisecond
 	// validPauses is the number of pauses for which a report is valid.
 	validPauses = 5
 )
@@ -42,9 +48,14 @@
 // Loads has the last report of each host. Its exported fields are set before
 // use.
 type Loads struct {
-	Clock func() time.Time
+	Name      zinniapond.HostName // name of this host as a voter
+	Peers     zinniapond.Peers
+	Directory zinniapond.Directory
+	Logger    hclog.Logger
+	Clock     func() time.Time
 
-	reports shard.Map[zinniapond.HostName, report]
+	reports shard.Map[zinniapond.HostName, report] // of hosts that report to this one
+	relayed shard.Map[zinniapond.HostName, report] // sums of the other control hosts
 }
 
 // report is the last report of a host.
@@ -56,48 +67,101 @@
 // Role returns the control role.
 func (l *Loads) Role() zinniapond.Role { return zinniapond.RoleControl }
 
-// Run returns when ctx is done; reports arrive through Exchange.
+// Run relays the sums of the reports to the other control hosts until ctx is done.
 func (l *Loads) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	ticker := time.NewTicker(relayInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.relay(ctx)
+		}
+	}
+}
+
+// relay sends the sums of the reports to the other control hosts. It sends nothing
+// while no host reports to this one.
+func (l *Loads) relay(ctx context.Context) {
+	sums := make(map[netip.AddrPort]int)
+	if reporting, _ := l.addReports(l.Clock(), sums); reporting == 0 {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, relayInterval)
+	defer cancel()
+	request := zinniapond.LoadsRequest{Sender: l.Name, Loads: listLoads(sums), Relayed: true}
+	var group sync.WaitGroup
+	for _, v := range l.Directory.View().Voters {
+		address, err := netip.ParseAddrPort(string(v.Name))
+		if err != nil || v.Name == l.Name {
+			continue // voters that are not named by their addresses have no fronts
+		}
+		group.Go(func() {
+			if err := l.Peers.Call(callCtx, address, "Loads.Exchange", request, new(zinniapond.LoadsReply)); err != nil {
+				l.Logger.Debug("loads not relayed", "host", v.Name, "error", err)
+			}
+		})
+	}
+	group.Wait()
 }
 
 // Exchange stores a host's loads, replies with the sums of all hosts and tells the
-// host how long to pause before its next report.
+// host how long to pause before its next report. The reply to another control host
+// is empty.
 func (l *Loads) Exchange(request zinniapond.LoadsRequest, reply *zinniapond.LoadsReply) error {
 	now := l.Clock()
+	if request.Relayed {
+		l.relayed.Set(request.Sender, report{now, request.Loads})
+		return nil
+	}
 	l.reports.Set(request.Sender, report{now, request.Loads})
-	reply.Loads, reply.ReportInterval = l.sumLoads(now)
+	sums := make(map[netip.AddrPort]int)
+	_, reply.ReportInterval = l.addReports(now, sums)
+	addValid(&l.relayed, now, validPauses*relayInterval, sums)
+	reply.Loads = listLoads(sums)
 	return nil
 }
 
-// sumLoads adds up the reports that are still valid and removes the others. It also
-// returns the pause between reports that bounds their rate.
-func (l *Loads) sumLoads(now time.Time) ([]zinniapond.Load, time.Duration) {
-	sums := make(map[netip.AddrPort]int)
+// addReports adds up the reports that are still valid and removes the others. It
+// returns the number of valid reports and the pause between reports that bounds
+// their rate.
+func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]int) (valid int, pause time.Duration) {
 	hostCount := 0
 	l.reports.Each(func(zinniapond.HostName, report) bool {
 		hostCount++
 		return true
 	})
-	pause := max(minReportPause, time.Duration(hostCount)*leaderTimePerReport)
+	pause = max(minReportPause, time.Duration(hostCount)*timePerReport)
+	return addValid(&l.reports, now, validPauses*pause, sums), pause
+}
+
+// addValid adds the reports that are at most maxAge old to sums, removes the others,
+// and returns the number of the remaining ones.
+func addValid(reports *shard.Map[zinniapond.HostName, report], now time.Time, maxAge time.Duration, sums map[netip.AddrPort]int) int {
+	valid := 0
 	var expired []zinniapond.HostName
-	l.reports.Each(func(host zinniapond.HostName, r report) bool {
-		if now.Sub(r.received) > validPauses*pause {
+	reports.Each(func(host zinniapond.HostName, r report) bool {
+		if now.Sub(r.received) > maxAge {
 			expired = append(expired, host)
 			return true
 		}
+		valid++
 		for _, load := range r.loads {
 			sums[load.Replica] += load.Count
 		}
 		return true
 	})
 	for _, host := range expired {
-		l.reports.Delete(host)
+		reports.Delete(host)
 	}
+	return valid
+}
+
+func listLoads(sums map[netip.AddrPort]int) []zinniapond.Load {
 	loads := make([]zinniapond.Load, 0, len(sums))
 	for replica, count := range sums {
 		loads = append(loads, zinniapond.Load{Replica: replica, Count: count})
 	}
-	return loads, pause
+	return loads
 }
--- a/internal/fleet/loads/loads_test.go
+++ b/internal/fleet/loads/loads_test.go
@@ -1,11 +1,14 @@
 package loads
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
@@ -32,11 +35,68 @@
 		now = now.Add(time.Second)
 		assert.Equal(t, exchange(t, l, "two", 4).Loads[0].Count, 4)
 	})
-	t.Run("guards against more reports than the leader can take", func(t *testing.T) {
+	t.Run("guards against more reports than a control host can take", func(t *testing.T) {
 		for i := range 400 {
 			exchange(t, l, zinniapond.HostName(rune('a'+i)), 1)
 		}
-		assert.True(t, exchange(t, l, "two", 4).ReportInterval >= 400*leaderTimePerReport, "the pause does not grow with the hosts")
+		assert.True(t, exchange(t, l, "two", 4).ReportInterval >= 400*timePerReport, "the pause does not grow with the hosts")
+	})
+}
+
+// quorum is a set of control hosts that call each other.
+type quorum map[netip.AddrPort]*Loads
+
+func (q quorum) View() *zinniapond.ControlView {
+	view := &zinniapond.ControlView{}
+	for a := range q {
+		view.Voters = append(view.Voters, zinniapond.VoterKey{Name: zinniapond.HostName(a.String())})
+	}
+	return view
+}
+func (q quorum) Catalog() *zinniapond.Catalog { return nil }
+func (q quorum) LeaseValid(time.Time) bool    { return true }
+func (q quorum) ConfirmedAt() time.Time       { return time.Time{} }
+func (q quorum) Changed() <-chan struct{}     { return nil }
+
+func (q quorum) Call(_ context.Context, to netip.AddrPort, _ string, request, reply any) error {
+	return q[to].Exchange(request.(zinniapond.LoadsRequest), reply.(*zinniapond.LoadsReply))
+}
+
+func TestRelay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := make(quorum)
+	var hosts []*Loads
+	for _, address := range []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"} {
+		l := &Loads{Name: zinniapond.HostName(address), Peers: q, Directory: q, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
+		q[netip.MustParseAddrPort(address)] = l
+		hosts = append(hosts, l)
+	}
+	relayAll := func() {
+		for _, l := range hosts {
+			l.relay(context.Background())
+		}
+	}
+	t.Run("guards against a host that does not see the requests reported to other control hosts", func(t *testing.T) {
+		exchange(t, hosts[0], "one", 3)
+		exchange(t, hosts[1], "two", 4)
+		relayAll()
+		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 12)
+	})
+	t.Run("guards against counting relayed requests again with each relay", func(t *testing.T) {
+		relayAll()
+		relayAll()
+		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 12)
+	})
+	t.Run("guards against counting the requests of a control host that is gone", func(t *testing.T) {
+		now = now.Add(validPauses * relayInterval)
+		exchange(t, hosts[1], "two", 4)
+		now = now.Add(relayInterval)
+		hosts[1].relay(context.Background())
+		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 9)
+	})
+	t.Run("guards against messages between control hosts to which no host reports", func(*testing.T) {
+		idle := &Loads{Name: "10.1.0.1:7000", Directory: q, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
+		idle.relay(context.Background()) // a call would fail without Peers
 	})
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -109,7 +109,7 @@
 		s.voters = entry.Voters
 	}
 	next := *view
-	next.Index = entry.Index
+	next.Index, next.Voters = entry.Index, s.voters
 	result := s.apply(&next, command)
 	if result.Index == 0 { // a resent change has the index of its first record
 		result.Index = entry.Index
@@ -306,7 +306,7 @@
 		return nil
 	}
 	view := &zinniapond.ControlView{
-		Index: i.Index, Shards: i.Shards, Lists: i.Lists,
+		Index: i.Index, Shards: i.Shards, Lists: i.Lists, Voters: i.Voters,
 		Members:     make(map[zinniapond.HostName]zinniapond.Member, len(i.Members)),
 		Assignments: make(map[zinniapond.ShardID]zinniapond.Assignment, len(i.Assignments)),
 	}
--- a/messages.go
+++ b/messages.go
@@ -388,6 +388,9 @@
 type LoadsRequest struct {
 	Sender HostName `cbor:"h"`
 	Loads  []Load   `cbor:"l,omitempty"`
+	// Relayed is set if the sender is a control host and Loads are the sums of the
+	// hosts that report to it.
+	Relayed bool `cbor:"r,omitempty"`
 }
 
 // LoadsReply contains the sum over all hosts with a recent report.
