Read the spends again when another reservation is open

Cause: of two reservations at once each pair has one that sees the other, but of three each may see just one: the first sees the second, the second the third and the third the first. With room for two, all three were granted.

Change: a reservation that sees another open one reads the program's spends again once its own is written. The last one to be written then sees all that are granted. One that sees none needs no second read: all others see it.

--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -11,8 +11,11 @@
 
 // Reserve writes the reservation to all disks, each of which returns all spends
 // of the program. Of two concurrent reservations, one is written second on a disk
-// that answers both, and its reply contains the other. So concurrent reservations
-// cannot exceed the budget together. It returns the program's other spends.
+// that answers both, and its reply contains the other. Of three, each may so see
+// just one other. A reservation that sees another open one therefore reads the
+// spends again once it is written: the last one to be written then sees all, and
+// concurrent reservations cannot exceed the budget together. Reserve returns the
+// program's other spends.
 func (c *Client) Reserve(ctx context.Context, now time.Time, spend zinniapond.Spend, budget zinniapond.Tokens) ([]zinniapond.Spend, error) {
 	if settled := c.settledSums.get(now, spend.Program); settled+spend.Reserved > budget {
 		return nil, newBudgetError(spend, settled, budget)
@@ -23,6 +26,9 @@
 		spends, err = c.writeReservation(ctx, set, zinniapond.KeepRequest{
 			DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: zinniapond.SpendRetention, SpendsOf: spend.Program,
 		})
+		if err == nil && hasOtherReservation(spends, spend.Turn) {
+			err = c.readSpends(ctx, set, zinniapond.FindRequest{DisksIndex: view, SpendsOf: spend.Program}, spends)
+		}
 		return err
 	})
 	if err != nil {
@@ -73,16 +79,44 @@
 		if a.reply.Kept && a.disk.CountsForWrites() {
 			synced = append(synced, a.disk)
 		}
-		for _, s := range a.reply.Spends {
-			if !spends[s.Turn].Settled {
-				spends[s.Turn] = s
-			}
-		}
+		addSpends(spends, a.reply.Spends)
 		return conclusive && set.IsWriteQuorum(synced), nil
 	})
 	return spends, err
 }
 
+// addSpends adds spends that are not yet known as settled.
+func addSpends(spends map[zinniapond.AttemptID]zinniapond.Spend, added []zinniapond.Spend) {
+	for _, s := range added {
+		if !spends[s.Turn].Settled {
+			spends[s.Turn] = s
+		}
+	}
+}
+
+// hasOtherReservation reports whether a turn other than the given one has tokens
+// reserved.
+func hasOtherReservation(spends map[zinniapond.AttemptID]zinniapond.Spend, turn zinniapond.AttemptID) bool {
+	for _, s := range spends {
+		if !s.Settled && s.Turn != turn {
+			return true
+		}
+	}
+	return false
+}
+
+// readSpends adds a program's spends to those already known, until the answers are
+// certain to contain every durable spend.
+func (c *Client) readSpends(ctx context.Context, set quorum.Set, request zinniapond.FindRequest, spends map[zinniapond.AttemptID]zinniapond.Spend) error {
+	return askAllDisks(ctx, c, set, "Keeper.Find", request, func(a answer[zinniapond.FindReply], conclusive bool) (bool, error) {
+		if a.reply.DisksIndex > request.DisksIndex {
+			return false, errViewChanged
+		}
+		addSpends(spends, a.reply.Spends)
+		return conclusive, nil
+	})
+}
+
 // askAllDisks sends a request to all disks and passes each answer to handle, until
 // handle returns true or an error. The argument conclusive is true once a durable
 // record that none of the answered disks has cannot exist.
--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -105,7 +105,65 @@
 	return others
 }
 
+// orderedDisks is the connection of one of several concurrent clients to the disks of
+// a fleet. The client reaches only the disks of written, and its write on a disk waits
+// until that of the client before it there is done.
+type orderedDisks struct {
+	*fleet
+	after   map[zinniapond.DiskID]<-chan struct{}
+	written map[zinniapond.DiskID]chan struct{}
+	report  map[zinniapond.DiskID]func() // closes the channel of written once
+}
+
+func (d *orderedDisks) Call(ctx context.Context, peer netip.AddrPort, method string, request, answer any) error {
+	id := d.hosts[peer].id
+	if _, reached := d.written[id]; !reached {
+		return errDown
+	}
+	if _, ok := request.(zinniapond.KeepRequest); !ok {
+		return d.fleet.Call(ctx, peer, method, request, answer)
+	}
+	if after, ok := d.after[id]; ok {
+		<-after
+	}
+	defer d.report[id]()
+	return d.fleet.Call(ctx, peer, method, request, answer)
+}
+
+func newOrderedDisks(f *fleet, reached ...zinniapond.DiskID) *orderedDisks {
+	d := &orderedDisks{
+		fleet: f, after: make(map[zinniapond.DiskID]<-chan struct{}), written: make(map[zinniapond.DiskID]chan struct{}),
+		report: make(map[zinniapond.DiskID]func()),
+	}
+	for _, id := range reached {
+		written := make(chan struct{})
+		d.written[id], d.report[id] = written, sync.OnceFunc(func() { close(written) })
+	}
+	return d
+}
+
 func TestReserve(t *testing.T) {
+	t.Run("guards against three reservations that each see just one of the others", func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d", "e")
+		one, two, three := newOrderedDisks(f, "a", "b", "c"), newOrderedDisks(f, "c", "d", "e"), newOrderedDisks(f, "a", "b", "e")
+		two.after["c"] = one.written["c"]
+		three.after["e"] = two.written["e"]
+		one.after["a"], one.after["b"] = three.written["a"], three.written["b"]
+		var group sync.WaitGroup
+		var granted atomic.Int64
+		for i, disks := range []*orderedDisks{one, two, three} {
+			group.Go(func() {
+				c := f.client(2)
+				c.Peers = disks
+				s := zinniapond.Spend{Program: "p", Turn: zinniapond.AttemptID(fmt.Sprint(i)), Reserved: 40}
+				if _, err := c.Reserve(shortContext(t), now, s, 100); err == nil {
+					granted.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		assert.True(t, granted.Load() <= 2, "%d of 100 tokens were granted", 40*granted.Load())
+	})
 	t.Run("guards against concurrent reservations that exceed the budget together", func(t *testing.T) {
 		for range 50 {
 			f := newFleet("a", "b", "c", "d", "e")
