Show the control state only once a started process has caught up

At 35.03 it has configuration 9 of 44 and the disks of that time, most of which have not joined yet in this part of the log. The keepers, as far in the log as the front, answer that they lack the turn, which counts as conclusive: 404 for a turn that was answered whole. The same view let reservations miss spends.

Ruled out: a lost record; the turn's disks had it.

Change: readers see an empty state until the process has once applied all that its leader had committed in its own term. Keepers answer no host that has a view before they have one.

--- a/internal/quorum/lease/holder.go
+++ b/internal/quorum/lease/holder.go
@@ -24,6 +24,7 @@
 	epoch    zinniapond.Epoch // of this process's registration, or 0
 	fenced   bool
 	expiry   time.Time
+	caughtUp bool
 }
 
 // Epoch returns the epoch of this process's registration, or 0.
@@ -32,6 +33,10 @@
 // Expiry returns the end of the lease.
 func (h *Holder) Expiry() time.Time { return h.expiry }
 
+// HasCaughtUp reports whether this process has once applied every record that was
+// committed. Until then its state may be that of any earlier time.
+func (h *Holder) HasCaughtUp() bool { return h.caughtUp }
+
 // IsMember reports whether this process is an active or draining member
 // according to the applied part of the log.
 func (h *Holder) IsMember() bool {
@@ -98,7 +103,11 @@
 		return nil
 	}
 	// A lease requires every record that was committed when the leader replied.
-	if !reply.CommittedOwnTerm || h.State.View().Index < reply.CommitIndex || request.MemberEpoch != h.epoch {
+	if !reply.CommittedOwnTerm || h.State.View().Index < reply.CommitIndex {
+		return nil
+	}
+	h.caughtUp = true
+	if request.MemberEpoch != h.epoch {
 		return nil
 	}
 	if expiry := sent.Add(h.LeaseDuration - reply.QuorumAge); expiry.After(h.expiry) {
--- a/internal/quorum/lease/holder_test.go
+++ b/internal/quorum/lease/holder_test.go
@@ -64,6 +64,17 @@
 		h.SetRegistration(7)
 		assert.True(t, h.Expiry().IsZero(), "the lease lasts until %s", h.Expiry())
 	})
+	t.Run("guards against acting on an early part of the log after a start", func(t *testing.T) {
+		h := &Holder{Host: "a", LeaseDuration: 2 * time.Second, State: &state.State{}}
+		first := zinniapond.FetchReply{Accepted: true, CommittedOwnTerm: true, CommitIndex: 2, Entries: []zinniapond.LogEntry{{Index: 1, Term: 1}}}
+		assert.NoError(t, h.ApplyReply(begin, h.NextRequest(), first))
+		assert.True(t, !h.HasCaughtUp(), "caught up without record 2")
+		second := zinniapond.FetchReply{Accepted: true, CommitIndex: 2, Entries: []zinniapond.LogEntry{{Index: 2, Term: 1}}}
+		assert.NoError(t, h.ApplyReply(begin, h.NextRequest(), second))
+		assert.True(t, !h.HasCaughtUp(), "caught up with a leader that does not know all committed records")
+		assert.NoError(t, h.ApplyReply(begin, h.NextRequest(), renewal))
+		assert.True(t, h.HasCaughtUp(), "not caught up with all records")
+	})
 	t.Run("guards against an older snapshot that replaces the state", func(t *testing.T) {
 		h := newHolder(t)
 		data, err := (&state.State{}).Encode()
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -156,13 +156,20 @@
 	return s.HasRole(zinniapond.RoleEntry) || s.HasRole(zinniapond.RoleOwner) || s.HasRole(zinniapond.RoleStore)
 }
 
-// publish makes the holder's state visible to readers. The caller holds mu.
+// publish makes the holder's state visible to readers. While the process catches up
+// after its start, readers see an empty state: with an early part of the log, a turn
+// could be reported as not found because the disks that have it have not joined yet.
+// The caller holds mu.
 func (w *Watcher) publish() {
 	previous := w.published.Load()
-	view := *w.holder.State.View()
+	var view zinniapond.ControlView
+	catalog := previous.catalog
+	if w.holder.HasCaughtUp() {
+		view, catalog = *w.holder.State.View(), w.holder.State.Catalog()
+	}
 	view.Leader = w.leader
 	next := &publication{
-		view: &view, catalog: w.holder.State.Catalog(), changed: previous.changed,
+		view: &view, catalog: catalog, changed: previous.changed,
 		leaseExpiry: w.holder.Expiry(), isMember: w.holder.IsMember(),
 	}
 	changed := next.view.Index != previous.view.Index || next.view.Leader != previous.view.Leader
--- a/internal/turns/keeper/keeper.go
+++ b/internal/turns/keeper/keeper.go
@@ -44,7 +44,8 @@
 	appendTimeout = 4 * time.Second
 )
 
-// errNotReady is the answer to requests that arrive before the disk has been read.
+// errNotReady is the answer to requests that arrive before the disk has been read and
+// the set of disks is known.
 var errNotReady = errors.New("keeper is not ready")
 
 // Keeper stores records on one disk. Its exported fields are set before Run.
--- a/internal/turns/keeper/keeper_test.go
+++ b/internal/turns/keeper/keeper_test.go
@@ -181,6 +181,15 @@
 		assert.NoError(t, k.Find(zinniapond.FindRequest{SpendsOf: "p"}, &reply))
 		assert.Equal(t, reply.Spends[0].Cost(), zinniapond.Tokens(10))
 	})
+	t.Run("guards against answers to a host with an old view before the disks are known", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		h.mu.Lock()
+		h.view = zinniapond.ControlView{}
+		h.mu.Unlock()
+		assert.ErrorIs(t, k.Keep(zinniapond.KeepRequest{DisksIndex: 5, Turns: []zinniapond.Turn{turn("one")}}, new(zinniapond.KeepReply)), errNotReady)
+		assert.ErrorIs(t, k.Find(zinniapond.FindRequest{DisksIndex: 5, IDs: []zinniapond.TurnID{"one"}}, new(zinniapond.FindReply)), errNotReady)
+	})
 	t.Run("guards against new records on a leaving disk", func(t *testing.T) {
 		h := newHosts(t)
 		k, _ := h.start(t.TempDir(), 1)
--- a/internal/turns/keeper/serve.go
+++ b/internal/turns/keeper/serve.go
@@ -11,12 +11,16 @@
 )
 
 // Keep stores turns and spends, and answers once they are synced. It stores nothing
-// if the sender's view of the set of disks is older than that of this host.
+// if the sender's view of the set of disks is older than that of this host, or if
+// this host does not know the set yet.
 func (k *Keeper) Keep(request zinniapond.KeepRequest, reply *zinniapond.KeepReply) error {
 	if !k.ready.Load() {
 		return errNotReady
 	}
 	view := k.Directory.View()
+	if request.DisksIndex != 0 && view.Index == 0 {
+		return errNotReady
+	}
 	reply.DisksIndex, reply.Disk = view.DisksIndex, k.log.ID()
 	if request.DisksIndex != 0 && request.DisksIndex < view.DisksIndex {
 		return nil
@@ -95,12 +99,18 @@
 	return nil
 }
 
-// Find returns which of the turns the disk has, and the spends of a program.
+// Find returns which of the turns the disk has, and the spends of a program. It does
+// not answer a host before this one knows the set of disks: the view of that host may
+// be old, and its answers together would count as conclusive.
 func (k *Keeper) Find(request zinniapond.FindRequest, reply *zinniapond.FindReply) error {
 	if !k.ready.Load() {
 		return errNotReady
 	}
-	reply.DisksIndex, reply.Disk = k.Directory.View().DisksIndex, k.log.ID()
+	view := k.Directory.View()
+	if request.DisksIndex != 0 && view.Index == 0 {
+		return errNotReady
+	}
+	reply.DisksIndex, reply.Disk = view.DisksIndex, k.log.ID()
 	for _, id := range request.IDs {
 		s, ok := k.turns.Get(id)
 		if !ok {
