Bound the traffic of the sums of loads for each host

Cause: a front takes the sums every 100 ms since control hosts share the reports; before 600 replicas that is 78 KB/s, and control may take 22 KB/s of a host.

Change: the pause between reports grows with the replicas in the reply.

Result: a test at 600 replicas: 78 KB/s before, below 22 KB/s after. The sites so far (73 to 126 replicas) keep a pause of 100 ms.

--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,6 +40,9 @@
 	// timePerReport is the time that one report may take on a control host: it
 	// bounds the reports that a control host receives to 500 a second.
 	timePerReport = 2 * time.Millisecond
+	// timePerEntry is the pause between two replies to a host for each replica in
+	// them: at 13 bytes an entry it bounds their traffic to 16 KB/s for each host.
+	timePerEntry = 800 * time.Microsecond
 	// relayInterval is the time between two relayed sums.
 	relayInterval = 100 * time.Millisecond
 	// validPauses is the number of pauses for which a report is valid.
@@ -56,6 +60,7 @@
 
 	reports shard.Map[zinniapond.HostName, report] // of hosts that report to this one
 	relayed shard.Map[zinniapond.HostName, report] // sums of the other control hosts
+	entries atomic.Int64                           // number of replicas in the last reply
 }
 
 // report is the last report of a host.
@@ -120,19 +125,20 @@
 	_, reply.ReportInterval = l.addReports(now, sums)
 	addValid(&l.relayed, now, validPauses*relayInterval, sums)
 	reply.Loads = listLoads(sums)
+	l.entries.Store(int64(len(sums)))
 	return nil
 }
 
 // addReports adds up the reports that are still valid and removes the others. It
 // returns the number of valid reports and the pause between reports that bounds
-// their rate.
+// their rate and the traffic of the replies.
 func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]int) (valid int, pause time.Duration) {
 	hostCount := 0
 	l.reports.Each(func(zinniapond.HostName, report) bool {
 		hostCount++
 		return true
 	})
-	pause = max(minReportPause, time.Duration(hostCount)*timePerReport)
+	pause = max(minReportPause, time.Duration(hostCount)*timePerReport, time.Duration(l.entries.Load())*timePerEntry)
 	return addValid(&l.reports, now, validPauses*pause, sums), pause
 }
 
--- a/internal/fleet/loads/loads_test.go
+++ b/internal/fleet/loads/loads_test.go
@@ -11,6 +11,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/wire/codec"
 )
 
 var replica = netip.MustParseAddrPort("10.0.0.1:80")
@@ -41,6 +42,22 @@
 		}
 		assert.True(t, exchange(t, l, "two", 4).ReportInterval >= 400*timePerReport, "the pause does not grow with the hosts")
 	})
+	t.Run("guards against replies that take more than a host's share of control traffic", func(t *testing.T) {
+		l := &Loads{Clock: func() time.Time { return now }}
+		request := zinniapond.LoadsRequest{Sender: "one"}
+		for i := range 600 {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80)
+			request.Loads = append(request.Loads, zinniapond.Load{Replica: address, Count: 1})
+		}
+		var reply zinniapond.LoadsReply
+		assert.NoError(t, l.Exchange(request, &reply))
+		assert.NoError(t, l.Exchange(request, &reply))
+		data, err := codec.Marshal(reply)
+		assert.NoError(t, err)
+		const hostTraffic = 22_000 // bytes a second, for all control traffic of a host
+		rate := float64(len(data)) / reply.ReportInterval.Seconds()
+		assert.True(t, rate < hostTraffic, "%.0f bytes a second", rate)
+	})
 }
 
 // quorum is a set of control hosts that call each other.
