Rank turns of late programs behind those that are in time

Cause: after a burst all turns wait at the replicas in the order of their routes' priority, so programs that are past their objective keep their place before those that can still meet theirs, and the backlog makes the next programs late.

The queues of the replicas are where the turns of all fronts meet, so the order is decided there and needs no state and no message. Late programs are not refused: their callers wait for them.

--- a/interfaces.go
+++ b/interfaces.go
@@ -218,6 +218,20 @@
 	EstimateDuration(need PickInfo) time.Duration
 }
 
+// TurnState is what is known of a turn when it is sent to a model server.
+type TurnState struct {
+	Priority int // of the route, 0 is the highest
+	// FinishBy is the instant by which the program should finish; zero if unknown.
+	FinishBy time.Time
+}
+
+// Urgency ranks the turns that wait at model servers, which admit the most urgent
+// first.
+type Urgency interface {
+	// Rank returns the urgency from 0, the most urgent, to 9.
+	Rank(now time.Time, turn TurnState) int
+}
+
 // Retrier limits retries and hedged attempts to a share of all requests.
 type Retrier interface {
 	// CountRequest counts a first attempt.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -22,11 +22,6 @@
 	// its status is sent to the client. If such an answer breaks off, the request
 	// can still be refused or sent again.
 	maxBufferedBytes = 1 << 20
-	// highestUrgency is the engines' urgency value of the routes with the highest
-	// priority; each step of a route's priority is one less urgent.
-	highestUrgency = 3
-	// lowestUrgency is the value of the engines' lowest urgency.
-	lowestUrgency = 9
 )
 
 // verdict is the result of an attempt; it determines whether another replica is
@@ -177,7 +172,7 @@
 	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Body: u.body, Deadline: u.deadline,
 		NotRepeated: u.sentOnce(),
-		Priority:    u.urgency(), LastEventID: u.resumeID(),
+		Priority:    u.urgency(start), LastEventID: u.resumeID(),
 	})
 	switch {
 	case errors.Is(err, zinniapond.ErrNotSent):
@@ -229,11 +224,16 @@
 // so that it must not be sent on a connection that the replica may have closed.
 func (u *run) sentOnce() bool { return u.route.Kind == zinniapond.RequestUnsafe }
 
-func (u *run) urgency() int {
+// urgency returns the urgency of a turn, or -1 for other requests.
+func (u *run) urgency(now time.Time) int {
 	if !u.route.IsStream() {
 		return -1
 	}
-	return min(highestUrgency+u.route.Priority, lowestUrgency)
+	turn := zinniapond.TurnState{Priority: u.route.Priority}
+	if u.request.FinishWithin != 0 {
+		turn.FinishBy = u.request.ReceivedAt.Add(u.request.FinishWithin)
+	}
+	return u.Urgency.Rank(now, turn)
 }
 
 // relayAnswer relays an answer that is not a stream.
--- a/request.go
+++ b/request.go
@@ -34,8 +34,8 @@
 	Program      ProgramID
 	SessionID    string
 	PreviousTurn TurnID // turn that this one continues; empty for the first turn
-	// FinishWithin is the time within which the program should finish; zero if
-	// unknown.
+	// FinishWithin is the time within which the program should finish, from
+	// ReceivedAt on; zero if unknown, and negative if it is over.
 	FinishWithin time.Duration
 	TokenBudget  Tokens // token budget of the program; 0 if it has none
 }
