Record the limits that replicas name, and log them

Cause of the blind spot: nothing in the logs or metrics said that a replica had named a limit, so the hypotheses of docs/incidents/limit.md could not be told apart.

Change: the client decodes the limit of an answer, a book keeps it for each replica (internal/fleet/limits), and a limit is logged when it begins, changes or ends. front.limited counts the requests that are sent to a limited replica. What is sent does not change yet.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -162,6 +162,9 @@
 	start := u.Clock()
 	u.replica = replica.Address
 	p.recordStart(start, replica.Address, need)
+	if _, limited := u.Limits.Rate(start, replica.Address, replica.ID); limited {
+		u.Stats.Add("front.limited", 1)
+	}
 	observation := zinniapond.Observation{Cancelled: true}
 	defer func() {
 		now := u.Clock()
@@ -184,6 +187,9 @@
 		return verdictMayHaveRun, err
 	}
 	defer func() { _ = answer.Body.Close() }() // a broken connection is closed in any case
+	if answer.RequestLimit > 0 || answer.Verified {
+		u.Limits.ObserveAnswer(u.Clock(), replica, start, answer.RequestLimit)
+	}
 	if answer.NotRun {
 		if answer.ClosesConnection {
 			u.Roster.SetState(start, replica.Address, zinniapond.BackendLeaving)
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -14,6 +14,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/fleet/limits"
 	"zinniapond.example/zinniapond/internal/policy/robin"
 	"zinniapond.example/zinniapond/internal/policy/urgent"
 	"zinniapond.example/zinniapond/internal/test/assert"
@@ -172,7 +173,7 @@
 	}
 	w.Runner = &Runner{
 		Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: new(stats.Set[string]), Logger: hclog.NewNullLogger(),
-		Clock: time.Now, Urgency: urgent.Policy{}, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
+		Clock: time.Now, Urgency: urgent.Policy{}, Limits: &limits.Book{Logger: hclog.NewNullLogger()}, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
 	}
 	w.initialise()
 	assert.NoError(t, w.update())
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -29,7 +29,7 @@
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.LoadExchange.Peers),
 		)
 	})
@@ -44,6 +44,7 @@
 	Turns      zinniapond.Turns
 	Client     zinniapond.ReplicaClient
 	Urgency    zinniapond.Urgency
+	Limits     zinniapond.LimitBook
 	Stats      *stats.Set[string]
 	Meter      *meter.Meter
 	Logger     hclog.Logger
--- a/request.go
+++ b/request.go
@@ -110,6 +110,9 @@
 	// Verified is set if the answer has the replica's stamp and the id of the
 	// request.
 	Verified bool
+	// RequestLimit is the rate at which the replica accepts requests from all hosts
+	// together; zero if the answer names no limit.
+	RequestLimit RequestRate
 	// ClosesConnection is set if the replica closes the connection after the
 	// answer.
 	ClosesConnection bool
