Exchange loads also while the voters are those of the first start

Cause: fronts take the control hosts from the voter set in the control log, and the quorum of the first start is no record of the log. On a deployment whose only control hosts are its three seeds the set stayed empty, so no front exchanged its loads and each saw only its own requests. Found by the test of limits, whose system has three control hosts: none could be chosen.

Change: internal/fleet/hosts chooses control hosts for all that need one, and takes the seeds until the log has a voter set; the relay between control hosts uses the same list.

--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -18,13 +18,15 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/shard"
+	"zinniapond.example/zinniapond/internal/fleet/hosts"
 )
 
 func init() {
 	kernel.Register(string(zinniapond.RoleControl)+".loads", func(k *kernel.Kernel) (zinniapond.RolePlugin, error) {
-		l := &Loads{Name: k.Settings.VoterName(), Logger: k.Logger.Named("loads"), Clock: k.Now}
+		l := &Loads{Address: k.Settings.PeersAddress(), Logger: k.Logger.Named("loads"), Clock: k.Now}
+		l.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		mounter, err := kernel.Find[zinniapond.Mounter](k)
-		if err = errors.Join(err, kernel.FindInto(k, &l.Peers), kernel.FindInto(k, &l.Directory)); err != nil {
+		if err = errors.Join(err, kernel.FindInto(k, &l.Peers), kernel.FindInto(k, &l.ControlHosts.Directory)); err != nil {
 			return nil, err
 		}
 		if err := mounter.Mount("Loads", l); err != nil {
@@ -52,11 +54,11 @@
 // Loads has the last report of each host. Its exported fields are set before
 // use.
 type Loads struct {
-	Name      zinniapond.HostName // name of this host as a voter
-	Peers     zinniapond.Peers
-	Directory zinniapond.Directory
-	Logger    hclog.Logger
-	Clock     func() time.Time
+	Address      netip.AddrPort // of this host
+	Peers        zinniapond.Peers
+	ControlHosts hosts.Chooser
+	Logger       hclog.Logger
+	Clock        func() time.Time
 
 	reports shard.Map[zinniapond.HostName, report] // of hosts that report to this one
 	relayed shard.Map[zinniapond.HostName, report] // sums of the other control hosts
@@ -95,16 +97,15 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, relayInterval)
 	defer cancel()
-	request := zinniapond.LoadsRequest{Sender: l.Name, Loads: listLoads(sums), Relayed: true}
+	request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(l.Address.String()), Loads: listLoads(sums), Relayed: true}
 	var group sync.WaitGroup
-	for _, v := range l.Directory.View().Voters {
-		address, err := netip.ParseAddrPort(string(v.Name))
-		if err != nil || v.Name == l.Name {
-			continue // voters that are not named by their addresses have no fronts
+	for _, address := range l.ControlHosts.Addresses() {
+		if address == l.Address {
+			continue
 		}
 		group.Go(func() {
 			if err := l.Peers.Call(callCtx, address, "Loads.Exchange", request, new(zinniapond.LoadsReply)); err != nil {
-				l.Logger.Debug("loads not relayed", "host", v.Name, "error", err)
+				l.Logger.Debug("loads not relayed", "host", address, "error", err)
 			}
 		})
 	}
--- a/internal/fleet/loads/loads_test.go
+++ b/internal/fleet/loads/loads_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/hosts"
 	"zinniapond.example/zinniapond/internal/test/assert"
 	"zinniapond.example/zinniapond/internal/wire/codec"
 )
@@ -82,37 +83,37 @@
 func TestRelay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	q := make(quorum)
-	var hosts []*Loads
+	var controls []*Loads
 	for _, address := range []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"} {
-		l := &Loads{Name: zinniapond.HostName(address), Peers: q, Directory: q, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
+		l := &Loads{Address: netip.MustParseAddrPort(address), Peers: q, ControlHosts: hosts.Chooser{Directory: q}, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
 		q[netip.MustParseAddrPort(address)] = l
-		hosts = append(hosts, l)
+		controls = append(controls, l)
 	}
 	relayAll := func() {
-		for _, l := range hosts {
+		for _, l := range controls {
 			l.relay(context.Background())
 		}
 	}
 	t.Run("guards against a host that does not see the requests reported to other control hosts", func(t *testing.T) {
-		exchange(t, hosts[0], "one", 3)
-		exchange(t, hosts[1], "two", 4)
+		exchange(t, controls[0], "one", 3)
+		exchange(t, controls[1], "two", 4)
 		relayAll()
-		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 12)
+		assert.Equal(t, exchange(t, controls[2], "three", 5).Loads[0].Count, 12)
 	})
 	t.Run("guards against counting relayed requests again with each relay", func(t *testing.T) {
 		relayAll()
 		relayAll()
-		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 12)
+		assert.Equal(t, exchange(t, controls[2], "three", 5).Loads[0].Count, 12)
 	})
 	t.Run("guards against counting the requests of a control host that is gone", func(t *testing.T) {
 		now = now.Add(validPauses * relayInterval)
-		exchange(t, hosts[1], "two", 4)
+		exchange(t, controls[1], "two", 4)
 		now = now.Add(relayInterval)
-		hosts[1].relay(context.Background())
-		assert.Equal(t, exchange(t, hosts[2], "three", 5).Loads[0].Count, 9)
+		controls[1].relay(context.Background())
+		assert.Equal(t, exchange(t, controls[2], "three", 5).Loads[0].Count, 9)
 	})
 	t.Run("guards against messages between control hosts to which no host reports", func(*testing.T) {
-		idle := &Loads{Name: "10.1.0.1:7000", Directory: q, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
+		idle := &Loads{Address: netip.MustParseAddrPort("10.1.0.1:7000"), ControlHosts: hosts.Chooser{Directory: q}, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return now }}
 		idle.relay(context.Background()) // a call would fail without Peers
 	})
 }
--- a/internal/front/report/report_test.go
+++ b/internal/front/report/report_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/hosts"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -59,7 +60,7 @@
 func newFixture(host zinniapond.HostName, h *controlHosts) *fixture {
 	f := &fixture{now: time.Unix(1000, 0)}
 	f.LoadExchange = LoadExchange{
-		Host: host, Peers: h, Directory: h, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return f.now },
+		Host: host, Peers: h, ControlHosts: hosts.Chooser{Directory: h}, Logger: hclog.NewNullLogger(), Clock: func() time.Time { return f.now },
 		LocalLoads: func() []zinniapond.Load { return nil },
 		ApplySums:  func(_ time.Time, loads []zinniapond.Load) { f.learned = loads },
 	}
@@ -104,7 +105,7 @@
 			assert.Equal(t, f.learned, sums)
 			f.exchange(context.Background())
 			assert.Equal(t, h.asked[3], h.asked[2])
-			f.now = f.now.Add(avoidTime + time.Second)
+			f.now = f.now.Add(4 * time.Second) // longer than a failed host is avoided
 			f.exchange(context.Background())
 			assert.Equal(t, h.asked[4], h.asked[0])
 		}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -27,10 +27,11 @@
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Forwarder, error) {
 		r := &Runner{DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
+		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		return r, errors.Join(
 			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits),
-			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.LoadExchange.Peers),
+			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
 }
@@ -127,7 +128,7 @@
 	r.initialise()
 	group, ctx := errgroup.WithContext(ctx)
 	if r.LoadExchange.Peers != nil {
-		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums, r.LoadExchange.Directory = r.localLoads, r.reportLoads, r.Directory
+		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums = r.localLoads, r.reportLoads
 		group.Go(func() error { return r.LoadExchange.Run(ctx) })
 	}
 	group.Go(func() error { return r.followUpdates(ctx) })
--- a/settings.go
+++ b/settings.go
@@ -105,6 +105,14 @@
 	SnapshotRecords int           // number of records between snapshots
 }
 
+// Seeds returns the voters of the first start if they were given as seeds.
+func (s ControlSettings) Seeds() []Voter {
+	if !s.UsesSeeds {
+		return nil
+	}
+	return s.Voters
+}
+
 // JournalSettings are the settings of the program journal.
 type JournalSettings struct {
 	Retention time.Duration // time for which ended programs are kept
