Keep the requests of all hosts within the limit that a replica names

Cause: a bound on a sum of which each host knows only its own part. The header was not read at all; keeping to it at each host alone would still send the number of hosts times the limit.

Change: before each attempt at a limited replica a host asks a control host for the permission (internal/front/permit, internal/fleet/grants). One control host answers for a replica, chosen alike by all; control hosts tell each other every 100 ms what they granted, so the limit also holds while hosts ask different ones. While none answers, a host uses half of its share. Hosts learn of limits from each other with the exchange of loads. What exceeds the limits goes to other replicas while the request is expected to end there in half of its time, else waits for a permission within its time, and is refused at once with a time to return if that would come too late.

--- a/interfaces.go
+++ b/interfaces.go
@@ -169,6 +169,9 @@
 type Choice struct {
 	Backend      netip.AddrPort
 	CachedTokens Tokens // expected part of the prompt in the server's cache
+	// ExpectedTime is the time that the call is expected to take on the server as it
+	// is loaded now; zero if unknown.
+	ExpectedTime time.Duration
 	Reason       string
 }
 
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -38,8 +38,10 @@
 	// Requests of an external platform: they run on the host that receives them,
 	// and turns and budgets are stored on the keepers' disks.
 	_ "zinniapond.example/zinniapond/internal/backend/listed"
+	_ "zinniapond.example/zinniapond/internal/fleet/grants"
 	_ "zinniapond.example/zinniapond/internal/fleet/limits"
 	_ "zinniapond.example/zinniapond/internal/fleet/loads"
+	_ "zinniapond.example/zinniapond/internal/front/permit"
 	_ "zinniapond.example/zinniapond/internal/front/runner"
 	_ "zinniapond.example/zinniapond/internal/turns/client"
 	_ "zinniapond.example/zinniapond/internal/turns/disks"
--- a/internal/fleet/limits/limits.go
+++ b/internal/fleet/limits/limits.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,6 +44,7 @@
 	Logger hclog.Logger
 
 	entries shard.Map[netip.AddrPort, entry]
+	count   atomic.Int64 // number of entries
 }
 
 // entry is the limit of one replica. The limit is in force while namedAt is not
@@ -109,17 +111,20 @@
 // ObserveAnswer records the limit in an answer.
 func (b *Book) ObserveAnswer(now time.Time, replica zinniapond.Backend, sentAt time.Time, rate zinniapond.RequestRate) {
 	if rate > 0 {
-		b.update(now, replica.Address, entry{id: replica.ID, rate: max(rate, minRate), namedAt: now, learnedAt: now}, "answer")
+		b.update(replica.Address, entry{id: replica.ID, rate: max(rate, minRate), namedAt: now, learnedAt: now}, "answer")
 		return
 	}
 	e, ok := b.entries.Get(replica.Address)
 	if ok && e.id == replica.ID && e.inForce() && sentAt.After(e.namedAt) {
-		b.update(now, replica.Address, entry{id: replica.ID, liftedAt: now, learnedAt: now}, "answer")
+		b.update(replica.Address, entry{id: replica.ID, liftedAt: now, learnedAt: now}, "answer")
 	}
 }
 
 // Rate returns the rate at which all hosts together may send requests to a replica.
 func (b *Book) Rate(now time.Time, replica netip.AddrPort, id string) (rate zinniapond.RequestRate, ok bool) {
+	if b.count.Load() == 0 {
+		return 0, false
+	}
 	e, ok := b.entries.Get(replica)
 	if !ok || e.id != id {
 		return 0, false
@@ -138,18 +143,20 @@
 			e.learnedAt = now
 		}
 		if now.Sub(e.endedAt()) < tombstoneTime {
-			b.update(now, r.Replica, e, "host")
+			b.update(r.Replica, e, "host")
 		}
 	}
 }
 
 // update merges an entry and logs a limit that begins, changes or ends.
-func (b *Book) update(now time.Time, replica netip.AddrPort, e entry, source string) {
+func (b *Book) update(replica netip.AddrPort, e entry, source string) {
 	var before, after entry
 	b.entries.Update(replica, func(values map[netip.AddrPort]entry) {
 		var known bool
 		if before, known = values[replica]; known {
 			e = before.merge(e)
+		} else {
+			b.count.Add(1)
 		}
 		after = e
 		values[replica] = e
@@ -185,16 +192,34 @@
 			return true
 		}
 		if wanted(e) {
-			r := zinniapond.LimitReport{Replica: replica, ID: e.id, Rate: e.rate, NamedAge: now.Sub(e.namedAt)}
-			if !e.liftedAt.IsZero() {
-				r.Lifted, r.LiftedAge = true, now.Sub(e.liftedAt)
-			}
-			list = append(list, r)
+			list = append(list, e.report(now, replica))
 		}
 		return true
 	})
 	for _, replica := range expired {
-		b.entries.Delete(replica)
+		b.entries.Update(replica, func(values map[netip.AddrPort]entry) {
+			if e, ok := values[replica]; ok && now.Sub(e.endedAt()) >= tombstoneTime {
+				delete(values, replica)
+				b.count.Add(-1)
+			}
+		})
 	}
 	return list
 }
+
+// Report returns the limit of one replica.
+func (b *Book) Report(now time.Time, replica netip.AddrPort) (report zinniapond.LimitReport, ok bool) {
+	e, ok := b.entries.Get(replica)
+	if !ok {
+		return zinniapond.LimitReport{}, false
+	}
+	return e.report(now, replica), true
+}
+
+func (e entry) report(now time.Time, replica netip.AddrPort) zinniapond.LimitReport {
+	r := zinniapond.LimitReport{Replica: replica, ID: e.id, Rate: e.rate, NamedAge: now.Sub(e.namedAt)}
+	if !e.liftedAt.IsZero() {
+		r.Lifted, r.LiftedAge = true, now.Sub(e.liftedAt)
+	}
+	return r
+}
--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -26,7 +26,7 @@
 		l := &Loads{Address: k.Settings.PeersAddress(), Logger: k.Logger.Named("loads"), Clock: k.Now}
 		l.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		mounter, err := kernel.Find[zinniapond.Mounter](k)
-		if err = errors.Join(err, kernel.FindInto(k, &l.Peers), kernel.FindInto(k, &l.ControlHosts.Directory)); err != nil {
+		if err = errors.Join(err, kernel.FindInto(k, &l.Peers), kernel.FindInto(k, &l.ControlHosts.Directory), kernel.FindInto(k, &l.Limits)); err != nil {
 			return nil, err
 		}
 		if err := mounter.Mount("Loads", l); err != nil {
@@ -45,6 +45,8 @@
 	// timePerEntry is the pause between two replies to a host for each replica in
 	// them: at 13 bytes an entry it bounds their traffic to 16 KB/s for each host.
 	timePerEntry = 800 * time.Microsecond
+	// limitEntries is the size of a limit in a reply, in entries of a load.
+	limitEntries = 5
 	// relayInterval is the time between two relayed sums.
 	relayInterval = 100 * time.Millisecond
 	// validPauses is the number of pauses for which a report is valid.
@@ -57,17 +59,21 @@
 	Address      netip.AddrPort // of this host
 	Peers        zinniapond.Peers
 	ControlHosts hosts.Chooser
+	Limits       zinniapond.LimitBook
 	Logger       hclog.Logger
 	Clock        func() time.Time
 
 	reports shard.Map[zinniapond.HostName, report] // of hosts that report to this one
 	relayed shard.Map[zinniapond.HostName, report] // sums of the other control hosts
-	entries atomic.Int64                           // number of replicas in the last reply
+	entries atomic.Int64                           // size of the last reply, in entries of a load
+	// relayedAt is the time of the last relay. It is used by Run only.
+	relayedAt time.Time
 }
 
 // report is the last report of a host.
 type report struct {
 	received time.Time
+	hosts    int // number of hosts that the report is about
 	loads    []zinniapond.Load
 }
 
@@ -88,16 +94,19 @@
 	}
 }
 
-// relay sends the sums of the reports to the other control hosts. It sends nothing
-// while no host reports to this one.
+// relay sends the sums of the reports and the limits that they contain to the other
+// control hosts. It sends nothing while no host reports to this one.
 func (l *Loads) relay(ctx context.Context) {
 	sums := make(map[netip.AddrPort]int)
-	if reporting, _ := l.addReports(l.Clock(), sums); reporting == 0 {
+	now := l.Clock()
+	reporting, _ := l.addReports(now, sums)
+	if reporting == 0 {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, relayInterval)
 	defer cancel()
-	request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(l.Address.String()), Loads: listLoads(sums), Relayed: true}
+	request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(l.Address.String()), Loads: listLoads(sums), Relayed: true, Hosts: reporting, Limits: l.Limits.News(now, l.relayedAt)}
+	l.relayedAt = now
 	var group sync.WaitGroup
 	for _, address := range l.ControlHosts.Addresses() {
 		if address == l.Address {
@@ -117,23 +126,24 @@
 // is empty.
 func (l *Loads) Exchange(request zinniapond.LoadsRequest, reply *zinniapond.LoadsReply) error {
 	now := l.Clock()
+	l.Limits.Merge(now, request.Limits, !request.Relayed)
 	if request.Relayed {
-		l.relayed.Set(request.Sender, report{now, request.Loads})
+		l.relayed.Set(request.Sender, report{now, request.Hosts, request.Loads})
 		return nil
 	}
-	l.reports.Set(request.Sender, report{now, request.Loads})
+	l.reports.Set(request.Sender, report{now, 1, request.Loads})
 	sums := make(map[netip.AddrPort]int)
-	_, reply.ReportInterval = l.addReports(now, sums)
-	addValid(&l.relayed, now, validPauses*relayInterval, sums)
-	reply.Loads = listLoads(sums)
-	l.entries.Store(int64(len(sums)))
+	reply.Hosts, reply.ReportInterval = l.addReports(now, sums)
+	reply.Hosts += addValid(&l.relayed, now, validPauses*relayInterval, sums)
+	reply.Loads, reply.Limits = listLoads(sums), l.Limits.All(now)
+	l.entries.Store(int64(len(sums) + limitEntries*len(reply.Limits)))
 	return nil
 }
 
 // addReports adds up the reports that are still valid and removes the others. It
-// returns the number of valid reports and the pause between reports that bounds
+// returns the number of reporting hosts and the pause between reports that bounds
 // their rate and the traffic of the replies.
-func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]int) (valid int, pause time.Duration) {
+func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]int) (hosts int, pause time.Duration) {
 	hostCount := 0
 	l.reports.Each(func(zinniapond.HostName, report) bool {
 		hostCount++
@@ -144,16 +154,16 @@
 }
 
 // addValid adds the reports that are at most maxAge old to sums, removes the others,
-// and returns the number of the remaining ones.
+// and returns the number of hosts that the remaining ones are about.
 func addValid(reports *shard.Map[zinniapond.HostName, report], now time.Time, maxAge time.Duration, sums map[netip.AddrPort]int) int {
-	valid := 0
+	hosts := 0
 	var expired []zinniapond.HostName
 	reports.Each(func(host zinniapond.HostName, r report) bool {
 		if now.Sub(r.received) > maxAge {
 			expired = append(expired, host)
 			return true
 		}
-		valid++
+		hosts += r.hosts
 		for _, load := range r.loads {
 			sums[load.Replica] += load.Count
 		}
@@ -162,7 +172,7 @@
 	for _, host := range expired {
 		reports.Delete(host)
 	}
-	return valid
+	return hosts
 }
 
 func listLoads(sums map[netip.AddrPort]int) []zinniapond.Load {
--- a/internal/front/report/report.go
+++ b/internal/front/report/report.go
@@ -24,7 +24,7 @@
 	exchangeTimeout = 250 * time.Millisecond
 )
 
-// LoadExchange exchanges the loads of replicas with a control host. The
+// LoadExchange exchanges the loads and limits of replicas with a control host. The
 // hosts spread over the control hosts by rendezvous hashing. Its exported fields are
 // set before Run.
 type LoadExchange struct {
@@ -33,13 +33,17 @@
 	// the sums over all hosts.
 	LocalLoads func() []zinniapond.Load
 	ApplySums  func(now time.Time, loads []zinniapond.Load)
+	// SetHostCount receives the number of hosts that exchange loads.
+	SetHostCount func(count int)
 
 	Peers        zinniapond.Peers
 	ControlHosts hosts.Chooser
+	Limits       zinniapond.LimitBook
 	Logger       hclog.Logger
 	Clock        func() time.Time
 
-	lastSucceeded bool // whether the last exchange succeeded
+	lastSucceeded bool      // whether the last exchange succeeded
+	reportedAt    time.Time // time of the last report that a control host has received
 }
 
 // Run exchanges loads until ctx is done.
@@ -58,14 +62,15 @@
 
 // exchange does one exchange and returns the interval until the next one.
 func (b *LoadExchange) exchange(ctx context.Context) time.Duration {
-	controlHost, ok := b.ControlHosts.Choose(b.Clock(), string(b.Host))
+	start := b.Clock()
+	controlHost, ok := b.ControlHosts.Choose(start, string(b.Host))
 	if !ok {
 		return defaultInterval
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply zinniapond.LoadsReply
-	request := zinniapond.LoadsRequest{Sender: b.Host, Loads: b.LocalLoads()}
+	request := zinniapond.LoadsRequest{Sender: b.Host, Loads: b.LocalLoads(), Limits: b.Limits.News(start, b.reportedAt)}
 	err := b.Peers.Call(callCtx, controlHost, "Loads.Exchange", request, &reply)
 	// Only changes between success and failure are logged, not each exchange.
 	if succeeded := err == nil; succeeded != b.lastSucceeded {
@@ -77,6 +82,9 @@
 	if err != nil {
 		return failureInterval
 	}
+	b.reportedAt = start
+	b.Limits.Merge(now, reply.Limits, false)
+	b.SetHostCount(reply.Hosts)
 	b.ApplySums(now, reply.Loads)
 	return max(reply.ReportInterval, defaultInterval/2)
 }
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -50,8 +50,14 @@
 		if ctx.Err() != nil || u.deadline.Sub(now) < replyMargin {
 			return u.deadlineError(lastErr)
 		}
-		replica, cached, ok := p.pickReplica(now, need)
-		if !ok {
+		replica, err := u.chooseReplica(ctx, p, need, waitUntil)
+		if ctx.Err() != nil {
+			return u.deadlineError(zinniapond.Join(lastErr, err))
+		}
+		if errors.Is(err, zinniapond.ErrOverload) && len(need.Exclude) == 0 {
+			return u.limitedError(zinniapond.Join(lastErr, err))
+		}
+		if err != nil {
 			// All replicas were tried. Those that were full may have capacity by
 			// now.
 			need.Exclude = nil
@@ -65,7 +71,7 @@
 			continue
 		}
 		var v verdict
-		v, lastErr = u.attempt(ctx, p, replica, cached, need)
+		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
 			return nil
@@ -142,19 +148,24 @@
 	return n
 }
 
-// pickReplica chooses a live replica, and returns how many tokens of the prompt it is
-// expected to have in its cache.
-func (p *pool) pickReplica(now time.Time, need zinniapond.PickInfo) (zinniapond.Backend, zinniapond.Tokens, bool) {
+// candidate is a replica that was picked for a request, with the reasons for the choice.
+type candidate struct {
+	zinniapond.Backend
+	choice zinniapond.Choice
+}
+
+// pickReplica picks a live replica for which allowed returns true.
+func (p *pool) pickReplica(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
 	replicas := *p.replicas.Load()
 	choice, ok := p.router.Pick(now, need, func(a netip.AddrPort) bool {
-		_, live := replicas[a]
-		return live
+		b, live := replicas[a]
+		return live && allowed(b)
 	})
 	if !ok {
-		return zinniapond.Backend{}, 0, false
+		return candidate{}, false
 	}
 	b, ok := replicas[choice.Backend]
-	return b, choice.CachedTokens, ok
+	return candidate{b, choice}, ok
 }
 
 // attempt sends the request to one replica and relays its answer to the client.
@@ -162,9 +173,6 @@
 	start := u.Clock()
 	u.replica = replica.Address
 	p.recordStart(start, replica.Address, need)
-	if _, limited := u.Limits.Rate(start, replica.Address, replica.ID); limited {
-		u.Stats.Add("front.limited", 1)
-	}
 	observation := zinniapond.Observation{Cancelled: true}
 	defer func() {
 		now := u.Clock()
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -51,6 +51,9 @@
 	possibleRuns int // number of attempts that may have run
 	answerBegun  bool
 	stream       stream
+	// limitTime is the time for which the request has waited for permissions of
+	// limited replicas.
+	limitTime time.Duration
 	// prepareTime is the time for preparing the turn, firstByteTime that from the
 	// receipt of the request to the first byte of the answer, and keepTime that for
 	// storing the turn.
@@ -257,13 +260,13 @@
 		if u.firstByteTime > u.route.TargetLatency {
 			u.Stats.Add("front.late", 1)
 			u.Logger.Info("served late", "id", u.request.ID, "program", u.request.Program, "route", name, "target", u.route.TargetLatency,
-				"restored", u.prepareTime, "first", u.firstByteTime, "kept", u.keepTime, "took", elapsed, "tried", u.attemptList())
+				"restored", u.prepareTime, "first", u.firstByteTime, "kept", u.keepTime, "limited", u.limitTime, "took", elapsed, "tried", u.attemptList())
 		}
 		return
 	}
 	u.Stats.Add("front.failed", 1)
 	u.Logger.Info("not served", "id", u.request.ID, "program", u.request.Program, "route", name, "version", u.version,
-		"restored", u.prepareTime, "took", elapsed, "tried", u.attemptList(), "begun", u.answerBegun, "error", err)
+		"restored", u.prepareTime, "limited", u.limitTime, "took", elapsed, "tried", u.attemptList(), "begun", u.answerBegun, "error", err)
 }
 
 func (u *run) attemptList() string {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -27,10 +27,10 @@
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Forwarder, error) {
 		r := &Runner{DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
-		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
+		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Throttle),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
@@ -46,6 +46,7 @@
 	Client     zinniapond.ReplicaClient
 	Urgency    zinniapond.Urgency
 	Limits     zinniapond.LimitBook
+	Throttle   zinniapond.Throttle
 	Stats      *stats.Set[string]
 	Meter      *meter.Meter
 	Logger     hclog.Logger
@@ -129,6 +130,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	if r.LoadExchange.Peers != nil {
 		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums = r.localLoads, r.reportLoads
+		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.Throttle.SetHostCount
 		group.Go(func() error { return r.LoadExchange.Run(ctx) })
 	}
 	group.Go(func() error { return r.followUpdates(ctx) })
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -136,7 +136,7 @@
 	}
 	random := xxhash.Sum64String(string(need.Call)) ^ r.Seed + uint64(len(need.Exclude))*0x9e3779b97f4a7c15
 	var buffer [sampleSize + maxHolders + 1]candidate
-	candidates := r.gatherCandidates(now, need, *eligible, random, buffer[:0])
+	candidates := r.gatherCandidates(now, need, *eligible, free, random, buffer[:0])
 	markEjected(candidates)
 	if need.Class > zinniapond.ClassInteractive && !r.hasUnreservedServer(candidates, free) {
 		return zinniapond.Choice{}, false
@@ -170,15 +170,17 @@
 		case best.ejected:
 			reason = "only slow servers are free"
 		}
-		return zinniapond.Choice{Backend: best.address, CachedTokens: best.cachedTokens, Reason: reason}, true
+		return zinniapond.Choice{
+			Backend: best.address, CachedTokens: best.cachedTokens, ExpectedTime: r.latency.expectedTime(need, best), Reason: reason,
+		}, true
 	}
 	return zinniapond.Choice{}, false
 }
 
 // gatherCandidates reads the state of the servers to compare: all servers of a
 // small pool; in a large one, the servers with a cached prefix, the server that
-// last prefilled the beginning of the prompt, and a random sample.
-func (r *Router) gatherCandidates(now time.Time, need zinniapond.PickInfo, eligible []*server, random uint64, candidates []candidate) []candidate {
+// last prefilled the beginning of the prompt, and a random sample of the free ones.
+func (r *Router) gatherCandidates(now time.Time, need zinniapond.PickInfo, eligible []*server, free func(netip.AddrPort) bool, random uint64, candidates []candidate) []candidate {
 	var buffer [maxHolders]cacheHit
 	hits := r.cacheIndex().find(need, buffer[:0])
 	appendCandidate := func(s *server, h *cacheHit) {
@@ -206,9 +208,14 @@
 		appendCandidate(s, nil)
 	}
 	count := uint64(len(eligible))
-	// Consecutive servers from a random start are a sample without repetitions.
-	for i := range uint64(sampleSize) {
+	// Consecutive free servers from a random start are a sample without repetitions.
+	sampled := 0
+	for i := uint64(0); i < count && sampled < sampleSize; i++ {
 		s := eligible[(random+i)%count]
+		if !free(s.address) {
+			continue
+		}
+		sampled++
 		if findHit(hits, s.address) == nil && s.address != need.PrefixBackend {
 			appendCandidate(s, nil)
 		}
--- a/internal/policy/prefix/speed.go
+++ b/internal/policy/prefix/speed.go
@@ -97,6 +97,18 @@
 	return prefill*max(1+min(load, slots), minPrefillWeight) + generation*(1+2*running+queueDelayFactor*waiting)
 }
 
+// expectedTime returns the time that a call is expected to take on a server: its time
+// without load, times the slowness of the server's recent answers, and the wait for the
+// calls in the server's queue.
+func (s *latencyModel) expectedTime(need zinniapond.PickInfo, o *candidate) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	uncached := float64(max(need.PromptTokens-o.cachedTokens, 0) + promptOverhead)
+	unloaded := s.prefillPerToken*uncached + s.decodePerToken*s.generatedShare*float64(need.MaxGenerated)
+	waiting := max(o.state.load-o.state.slots+1, 0) / o.state.slots
+	return time.Duration(unloaded * max(o.state.slowness, 1) * (1 + waiting))
+}
+
 func (s *latencyModel) estimate(need zinniapond.PickInfo, cached zinniapond.Tokens) time.Duration {
 	return time.Duration(s.expectedCost(need, cached, 0, defaultSlots))
 }
--- a/loads.go
+++ b/loads.go
@@ -18,6 +18,11 @@
 	// Relayed is set if the sender is a control host and Loads are the sums of the
 	// hosts that report to it.
 	Relayed bool `cbor:"r,omitempty"`
+	// Hosts is the number of hosts whose loads are in relayed sums.
+	Hosts int `cbor:"n,omitempty"`
+	// Limits are the limits of replicas that the sender has learned since its last
+	// report.
+	Limits []LimitReport `cbor:"m,omitempty"`
 }
 
 // LoadsReply contains the sum over all hosts with a recent report.
@@ -26,4 +31,8 @@
 	// ReportInterval is the time after which the host is to report its loads
 	// again.
 	ReportInterval time.Duration `cbor:"p"`
+	// Hosts is the number of hosts with a recent report.
+	Hosts int `cbor:"n,omitempty"`
+	// Limits are all limits that replicas name.
+	Limits []LimitReport `cbor:"m,omitempty"`
 }
