Take a second copy of a refusal for no other request's answer

Seen by other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran.

Here it could happen: the answer's id was compared for successes only, so the copy of a refusal counted as the refusal of the next request on the connection. An unsafe request was then answered 503, or ran at a second replica. And a request that all replicas had refused was sent on the connection of its first refusal again, where a copy cannot be told from the answer.

Change: a refusal counts only with the id of its request. The connection skips up to four answers to other requests and takes the right one after them, which also saves requests that ended with 502; it is closed afterwards. A request is not sent on a connection on which it was refused before.

--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,12 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes bounds the header of an answer with all interim answers before it.
 	maxHeadBytes = 64 << 10
+	// maxCopies and maxCopyBytes bound the late copies of other answers that are
+	// skipped before an answer, and the body of one.
+	maxCopies    = 4
+	maxCopyBytes = 1 << 20
+	// maxRefusedIDs is the number of refused requests that a connection remembers.
+	maxRefusedIDs = 16
 	// defaultIdleTimeout applies to replicas that do not announce their own idle
 	// timeout. A connection that the replica has closed is detected before its
 	// reuse.
@@ -50,6 +57,10 @@
 	MaxIdleNonRepeatable time.Duration
 	// OnDial is called for each new connection; may be nil.
 	OnDial func()
+	// IDField is the header field in which an answer has the id of its request. An
+	// answer with another id is a late copy and is skipped. Empty if answers have no
+	// id.
+	IDField string
 
 	replicas shard.Map[netip.AddrPort, *replicaConns]
 }
@@ -73,11 +84,16 @@
 	limiter       *headLimiter // source of reader
 	idleSince     time.Time
 	reusableUntil time.Time // the replica may close the connection after that
+	// refused has the ids of the last requests that were answered with an error. A
+	// copy of such an answer could not be told from the answer to the same request.
+	refused []string
 }
 
 // body is the body of an answer. It implements io.ReadCloser.
 type body struct {
 	answer           *http.Response
+	id               string        // of the request
+	copies           int           // number of late copies before the answer
 	decoded          io.ReadCloser // as net/http decodes it
 	connection       *connection
 	stopCancellation func() bool // stops closing the connection at the end of ctx
@@ -119,22 +135,21 @@
 // request is the encoded request, header and body. nonRepeatable limits the
 // idle time of a reused connection to MaxIdleNonRepeatable. The error wraps
 // ErrNotSent if no byte was written. The connection is closed if ctx ends
-// before the answer is read. The caller closes the answer's body.
-func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method string, nonRepeatable bool, request []byte) (*http.Response, error) {
-	l, err := p.acquire(ctx, now(), to, nonRepeatable)
+// before the answer is read. The caller closes the answer's body. id is the id of the
+// request; it may be empty if IDField is.
+func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method, id string, nonRepeatable bool, request []byte) (*http.Response, error) {
+	l, err := p.acquire(ctx, now(), to, id, nonRepeatable)
 	if err != nil {
 		return nil, zinniapond.Wrap("connect", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err))
 	}
-	b := &body{connection: l, now: now, ctx: ctx, writeResult: make(chan error, 1)}
+	b := &body{connection: l, id: id, now: now, ctx: ctx, writeResult: make(chan error, 1)}
 	b.stopCancellation = context.AfterFunc(ctx, func() { l.Close() })
 	go func() {
 		// An answer may arrive before the whole request is written.
 		_, err := l.Write(request)
 		b.writeResult <- err
 	}()
-	l.limiter.expectHead()
-	answer, err := readHead(l.reader, method)
-	l.limiter.expectBody()
+	answer, copies, err := p.readAnswer(l, method, id)
 	if err != nil {
 		b.stopCancellation()
 		l.Close()
@@ -143,11 +158,42 @@
 		}
 		return nil, zinniapond.Wrap("read answer", to, err)
 	}
+	b.copies = copies
 	b.answer, b.decoded, b.idleTimeout = answer, answer.Body, parseIdleTimeout(answer.Header.Get("Keep-Alive"))
 	answer.Body = b
 	return answer, nil
 }
 
+// readAnswer reads the header of the answer to a request and skips late copies of other
+// answers before it.
+func (p *Pool) readAnswer(l *connection, method, id string) (answer *http.Response, copies int, err error) {
+	for {
+		l.limiter.expectHead()
+		answer, err = readHead(l.reader, method)
+		l.limiter.expectBody()
+		if err != nil {
+			return nil, copies, err
+		}
+		other := ""
+		if p.IDField != "" {
+			other = answer.Header.Get(p.IDField)
+		}
+		if other == "" || other == id {
+			return answer, copies, nil
+		}
+		if copies++; copies > maxCopies {
+			return nil, copies, fmt.Errorf("more than %d answers to other requests", maxCopies)
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxCopyBytes))
+		if err == nil && n == maxCopyBytes {
+			err = fmt.Errorf("more than %d bytes", maxCopyBytes)
+		}
+		if err != nil {
+			return nil, copies, fmt.Errorf("skip answer to request %q: %w", other, err)
+		}
+	}
+}
+
 // readHead reads the header of the final answer and skips interim answers (1xx).
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
@@ -188,7 +234,11 @@
 	}
 	notCancelled := b.stopCancellation()
 	l := b.connection
-	if !notCancelled || !sent || !b.complete || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
+	if b.answer.StatusCode >= http.StatusBadRequest {
+		l.refused = append(l.refused, b.id)
+		l.refused = l.refused[max(len(l.refused)-maxRefusedIDs, 0):]
+	}
+	if !notCancelled || !sent || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
 		return l.Close()
 	}
@@ -224,7 +274,7 @@
 
 // acquire returns the most recently used idle connection if it is usable, or a
 // new one.
-func (p *Pool) acquire(ctx context.Context, now time.Time, to netip.AddrPort, nonRepeatable bool) (*connection, error) {
+func (p *Pool) acquire(ctx context.Context, now time.Time, to netip.AddrPort, id string, nonRepeatable bool) (*connection, error) {
 	r := p.replicas.GetOrCreate(to, func() *replicaConns { return new(replicaConns) })
 	for {
 		l := r.pop()
@@ -232,7 +282,7 @@
 			break
 		}
 		if now.Before(l.reusableUntil) && l.receivedNothing() {
-			if p.isUsable(now, l, nonRepeatable) {
+			if p.isUsable(now, l, nonRepeatable) && (id == "" || !slices.Contains(l.refused, id)) {
 				return l, nil
 			}
 			r.put(l)
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	a, err := p.Do(ctx, time.Now, s.address, http.MethodGet, true, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	a, err := p.Do(ctx, time.Now, s.address, http.MethodGet, "", true, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 	if err != nil {
 		return "", err
 	}
@@ -157,7 +157,7 @@
 	})
 	t.Run("guards against keeping a connection past the replica's idle timeout when the caller deletes header fields", func(t *testing.T) {
 		s, p := serve(t, respond("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok")), new(Pool)
-		a, err := p.Do(context.Background(), time.Now, s.address, http.MethodGet, false, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		a, err := p.Do(context.Background(), time.Now, s.address, http.MethodGet, "", false, []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 		assert.NoError(t, err)
 		a.Header.Del("Keep-Alive")
 		_, err = io.ReadAll(a.Body)
