Break a stream off when its rest is answered by an error

Here it could happen on resumable routes: an answer that is not a stream was relayed as a whole answer of its own, status and body after the events that were sent, and the connection then ended as complete. A replica that began the stream anew instead of resuming it repeated the first events.

Change: once a stream has begun only a stream of the same status continues it, and only with events that follow the last one; else another replica is tried within the route's attempts, and then the connection is broken off.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -210,6 +210,10 @@
 		return verdictMayHaveRun, fmt.Errorf("replica %s: answer with status %d is not its own: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
 	observation.TimeToFirstByte = u.Clock().Sub(start)
+	if u.answerBegun && (!answer.IsStream || answer.Status != u.stream.status) {
+		observation = zinniapond.Observation{Failed: true}
+		return verdictMayHaveRun, fmt.Errorf("replica %s: status %d in place of the rest of a stream: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
+	}
 	if answer.IsStream {
 		v, err = u.relayStream(ctx, answer, &observation, start)
 	} else {
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -149,6 +149,28 @@
 		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
 		assert.Equal(t, len(w.sent), 1)
 	})
+	for name, second := range map[string]reply{
+		"an error":                    answersWith(500, "HTTP/1.1 500 failed\r\n\r\nfailed", false, nil),
+		"an error of its status":      answersWith(200, "failed", false, nil),
+		"an error that breaks off":    answersWith(500, "fai", false, errBroken),
+		"a stream of an error":        answersWith(500, "id: 2\ndata: failed\n\n", true, nil),
+		"a stream from its beginning": answersWith(200, wholeText, true, nil),
+		"a refusal":                   refusesRequest,
+	} {
+		t.Run("guards against "+name+" in the middle of a stream that broke off", func(t *testing.T) {
+			w := newTestRunner(t, resumable, answersWith(200, first+"id: 2\nda", true, errBroken), second)
+			to := w.forward(zinniapond.Request{SessionID: "s"})
+			assert.Equal(t, to.status, 200)
+			assert.Equal(t, to.body.String(), first)
+			assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
+		})
+	}
+	t.Run("guards against giving up a broken stream when a replica refuses to resume it", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, first, true, errBroken), refusesRequest, answersWith(200, "id: 2\ndata: two\n\n", true, nil))
+		to := w.forward(zinniapond.Request{SessionID: "s"})
+		assert.Equal(t, to.body.String(), wholeText)
+		assert.True(t, to.ended, "the stream is broken off")
+	})
 	t.Run("guards against duplicate or missing events in a resumed stream", func(t *testing.T) {
 		w := newTestRunner(t, resumable, answersWith(200, first+"id: 2\nda", true, errBroken), answersWith(200, "id: 2\ndata: two\n\n", true, nil))
 		to := w.forward(zinniapond.Request{SessionID: "s"})
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -13,11 +14,14 @@
 
 // stream is the progress of relaying a stream of events.
 type stream struct {
-	lastID    string // id of the last complete event
-	events    int
-	output    []byte // data of the events, for a retained turn
-	generated zinniapond.Tokens
-	status    int
+	lastID string // id of the last complete event
+	// resumedAfter is the id of the last event from earlier replicas; empty if there
+	// is none, or once an event has followed it.
+	resumedAfter string
+	events       int
+	output       []byte // data of the events, for a retained turn
+	generated    zinniapond.Tokens
+	status       int
 }
 
 const (
@@ -46,9 +50,8 @@
 		if err := u.responder.Begin(answer.Status, answer.Fields, -1); err != nil {
 			return verdictFailed, err
 		}
-	} else if answer.Status != u.stream.status {
-		return verdictMayHaveRun, fmt.Errorf("resumed stream has status %d: %w", answer.Status, zinniapond.ErrBackendFailed)
 	}
+	u.stream.resumedAfter = u.stream.lastID
 	var parser events.Parser
 	buffer := make([]byte, streamReadSize)
 	beforeFirstByte := true
@@ -94,7 +97,10 @@
 		}
 		id, text, hasData := events.Fields(raw)
 		if id != "" {
-			u.stream.lastID = id
+			if !isLater(id, u.stream.resumedAfter) {
+				return fmt.Errorf("stream resumed after event %s begins with event %s: %w", u.stream.resumedAfter, id, zinniapond.ErrBackendFailed)
+			}
+			u.stream.lastID, u.stream.resumedAfter = id, ""
 		}
 		if hasData {
 			u.stream.events++
@@ -118,6 +124,14 @@
 	return tooLarge
 }
 
+// isLater reports whether an event may follow the event with id last. Ids that are not
+// numbers have no order.
+func isLater(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	return errA != nil || errB != nil || a > b
+}
+
 // finishStream stores a retained turn and ends the stream.
 func (u *run) finishStream(ctx context.Context) (verdict, error) {
 	if u.route.Retained && u.request.Program != "" && u.stream.status < 300 {
