Keep a replica that says it leaves out of use for as long as it is listed

Cause of the gap: the header was not read. Only a refusal that closed its connection counted as a sign of leaving, for one minute; after it the replica was used again if the list still showed it as live.

Change: the statement is kept by the replica's id (Roster.MarkLeaving) until the list has shown it as live for 10 s after it had shown it as leaving, or has not had it for 10 minutes. The old sign stays a suspicion of one minute.

--- a/interfaces.go
+++ b/interfaces.go
@@ -347,6 +347,11 @@
 	// SetState records the state that a server has reported of itself, in
 	// particular that it is leaving.
 	SetState(now time.Time, server netip.AddrPort, state BackendState)
+	// MarkLeaving records that a server has said in an answer that it is leaving.
+	// Unlike a state set by SetState, this holds for as long as the server is listed
+	// under its id, unless the list shows it as live again after it has shown it as
+	// leaving.
+	MarkLeaving(now time.Time, server Backend)
 	// Changed returns a channel that is closed at the next change of Backends.
 	Changed() <-chan struct{}
 }
--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -43,9 +43,16 @@
 	// staleRefreshes is the age of the control state, in refresh intervals, after
 	// which a host reads the list directly.
 	staleRefreshes = 2
-	// markDuration is how long a replica's own report that it is leaving
-	// overrides the list.
+	// markDuration is how long the suspicion that a replica is leaving overrides
+	// the list.
 	markDuration = time.Minute
+	// returnTime is how long the list has to show a replica as live after it was
+	// leaving until it is used again. Lists that are read at different hosts may
+	// alternate for seconds.
+	returnTime = 10 * time.Second
+	// forgetTime is how long a replica's own statement is kept after the list last
+	// had it.
+	forgetTime = 10 * time.Minute
 )
 
 // Roster is the list as this host has it. Its exported fields are set before
@@ -61,18 +68,45 @@
 	once              sync.Once
 	mu                sync.Mutex
 	list              []zinniapond.Backend // never changed once set
-	leavingReportedAt map[string]time.Time // by replica id
-	published         []zinniapond.Backend // list with the states of leavingReportedAt
+	leavingReportedAt map[string]time.Time // suspicions, by replica id
+	stated            map[string]statement // by replica id
+	published         []zinniapond.Backend // list with leavingReportedAt and stated
 	changed           chan struct{}
 	readsDirectly     bool // the control state is stale
 	readFailed        bool // the last read of the list failed
 }
 
+// statement is a replica's own statement that it is leaving.
+type statement struct {
+	listedAt      time.Time // when the list last had the replica
+	listedLeaving bool      // the list has shown it as leaving
+	liveSince     time.Time // since when the list shows it as live after that; zero if it does not
+}
+
+// follow returns the statement with the state that the list shows now.
+func (m statement) follow(now time.Time, state zinniapond.BackendState) statement {
+	m.listedAt = now
+	switch {
+	case state == zinniapond.BackendLeaving:
+		m.listedLeaving, m.liveSince = true, time.Time{}
+	case m.listedLeaving && m.liveSince.IsZero():
+		m.liveSince = now
+	}
+	return m
+}
+
+// isOver reports whether the replica has returned or was forgotten by the list.
+func (m statement) isOver(now time.Time) bool {
+	return !m.liveSince.IsZero() && now.Sub(m.liveSince) >= returnTime || now.Sub(m.listedAt) >= forgetTime
+}
+
 // Role returns the role that the plug-in belongs to.
 func (r *Roster) Role() zinniapond.Role { return zinniapond.RoleOperators }
 
 func (r *Roster) initState() {
-	r.once.Do(func() { r.changed, r.leavingReportedAt = make(chan struct{}), make(map[string]time.Time) })
+	r.once.Do(func() {
+		r.changed, r.leavingReportedAt, r.stated = make(chan struct{}), make(map[string]time.Time), make(map[string]statement)
+	})
 }
 
 // Backends returns the replicas of the list; those that have recently reported
@@ -106,12 +140,30 @@
 	r.publish(now)
 }
 
+// MarkLeaving records that a replica has said in an answer that it is leaving.
+func (r *Roster) MarkLeaving(now time.Time, server zinniapond.Backend) {
+	r.initState()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.stated[server.ID]; ok {
+		return
+	}
+	r.Logger.Info("replica says that it is leaving", "replica", server.Address, "id", server.ID)
+	r.stated[server.ID] = statement{listedAt: now}
+	r.publish(now)
+}
+
 // publish combines the list with the replicas' own reports and, if the result has
 // changed, closes the channel of Changed. The caller holds the lock.
 func (r *Roster) publish(now time.Time) {
 	marked := slices.Clone(r.list)
 	for i := range marked {
-		if at, ok := r.leavingReportedAt[marked[i].ID]; ok && now.Sub(at) < markDuration {
+		id, listed := marked[i].ID, marked[i].State
+		if at, ok := r.leavingReportedAt[id]; ok && now.Sub(at) < markDuration {
+			marked[i].State = zinniapond.BackendLeaving
+		}
+		if m, ok := r.stated[id]; ok {
+			r.stated[id] = m.follow(now, listed)
 			marked[i].State = zinniapond.BackendLeaving
 		}
 	}
@@ -123,6 +175,19 @@
 	r.changed = make(chan struct{})
 }
 
+// refresh publishes the list again, as statements of replicas end with time.
+func (r *Roster) refresh(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.publish(now)
+	for id, m := range r.stated {
+		if m.isOver(now) {
+			delete(r.stated, id)
+		}
+	}
+	r.publish(now)
+}
+
 func (r *Roster) apply(now time.Time, list []zinniapond.Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,6 +218,7 @@
 		case <-changed:
 		case <-timer.C:
 			r.readIfResponsible(ctx)
+			r.refresh(r.Clock())
 			timer.Reset(refresh)
 		}
 	}
--- a/internal/backend/roster/roster.go
+++ b/internal/backend/roster/roster.go
@@ -200,6 +200,12 @@
 	r.publish(now)
 }
 
+// MarkLeaving records that a server has said that it is leaving. It says so again in
+// each answer, so the report is kept like those of SetState.
+func (r *Roster) MarkLeaving(now time.Time, server zinniapond.Backend) {
+	r.SetState(now, server.Address, zinniapond.BackendLeaving)
+}
+
 // publish drops expired reports, combines the list with the remaining ones and,
 // if the result has changed, closes the channel of Changed. The caller holds the
 // lock.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -195,6 +195,9 @@
 		return verdictMayHaveRun, err
 	}
 	defer func() { _ = answer.Body.Close() }() // a broken connection is closed in any case
+	if answer.Leaving {
+		u.Roster.MarkLeaving(u.Clock(), replica)
+	}
 	if answer.RequestLimit > 0 || answer.Verified {
 		u.Limits.ObserveAnswer(u.Clock(), replica, start, answer.RequestLimit)
 	}
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -41,6 +41,10 @@
 	w.marked = append(w.marked, a)
 }
 
+func (w *testRunner) MarkLeaving(_ time.Time, b zinniapond.Backend) {
+	w.marked = append(w.marked, b.Address)
+}
+
 // Send answers with the next reply; the last one is repeated.
 func (w *testRunner) Send(_ context.Context, _ time.Time, s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
 	n := min(len(w.sent), len(w.replies)-1)
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -79,6 +79,16 @@
 			assert.Equal(t, s.Replica.ID, "b")
 		}
 	})
+	t.Run("guards against new requests to a replica whose answer says that it leaves", func(t *testing.T) {
+		leaving := func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			r, err := whole(s)
+			r.Leaving = true
+			return r, err
+		}
+		w := newTestRunner(t, unsafe, leaving)
+		w.forward(zinniapond.Request{})
+		assert.Equal(t, w.marked, []netip.AddrPort{w.sent[0].Replica.Address})
+	})
 	t.Run("guards against an answer for a path without a route", func(t *testing.T) {
 		w := newTestRunner(t, safe, whole)
 		to := new(recorder)
--- a/internal/program/owner/fakes_test.go
+++ b/internal/program/owner/fakes_test.go
@@ -261,6 +261,8 @@
 func (s *stubs) Backends() []zinniapond.Backend                              { return s.servers }
 func (s *stubs) Changed() <-chan struct{}                                    { return s.changed }
 
+func (s *stubs) MarkLeaving(time.Time, zinniapond.Backend) {}
+
 func (s *stubs) SetState(_ time.Time, server netip.AddrPort, _ zinniapond.BackendState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/request.go
+++ b/request.go
@@ -113,6 +113,8 @@
 	// RequestLimit is the rate at which the replica accepts requests from all hosts
 	// together; zero if the answer names no limit.
 	RequestLimit RequestRate
+	// Leaving is set if the replica says that it is leaving.
+	Leaving bool
 	// ClosesConnection is set if the replica closes the connection after the
 	// answer.
 	ClosesConnection bool
