--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -152,6 +152,20 @@
 		w.forward(turn)
 		assert.Equal(t, w.turns.settled[0].Used, zinniapond.Tokens(10))
 	})
+	t.Run("guards against a stream without length that looks complete though it ends within an event", func(t *testing.T) {
+		for _, rest := range []string{"id: 2", "id: 2\ndata: tw", "id: 2\ndata: two\n"} {
+			w := newTestRunner(t, kept, answersWith(200, first+rest, true, nil))
+			to := w.forward(turn)
+			assert.Equal(t, to.body.String(), first)
+			assert.True(t, to.aborted && !to.ended, "the stream ends as complete after %q", rest)
+			assert.Equal(t, len(w.turns.kept), 0)
+		}
+	})
+	t.Run("guards against breaking off a stream without length that ends after an event", func(t *testing.T) {
+		w := newTestRunner(t, kept, answersWith(200, wholeText, true, nil))
+		to := w.forward(turn)
+		assert.True(t, to.ended && to.body.String() == wholeText, "body %q", to.body.String())
+	})
 	t.Run("guards against a broken stream that looks complete", func(t *testing.T) {
 		w := newTestRunner(t, kept, answersWith(200, first+"id: 2\nda", true, errBroken))
 		to := w.forward(turn)
