Name the leader to an observer on the leader's own host

Cause: a voter that names the leader leaves it out if the asker has the leader's name, as a leader that asks another voter is none any more. The observer on that host has the same name. After a start it knows the seeds only; if the elected host is not one of them, no one ever tells it. Then the leader's host does not know that it leads, and nobody reads the replica list for all.

Evidence: with failed fetches logged, the leader's host asked the three seeds every 50 ms and got "not the control leader" from each; no host logged a changed list.

Change: only a voter, which sends its disk, is left without the name.

--- a/internal/quorum/raft/core_test.go
+++ b/internal/quorum/raft/core_test.go
@@ -116,6 +116,15 @@
 		}
 		assert.Equal(t, c.Term(), 1)
 	})
+	t.Run("guards against an observer that never finds the leader as it runs on the leader's host", func(t *testing.T) {
+		c := newCore(1)
+		request := zinniapond.FetchRequest{Sender: "a", Disk: "first", Term: 1, NextIndex: 1}
+		assert.NoError(t, c.HandleFetchReply(begin, "b", request, zinniapond.FetchReply{Term: 1, Leader: "b", Accepted: true}))
+		reply, _ := c.HandleFetch(begin, begin, zinniapond.FetchRequest{Sender: "b", Term: 1, NextIndex: 1})
+		assert.Equal(t, reply.Leader, "b")
+		reply, _ = c.HandleFetch(begin, begin, zinniapond.FetchRequest{Sender: "b", Disk: "first", Term: 1, NextIndex: 1})
+		assert.Equal(t, reply.Leader, "") // a voter that asks another one is no leader
+	})
 	t.Run("guards against a second vote after a restart", func(t *testing.T) {
 		c := newCore(2)
 		assert.Equal(t, c.HandleVote(afterContact, voteRequest("b", 2)).Granted, true)
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -177,8 +177,10 @@
 	waitOver := !now.Before(arrived.Add(request.MaxWait))
 	if !c.IsLeader(now) {
 		// Followers name only a leader that replied to them: otherwise two
-		// followers would keep naming a failed leader to each other.
-		leaderKnown := c.role != leader && c.hasLiveLeader(now) && c.leaderName != request.Sender
+		// followers would keep naming a failed leader to each other. A voter that
+		// asks is no leader; an observer without a disk may run on the leader's host.
+		leaderAsks := c.leaderName == request.Sender && request.Disk != ""
+		leaderKnown := c.role != leader && c.hasLiveLeader(now) && !leaderAsks
 		reply := zinniapond.FetchReply{Term: c.term}
 		if leaderKnown {
 			reply.Leader = c.leaderName
