Bound the text of an error about a malformed header

Cause: net/http repeats the malformed line of an answer in its error, and the header may have 64 KB, so that one faulty replica wrote lines of 64 KB to the log of every request.

Test: links TestErrorText failed before (an error of 41,021 bytes).

--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -35,6 +35,8 @@
 	// skipped before an answer, and the body of one.
 	maxCopies    = 4
 	maxCopyBytes = 1 << 20
+	// maxErrorBytes bounds the text of an error about a header.
+	maxErrorBytes = 200
 	// maxRefusedIDs is the number of refused requests that a connection remembers.
 	maxRefusedIDs = 16
 	// defaultIdleTimeout applies to replicas that do not announce their own idle
@@ -199,7 +201,7 @@
 	for {
 		answer, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, shorten(err)
 		}
 		if answer.StatusCode >= http.StatusOK {
 			return answer, nil
@@ -207,6 +209,15 @@
 	}
 }
 
+// shorten bounds the text of an error. net/http repeats a malformed line, which may have
+// maxHeadBytes.
+func shorten(err error) error {
+	if len(err.Error()) <= maxErrorBytes {
+		return err
+	}
+	return fmt.Errorf("%.*q...", maxErrorBytes, err.Error())
+}
+
 // Read reads the body. It returns io.EOF at the end of a complete body only.
 func (b *body) Read(part []byte) (int, error) {
 	n, err := b.decoded.Read(part)
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -186,6 +186,21 @@
 	})
 }
 
+func TestErrorText(t *testing.T) {
+	t.Run("guards against an error that repeats a line without end in the log", func(t *testing.T) {
+		for _, line := range []string{strings.Repeat("x", 40<<10) + "\r\n", "HTTP/1.1 200 OK\r\n" + strings.Repeat("y", 40<<10) + "\r\n\r\n"} {
+			s := serve(t, func(c net.Conn, _ int64) {
+				_, _ = io.WriteString(c, line)
+				_ = c.Close()
+			})
+			_, err := get(t, new(Pool), s)
+			assert.True(t, err != nil, "no error")
+			assert.True(t, len(err.Error()) < 500, "an error of %d bytes", len(err.Error()))
+			assert.Contains(t, err.Error(), "malformed")
+		}
+	})
+}
+
 func TestIdleTime(t *testing.T) {
 	for value, want := range map[string]time.Duration{
 		"": defaultIdleTimeout, "timeout=5": 4 * time.Second, "max=3, timeout=1": 500 * time.Millisecond, "timeout=x": defaultIdleTimeout,
