Bound an answer without a length

Heads, events and turns were bounded; the body of an answer that is neither a stream nor has a length was relayed until the deadline, at whatever rate the replica sent it.

Change: such an answer is broken off after 64 MiB, so that it cannot look complete.

Test: front TestAttempts "relaying bytes without end" did not end within 60 s before. Memory was flat already, as the body is relayed in parts of 32 KiB.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -22,6 +22,9 @@
 	// its status is sent to the client. If such an answer breaks off, the request
 	// can still be refused or sent again.
 	maxBufferedBytes = 1 << 20
+	// maxAnswerBytes bounds an answer without a length. A faulty replica may send
+	// bytes until its connection is closed.
+	maxAnswerBytes = 64 << 20
 )
 
 // verdict is the result of an attempt; it determines whether another replica is
@@ -290,7 +293,11 @@
 		return verdictFailed, err
 	}
 	buffer := make([]byte, 32<<10)
+	relayed := int64(0)
 	for {
+		if relayed += int64(len(head)); answer.Length < 0 && relayed > maxAnswerBytes {
+			return verdictFailed, fmt.Errorf("answer of more than %d bytes: %w", maxAnswerBytes, zinniapond.ErrBackendFailed)
+		}
 		if err := u.responder.Write(head); err != nil {
 			return verdictFailed, err
 		}
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -159,6 +159,22 @@
 	return nil
 }
 
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// counter is a responder that counts the bytes of the answer.
+type counter struct {
+	recorder
+	written int64
+}
+
+func (c *counter) Write(p []byte) error {
+	c.written += int64(len(p))
+	return nil
+}
+
 // newTestRunner returns a runner with three replicas and one route.
 func newTestRunner(t *testing.T, route zinniapond.Route, replies ...reply) *testRunner {
 	t.Helper()
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -89,6 +89,16 @@
 		w.forward(zinniapond.Request{})
 		assert.Equal(t, w.marked, []netip.AddrPort{w.sent[0].Replica.Address})
 	})
+	t.Run("guards against relaying bytes without end", func(t *testing.T) {
+		w := newTestRunner(t, safe, func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			return &zinniapond.ReplicaAnswer{Status: 200, Length: -1, Verified: true, Body: &body{endless{}, nil}}, nil
+		})
+		to := new(counter)
+		request := zinniapond.Request{ID: "id", Host: "h", Path: "/r/x", ReceivedAt: time.Now(), ClientTimeout: 10 * time.Second}
+		w.Forward(t.Context(), time.Now(), request, to)
+		assert.True(t, to.aborted && !to.ended, "the answer ends as complete")
+		assert.True(t, to.written <= maxAnswerBytes, "%d bytes relayed", to.written)
+	})
 	t.Run("guards against an answer for a path without a route", func(t *testing.T) {
 		w := newTestRunner(t, safe, whole)
 		to := new(recorder)
