--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -215,7 +215,7 @@
 	if len(err.Error()) <= maxErrorBytes {
 		return err
 	}
-	return fmt.Errorf("%.*q...", maxErrorBytes, err.Error())
+	return fmt.Errorf("%.*q (shortened)", maxErrorBytes, err.Error())
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body only.
--- a/internal/fleet/grants/grants.go
+++ b/internal/fleet/grants/grants.go
@@ -70,9 +70,9 @@
 	others map[netip.AddrPort]uint64
 }
 
-// book moves next by a number of requests. Time that has passed without requests is
+// advance moves next by a number of requests. Time that has passed without requests is
 // kept up to savedTime.
-func (b *bucket) book(now time.Time, rate zinniapond.RequestRate, count uint64) {
+func (b *bucket) advance(now time.Time, rate zinniapond.RequestRate, count uint64) {
 	b.next = b.earliest(now).Add(time.Duration(float64(count) / float64(rate) * float64(time.Second)))
 }
 
@@ -83,7 +83,7 @@
 	return b.next
 }
 
-// take books one request unless it would have to wait for longer than maxWait. It
+// take grants one request unless it would have to wait for longer than maxWait. It
 // returns the wait in both cases, negative if the permission has been available.
 func (b *bucket) take(now time.Time, rate zinniapond.RequestRate, maxWait time.Duration) (wait time.Duration, ok bool) {
 	b.mu.Lock()
@@ -92,15 +92,15 @@
 	if wait > maxWait {
 		return wait, false
 	}
-	b.book(now, rate, 1)
+	b.advance(now, rate, 1)
 	b.granted++
 	return wait, true
 }
 
-// bookOthers books what another control host has granted. count is the sum of its
+// addOthers counts what another control host has granted. count is the sum of its
 // grants. The first message of a host counts as one grant: how many of the others
 // are recent is not known.
-func (b *bucket) bookOthers(now time.Time, rate zinniapond.RequestRate, sender netip.AddrPort, count uint64) {
+func (b *bucket) addOthers(now time.Time, rate zinniapond.RequestRate, sender netip.AddrPort, count uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.others[sender]
@@ -114,7 +114,7 @@
 		b.others = make(map[netip.AddrPort]uint64)
 	}
 	b.others[sender] = count
-	b.book(now, rate, count-known)
+	b.advance(now, rate, count-known)
 }
 
 // unrelayed returns the number of grants if there are any since the last call.
@@ -166,12 +166,12 @@
 	return nil
 }
 
-// Relay books what another control host has granted.
+// Relay counts what another control host has granted.
 func (g *Granter) Relay(request zinniapond.GrantsRequest, _ *zinniapond.GrantsReply) error {
 	now := g.Clock()
 	for _, c := range request.Grants {
 		if rate, limited := g.Limits.Rate(now, c.Replica, c.ID); limited && c.Count > 0 {
-			g.bucket(now, c.Replica, c.ID).bookOthers(now, rate, request.Sender, c.Count)
+			g.bucket(now, c.Replica, c.ID).addOthers(now, rate, request.Sender, c.Count)
 		}
 	}
 	return nil
--- a/internal/front/permit/permit.go
+++ b/internal/front/permit/permit.go
@@ -95,7 +95,7 @@
 	r.nextShare = time.Time{}
 }
 
-// takeShare books one request of this host's share. The first one waits for a whole
+// takeShare grants one request of this host's share. The first one waits for a whole
 // interval, as many hosts may lose the control hosts at once.
 func (r *replica) takeShare(now time.Time, interval, maxWait time.Duration) (wait time.Duration, ok bool) {
 	r.mu.Lock()
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -58,7 +58,7 @@
 			return u.deadlineError(zinniapond.Join(lastErr, err))
 		}
 		if errors.Is(err, zinniapond.ErrOverload) && len(need.Exclude) == 0 {
-			return u.limitedError(zinniapond.Join(lastErr, err))
+			return u.overLimitError(zinniapond.Join(lastErr, err))
 		}
 		if err != nil {
 			// All replicas were tried. Those that were full may have capacity by
--- a/internal/front/runner/choose.go
+++ b/internal/front/runner/choose.go
@@ -157,8 +157,8 @@
 	return &zinniapond.Error{Step: "wait for a limited replica", RetryAfter: after + rand.N(after), Err: zinniapond.ErrOverload}
 }
 
-// limitedError returns the error for a request that exceeds the limits of the replicas.
-func (u *run) limitedError(err error) error {
+// overLimitError returns the error for a request that exceeds the limits of the replicas.
+func (u *run) overLimitError(err error) error {
 	if u.possibleRuns > 0 {
 		return u.outcomeUnknownError(err)
 	}
