--- a/internal/fleet/grants/grants_test.go
+++ b/internal/fleet/grants/grants_test.go
@@ -213,3 +213,18 @@
 		assert.Equal(t, g.buckets.Len(), 0)
 	})
 }
+
+// BenchmarkAcquire measures one permission at the size to design for, with all of 600
+// replicas limited.
+func BenchmarkAcquire(b *testing.B) {
+	q := newQuorum(hostA)
+	g := q.hosts[netip.MustParseAddrPort(hostA)]
+	for i := 0; b.Loop(); i++ {
+		q.now = q.now.Add(time.Millisecond)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i % 600 >> 8), byte(i % 600)}), 80)
+		request := zinniapond.PermitRequest{Limit: zinniapond.LimitReport{Replica: address, ID: "i-1", Rate: 4}}
+		if err := g.Acquire(request, new(zinniapond.PermitReply)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
