--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -1,11 +1,11 @@
 package main
 
-// startDeployment starts a small deployment with three machines of each class, and the
-// given replicas of the model pool and of the plain service.
+// startDeployment starts the machines of the sheet of rennbach-fass, and the given numbers
+// of replicas of the model pool and of the plain service.
 func (w *world) startDeployment(configuration string, pool, app int) error {
-	w.addMachines("core", 3)
-	w.addMachines("storage", 3)
-	w.addMachines("front", 3)
+	w.addMachines("core", 5)
+	w.addMachines("storage", 4)
+	w.addMachines("front", 7)
 	if err := w.provider.addReplicas("pool", pool, 64); err != nil {
 		return err
 	}
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -63,8 +63,8 @@
 	time.Sleep(4 * time.Second)
 	var group sync.WaitGroup
 	var served, failed atomic.Int64
-	for n := range 20 * ordersAtOnce {
-		m := w.class("front")[n/ordersAtOnce%3]
+	for n := range 21 * ordersAtOnce {
+		m := w.class("front")[n/ordersAtOnce%7]
 		group.Go(func() {
 			q := request{method: http.MethodPost, path: "/dero117/wait/50", body: fmt.Sprint("order ", n), timeout: 2 * time.Second}
 			a := w.attempt(m, q)
--- a/review/standin/program.go
+++ b/review/standin/program.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bufio"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -26,3 +29,33 @@
 	}
 	return request{method: http.MethodPost, path: "/pufi791/4b", fields: fields, body: input, timeout: 4 * time.Second}
 }
+
+// readEvents sends a turn and returns the data of the events that arrive. The error is
+// nil if the stream ends as it has to.
+func (w *world) readEvents(m *machine, id string, q request) ([]string, error) {
+	c, err := dial(m)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	_ = c.conn.SetDeadline(time.Now().Add(q.timeout))
+	if _, err := c.conn.Write(encode(id, q)); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: q.method})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", r.StatusCode)
+	}
+	var output []string
+	lines := bufio.NewScanner(r.Body)
+	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			output = append(output, data)
+		}
+	}
+	return output, lines.Err()
+}
--- a/review/standin/provider.go
+++ b/review/standin/provider.go
@@ -22,14 +22,20 @@
 	replicas []*replica
 	foreign  []any // entries of another writer
 	eventGap time.Duration
-	runs     map[string][]execution
+	// spoilAfter is the number of events after which a replica spoils the stream of an
+	// attempt, by the id of the attempt. It goes on working then, whatever happens to
+	// the channel.
+	spoilAfter map[string]int
+	runs       map[string][]execution
 }
 
 // execution is one request on which a replica has begun to work.
 type execution struct {
 	replica string
 	body    string
+	resumes string // Last-Event-Id of the request
 	at      time.Time
+	ended   time.Time // zero while the replica works on it
 }
 
 // replica is the stand-in for one replica.
@@ -37,16 +43,18 @@
 	provider          *provider
 	id, service, zone string
 	address           string
-	slots             int
+	slots, queue      int
 	server            *http.Server
 	running           atomic.Int64
+	// places has an element for each request that runs; the others are queued.
+	places chan struct{}
 }
 
 // tokensPerEvent is the number of tokens for which an event counts.
 const tokensPerEvent = 16
 
 func newProvider(w *world) (*provider, error) {
-	p := &provider{world: w, runs: make(map[string][]execution), eventGap: 20 * time.Millisecond}
+	p := &provider{world: w, runs: make(map[string][]execution), eventGap: 20 * time.Millisecond, spoilAfter: make(map[string]int)}
 	l, err := net.Listen("tcp", w.address(2)+":0")
 	if err != nil {
 		return nil, err
@@ -67,7 +75,7 @@
 		}
 		r := &replica{
 			provider: p, id: fmt.Sprintf("i-%s-%d", service, number+1), service: service,
-			zone: zones[number%len(zones)], address: l.Addr().String(), slots: slots,
+			zone: zones[number%len(zones)], address: l.Addr().String(), slots: slots, queue: 3 * slots, places: make(chan struct{}, slots),
 		}
 		r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 		go func() { _ = r.server.Serve(l) }()
@@ -87,7 +95,7 @@
 			"id": r.id, "service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots,
 			"state": "ready", "coldRemainingMs": 0, "stage": "both", "models": []any{},
 		}
-		if r.service == "pool" {
+		if r.isModel() {
 			entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 		}
 		entries = append(entries, entry)
@@ -96,10 +104,18 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": entries, "next": nil})
 }
 
-func (p *provider) recordRun(id string, v execution) {
+// recordRun records that a replica begins to work on an attempt, and returns the function
+// that records the end.
+func (p *provider) recordRun(id string, v execution) (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	number := len(p.runs[id])
 	p.runs[id] = append(p.runs[id], v)
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.runs[id][number].ended = time.Now()
+	}
 }
 
 func (p *provider) runsOf(id string) []execution {
@@ -132,6 +148,9 @@
 	case q.URL.Path == "/health":
 		h.Set("X-Instance-Id", r.id)
 		return
+	case q.URL.Path == "/report":
+		r.report(w)
+		return
 	case expected != "" && expected != r.id:
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -145,11 +164,22 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	r.running.Add(1)
+	if r.running.Add(1) > int64(r.slots+r.queue) {
+		r.running.Add(-1)
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	defer r.running.Add(-1)
-	r.provider.recordRun(id, execution{r.id, string(body), time.Now()})
+	select {
+	case <-q.Context().Done():
+		panic(http.ErrAbortHandler)
+	case r.places <- struct{}{}:
+	}
+	defer func() { <-r.places }()
+	defer r.provider.recordRun(id, execution{replica: r.id, body: string(body), resumes: q.Header.Get("Last-Event-Id"), at: time.Now()})()
 	h.Set("X-Server-Stamp", r.id+"."+id)
-	if r.service == "pool" {
+	if r.isModel() {
 		last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 		r.stream(w, id, last)
 		return
@@ -168,6 +198,28 @@
 	_, _ = io.WriteString(w, "answer to "+id)
 }
 
+// isModel reports whether the replica runs a model.
+func (r *replica) isModel() bool { return r.service != "app" }
+
+// report answers with the requests that the replica works on.
+func (r *replica) report(w http.ResponseWriter) {
+	r.provider.mu.Lock()
+	defer r.provider.mu.Unlock()
+	runs := []any{}
+	for id, list := range r.provider.runs {
+		for _, v := range list {
+			if v.replica == r.id && v.ended.IsZero() {
+				runs = append(runs, []any{id, 0, 0, 5})
+			}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": []any{}, "busy": false, "sequence": 0, "queued": 0, "running": len(runs),
+		"kvUsed": 0, "kvTotal": 847663, "handles": 0, "pinned": 0, "held": 0, "state": "ready", "next": 0, "runs": runs,
+	})
+}
+
 // eventCount is the number of events of a stream.
 const eventCount = 6
 
@@ -179,23 +231,41 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Weight-Versions", "1")
 	controller := http.NewResponseController(w)
+	r.provider.mu.Lock()
+	spoilAfter := r.provider.spoilAfter[id]
+	delete(r.provider.spoilAfter, id)
+	r.provider.mu.Unlock()
 	for number := last + 1; number <= eventCount; number++ {
 		time.Sleep(r.provider.eventGap)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, eventData(id, number))
 		if controller.Flush() != nil {
 			return
 		}
+		if number == spoilAfter {
+			r.spoil(controller, (eventCount-number)*int(r.provider.eventGap/time.Millisecond))
+			return
+		}
 	}
 }
 
 // outputOf returns what a turn has generated, as the next turn has to repeat it.
-func outputOf(id string) string { return outputBetween(id, 1, eventCount) }
-
-// outputBetween returns the output of the events with the given numbers.
-func outputBetween(id string, first, last int) string {
+func outputOf(id string) string {
 	text := ""
-	for number := first; number <= last; number++ {
+	for number := 1; number <= eventCount; number++ {
 		text += eventData(id, number) + "\n"
 	}
 	return text
 }
+
+// spoil sends bytes that are no part of an answer in the place of the next part of a
+// stream, and works on for the rest of the stream.
+func (r *replica) spoil(controller *http.ResponseController, restMs int) {
+	c, buffer, err := controller.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = buffer.WriteString("\x00\x01no part of an answer\r\n")
+	_ = buffer.Flush()
+	time.Sleep(time.Duration(restMs) * time.Millisecond)
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -30,7 +30,7 @@
 // Memory of the machines in MB, as on the sheet of rennbach-fass.
 var memoryMb = map[string]int{"front": 134, "storage": 154, "core": 280}
 
-var zones = []string{"rennbach-nord", "rennbach-sued", "waschhalle"}
+var zones = []string{"rennbach-nord", "rennbach-sued", "waschhalle", "rathaus"}
 
 // restartDelay is the time until a process that ended is started again.
 const restartDelay = time.Second
