--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin foreign review/3/record.txt
+exec target/review-standin suspect review/3/record.txt
--- a/review/standin/provider.go
+++ b/review/standin/provider.go
@@ -45,7 +45,9 @@
 	address           string
 	slots, queue      int
 	server            *http.Server
-	running           atomic.Int64
+	running, refused  atomic.Int64
+	// closeEach is the number of refusals of which one has Connection: close; 0 for none.
+	closeEach int64
 	// places has an element for each request that runs; the others are queued.
 	places chan struct{}
 }
@@ -166,7 +168,7 @@
 	}
 	if r.running.Add(1) > int64(r.slots+r.queue) {
 		r.running.Add(-1)
-		h.Set("X-Not-Executed", "1")
+		r.refuse(h)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -201,6 +203,14 @@
 // isModel reports whether the replica runs a model.
 func (r *replica) isModel() bool { return r.service != "app" }
 
+// refuse makes an answer that of a replica that is full.
+func (r *replica) refuse(h http.Header) {
+	h.Set("X-Not-Executed", "1")
+	if n := r.refused.Add(1); r.closeEach > 0 && n%r.closeEach == 0 {
+		h.Set("Connection", "close")
+	}
+}
+
 // report answers with the requests that the replica works on.
 func (r *replica) report(w http.ResponseWriter) {
 	r.provider.mu.Lock()
