Keep the chain of a turn when the front that stored it ends

Callers saw: review/2, a program whose last turn ended 27 s ago (retention 45 s) gets 503 in 6 of 6 tries; the front of that turn was killed right after its end.

Cause: only the front knew that the earlier turns are needed for as long as the new one, and told the disks every 5 s. Nobody repeated it after the front's end, nor for a disk that was cut off at that moment.

Change: the disks that store a turn renew the retention of its chain on all disks, and repeat it until each has confirmed. They have the turn durably, so what may be lost does not take the duty with it, and a restarted disk renews the chains of its records again. Turns of each retention are renewed apart; before, the longest one that a front had ever seen applied to all. Fronts send no renewals any more.

Tests: keeper TestRenewal. On its subtests 'front killed', 'disk restarted' and 'another route' fail (not within 20 s: the retention of the earlier turn is renewed); the other two use functions that are new. TestFlush called the front's flush, which is gone; TestRenewal checks the same promise at the disks without help of a front.

--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -53,9 +53,8 @@
 	// CacheBytes bounds the size of the turn cache in bytes; 0 for the default.
 	CacheBytes int64
 
-	cache        cache
-	touchedTurns touchedSet
-	settledSums  settledCache
+	cache       cache
+	settledSums settledCache
 	// releases counts the running settlements of refused reservations.
 	releases sync.WaitGroup
 	// unresponsive has the disks that did not answer in time. They are asked last
@@ -146,7 +145,6 @@
 		return fmt.Errorf("keep turn %s: %w", turn.ID, err)
 	}
 	c.cache.add(turn, c.CacheBytes)
-	c.touchedTurns.add(turn.Chain, turn.Retention)
 	return nil
 }
 
@@ -197,6 +195,13 @@
 	}
 }
 
+// Run waits until ctx is done and the settlements of refused reservations have ended.
+func (c *Client) Run(ctx context.Context) error {
+	<-ctx.Done()
+	c.releases.Wait()
+	return nil
+}
+
 // Settle replaces a reservation by the number of tokens used.
 func (c *Client) Settle(ctx context.Context, _ time.Time, spend zinniapond.Spend) error {
 	spend.Settled = true
--- a/internal/turns/keeper/keeper.go
+++ b/internal/turns/keeper/keeper.go
@@ -62,6 +62,7 @@
 	verifiedView atomic.Uint64
 	turns        shard.Map[zinniapond.TurnID, *turnEntry]
 	programs     shard.Map[zinniapond.ProgramID, *account]
+	renewals     renewals
 }
 
 // turnEntry is the index entry of a stored turn: the location of its record, and the
@@ -103,11 +104,12 @@
 	group.Go(func() error { return k.maintainMembership(ctx) })
 	group.Go(func() error { return k.runReplication(ctx) })
 	group.Go(func() error { return k.runExpiry(ctx) })
+	group.Go(func() error { return k.runRenewal(ctx) })
 	return errors.Join(group.Wait(), k.log.Close())
 }
 
 // loadRecord indexes a record read from the disk. The age of the record is not
-// known, so its retention begins again.
+// known, so its retention and that of its chain begin again.
 func (k *Keeper) loadRecord(now time.Time, record []byte, segment uint32, offset int64) {
 	var e diskRecord
 	if err := cbor.Unmarshal(record, &e); err != nil {
@@ -122,10 +124,12 @@
 	}
 }
 
+// indexTurn adds a turn to the index, and its earlier turns to those to be renewed.
 func (k *Keeper) indexTurn(now time.Time, t *zinniapond.Turn, segment uint32, offset int64) {
 	s := &turnEntry{chain: t.Chain, origin: t.Origin, segment: segment, offset: offset}
 	s.expiry.Store(now.Add(t.Retention + zinniapond.RetentionSlack).UnixNano())
 	k.turns.Set(t.ID, s)
+	k.renewals.add(t.Chain, t.Retention)
 }
 
 func (k *Keeper) accountOf(program zinniapond.ProgramID) *account {
--- a/internal/turns/keeper/serve.go
+++ b/internal/turns/keeper/serve.go
@@ -29,12 +29,7 @@
 		reply.Spends = k.spends(request.SpendsOf)
 		return nil
 	}
-	now := k.Clock()
-	for _, id := range request.Renew {
-		if s, ok := k.turns.Get(id); ok {
-			s.expiry.Store(max(s.expiry.Load(), now.Add(request.Retention+zinniapond.RetentionSlack).UnixNano()))
-		}
-	}
+	k.renewLocal(k.Clock(), request.Renew, request.Retention)
 	if err := k.appendNew(request); err != nil {
 		return err
 	}
