Do not take a refusal that closes its connection for a leaving replica

Cause: a refusal with a closed connection counted as the replica's word that it leaves, for a minute and above the list. A full replica closes connections too.

Change: such a replica is doubtful for 1 s: it is tried after all others, and at once if there is no other. The doubt belongs to one lifetime of the replica and ends with its next answer. Which replicas exist is decided by the list and by what replicas say of themselves alone, so no guess can leave a request without a replica. SetState of the shared list records statements only, also that a replica is live again, which it ignored.

--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -43,9 +43,6 @@
 	// staleRefreshes is the age of the control state, in refresh intervals, after
 	// which a host reads the list directly.
 	staleRefreshes = 2
-	// markDuration is how long the suspicion that a replica is leaving overrides
-	// the list.
-	markDuration = time.Minute
 	// returnTime is how long the list has to show a replica as live after it was
 	// leaving until it is used again. Lists that are read at different hosts may
 	// alternate for seconds.
@@ -65,15 +62,14 @@
 	Logger    hclog.Logger
 	Clock     func() time.Time
 
-	once              sync.Once
-	mu                sync.Mutex
-	list              []zinniapond.Backend // never changed once set
-	leavingReportedAt map[string]time.Time // suspicions, by replica id
-	stated            map[string]statement // by replica id
-	published         []zinniapond.Backend // list with leavingReportedAt and stated
-	changed           chan struct{}
-	readsDirectly     bool // the control state is stale
-	readFailed        bool // the last read of the list failed
+	once          sync.Once
+	mu            sync.Mutex
+	list          []zinniapond.Backend // never changed once set
+	stated        map[string]statement // by replica id
+	published     []zinniapond.Backend // list with stated
+	changed       chan struct{}
+	readsDirectly bool // the control state is stale
+	readFailed    bool // the last read of the list failed
 }
 
 // statement is a replica's own statement that it is leaving.
@@ -105,7 +101,7 @@
 
 func (r *Roster) initState() {
 	r.once.Do(func() {
-		r.changed, r.leavingReportedAt, r.stated = make(chan struct{}), make(map[string]time.Time), make(map[string]statement)
+		r.changed, r.stated = make(chan struct{}), make(map[string]statement)
 	})
 }
 
@@ -126,15 +122,18 @@
 	return r.changed
 }
 
-// SetState records that a replica reports itself as leaving. Other states
-// have no effect.
+// SetState records the state that the replica at an address has reported of itself.
 func (r *Roster) SetState(now time.Time, server netip.AddrPort, state zinniapond.BackendState) {
 	r.initState()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, b := range r.list {
-		if b.Address == server && state == zinniapond.BackendLeaving {
-			r.leavingReportedAt[b.ID] = now
+		switch {
+		case b.Address != server:
+		case state == zinniapond.BackendLeaving:
+			r.recordLeaving(now, b)
+		default:
+			delete(r.stated, b.ID)
 		}
 	}
 	r.publish(now)
@@ -145,12 +144,17 @@
 	r.initState()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordLeaving(now, server)
+	r.publish(now)
+}
+
+// recordLeaving records a replica's statement. The caller holds the lock.
+func (r *Roster) recordLeaving(now time.Time, server zinniapond.Backend) {
 	if _, ok := r.stated[server.ID]; ok {
 		return
 	}
 	r.Logger.Info("replica says that it is leaving", "replica", server.Address, "id", server.ID)
 	r.stated[server.ID] = statement{listedAt: now}
-	r.publish(now)
 }
 
 // publish combines the list with the replicas' own reports and, if the result has
@@ -158,12 +162,9 @@
 func (r *Roster) publish(now time.Time) {
 	marked := slices.Clone(r.list)
 	for i := range marked {
-		id, listed := marked[i].ID, marked[i].State
-		if at, ok := r.leavingReportedAt[id]; ok && now.Sub(at) < markDuration {
-			marked[i].State = zinniapond.BackendLeaving
-		}
+		id := marked[i].ID
 		if m, ok := r.stated[id]; ok {
-			r.stated[id] = m.follow(now, listed)
+			r.stated[id] = m.follow(now, marked[i].State)
 			marked[i].State = zinniapond.BackendLeaving
 		}
 	}
--- a/internal/backend/listed/listed_test.go
+++ b/internal/backend/listed/listed_test.go
@@ -82,10 +82,26 @@
 		r.refresh(start.Add(forgetTime))
 		assert.Equal(t, len(r.stated), 0)
 	})
-	t.Run("guards against a suspicion that never ends", func(t *testing.T) {
+}
+
+func TestSetState(t *testing.T) {
+	t.Run("guards against a report of leaving that is forgotten while the list does not show it", func(t *testing.T) {
 		r := newRoster()
 		r.SetState(start, replica.Address, zinniapond.BackendLeaving)
-		assertState(t, r, start, zinniapond.BackendLeaving)
-		assertState(t, r, start.Add(markDuration), zinniapond.BackendLive)
+		assertState(t, r, start.Add(time.Hour), zinniapond.BackendLeaving)
+	})
+	t.Run("guards against a replica that cannot report itself as live again", func(t *testing.T) {
+		r := newRoster()
+		r.SetState(start, replica.Address, zinniapond.BackendLeaving)
+		r.SetState(start, replica.Address, zinniapond.BackendLive)
+		assertState(t, r, start, zinniapond.BackendLive)
+	})
+	t.Run("guards against a report about the next replica at the address", func(t *testing.T) {
+		r := newRoster()
+		r.SetState(start, replica.Address, zinniapond.BackendLeaving)
+		next := replica
+		next.ID, next.State = "i-2", zinniapond.BackendLive
+		r.apply(start, []zinniapond.Backend{next})
+		assertState(t, r, start, zinniapond.BackendLive)
 	})
 }
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -25,6 +25,10 @@
 	// maxAnswerBytes bounds an answer without a length. A faulty replica may send
 	// bytes until its connection is closed.
 	maxAnswerBytes = 64 << 20
+	// refusalDoubt is the time for which a replica that refused a request and closed
+	// the connection is tried last. A replica that leaves does so, and the list shows
+	// it within this time; a full one may do so too and has capacity again soon.
+	refusalDoubt = time.Second
 )
 
 // verdict is the result of an attempt; it determines whether another replica is
@@ -157,8 +161,17 @@
 	choice zinniapond.Choice
 }
 
-// pickReplica picks a live replica for which allowed returns true.
+// pickReplica picks a live replica for which allowed returns true. A doubtful one is
+// picked only if there is no other.
 func (p *pool) pickReplica(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
+	c, ok := p.pickAllowed(now, need, func(b zinniapond.Backend) bool { return allowed(b) && !p.doubts.Has(now, b) })
+	if !ok {
+		c, ok = p.pickAllowed(now, need, allowed)
+	}
+	return c, ok
+}
+
+func (p *pool) pickAllowed(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
 	replicas := *p.replicas.Load()
 	choice, ok := p.router.Pick(now, need, func(a netip.AddrPort) bool {
 		b, live := replicas[a]
@@ -206,7 +219,8 @@
 	}
 	if answer.NotRun {
 		if answer.ClosesConnection {
-			u.Roster.SetState(start, replica.Address, zinniapond.BackendLeaving)
+			p.doubts.Add(u.Clock(), replica, refusalDoubt)
+			u.Stats.Add("front.doubted", 1)
 		}
 		return verdictNotRun, fmt.Errorf("replica %s refused with status %d: %w", replica.ID, answer.Status, zinniapond.ErrUnavailable)
 	}
@@ -215,6 +229,7 @@
 		observation = zinniapond.Observation{Failed: true}
 		return verdictMayHaveRun, fmt.Errorf("replica %s: answer with status %d is not its own: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
+	p.doubts.Clear(replica)
 	observation.TimeToFirstByte = u.Clock().Sub(start)
 	if u.answerBegun && (!answer.IsStream || answer.Status != u.stream.status) {
 		observation = zinniapond.Observation{Failed: true}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -19,6 +19,7 @@
 	"zinniapond.example/zinniapond/internal/core/meter"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/front/doubts"
 	"zinniapond.example/zinniapond/internal/front/report"
 	"zinniapond.example/zinniapond/internal/routes/table"
 )
@@ -71,6 +72,7 @@
 	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
+	doubts   doubts.Book
 }
 
 func (p *pool) recordStart(now time.Time, replica netip.AddrPort, need zinniapond.PickInfo) {
@@ -218,6 +220,7 @@
 	}
 	p.replicas.Store(&replicas)
 	p.router.Update(now, live)
+	p.doubts.Prune(now)
 	var idle []netip.AddrPort
 	p.inFlight.Each(func(a netip.AddrPort, n *atomic.Int64) bool {
 		if _, listed := replicas[a]; !listed && n.Load() == 0 {
