Keep a turn for the time of the turn that continues it

Cause: a turn's retention counted from its end, and is renewed only when the next turn is stored. A next turn that begins late and runs for long let its own chain expire before.

Change: a turn is retained for the retention of its route and its time limit.

Test: front/runner TestStreams, 'a turn that expires while one that continues it is running'; on the parent it fails with 1m0s in place of 1m1s.

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -224,6 +224,15 @@
 	return nil
 }
 
+// turnRetention returns the time for which a turn is kept after its end: the
+// retention of the route and the longest time of a turn that continues it.
+func (u *run) turnRetention() time.Duration {
+	if !u.route.Retained {
+		return 0
+	}
+	return u.route.Retention + u.route.Timeout
+}
+
 // settle returns the reserved tokens that a turn did not use, in the background. It
 // does nothing for a turn that was stored, as its settlement is stored with it.
 func (u *run) settle() {
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -139,6 +139,12 @@
 		assert.True(t, !w.turns.reserved.ReservedAt.IsZero(), "the reservation has no time")
 		assert.True(t, w.turns.settled[0].ReservedAt.Equal(w.turns.reserved.ReservedAt), "settled at %s, reserved at %s", w.turns.settled[0].ReservedAt, w.turns.reserved.ReservedAt)
 	})
+	t.Run("guards against a turn that expires while one that continues it is running", func(t *testing.T) {
+		w := newTestRunner(t, kept, answersWith(200, wholeText, true, nil))
+		w.forward(turn)
+		longest := kept.Retention + w.view.Routing.Routes[0].Timeout
+		assert.Equal(t, w.turns.kept[0].Retention, longest)
+	})
 	t.Run("guards against a chain that is not in order before the new input", func(t *testing.T) {
 		w := newTestRunner(t, kept, answersWith(200, wholeText, true, nil))
 		w.turns.chain = []zinniapond.Turn{{ID: "1", Input: []byte("a"), Output: []byte("b\n")}, {ID: "2", Input: []byte("c"), Output: []byte("d\n")}}
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -137,7 +137,7 @@
 	if u.route.Retained && u.request.Program != "" && u.stream.status < 300 {
 		turn := zinniapond.Turn{
 			ID: zinniapond.TurnID(u.request.ID), Program: u.request.Program, Input: u.request.Body,
-			Output: u.stream.output, Retention: u.route.Retention,
+			Output: u.stream.output, Retention: u.turnRetention(),
 		}
 		for _, t := range u.chain {
 			turn.Chain = append(turn.Chain, t.ID)
--- a/turns.go
+++ b/turns.go
@@ -31,7 +31,8 @@
 	// the id it determines the disks that have the copies.
 	Origin DataCentre `cbor:"o"`
 	// Retention is the time for which the turn and its chain are kept after its
-	// end.
+	// end. It includes the longest time of a turn that continues this one: the chain
+	// is renewed only once that turn is stored.
 	Retention time.Duration `cbor:"r"`
 }
 
