Keep the spends of a program for as long as it can go on

Operators would see: a program that returns within a retention of more than 2 min 15 s, but later than that, has its whole token budget again (BUDGET).

Cause: spends were kept for a fixed 2 min, and those stored with a turn for the turn's retention, whatever the route allows.

Change: a spend carries the time for which its program may go on, and is kept for that time or 2 min, whichever is longer, when it is written, loaded after a restart or copied. Lost disks are forgotten after the same time.

Tests: keeper TestSpendRetention, front/runner TestStreams, disks TestForgetAfter. On the parent, with the new field and method added so that they build, all four subtests of the first fail (0 spends in place of 1) and each of the others one (kept for 2m0s; forgotten after 1h0m30s).

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -190,6 +190,7 @@
 		// compare their spends by second.
 		u.spend = zinniapond.Spend{
 			Program: u.request.Program, Turn: u.request.ID, Reserved: u.request.MaxGenerated, ReservedAt: now.Truncate(time.Second),
+			Retention: u.turnRetention() + u.route.Timeout,
 		}
 		go func() {
 			var err error
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -139,11 +139,19 @@
 		assert.True(t, !w.turns.reserved.ReservedAt.IsZero(), "the reservation has no time")
 		assert.True(t, w.turns.settled[0].ReservedAt.Equal(w.turns.reserved.ReservedAt), "settled at %s, reserved at %s", w.turns.settled[0].ReservedAt, w.turns.reserved.ReservedAt)
 	})
-	t.Run("guards against a turn that expires while one that continues it is running", func(t *testing.T) {
+	t.Run("guards against turns and spends that expire while a turn that continues them is running", func(t *testing.T) {
 		w := newTestRunner(t, kept, answersWith(200, wholeText, true, nil))
 		w.forward(turn)
 		longest := kept.Retention + w.view.Routing.Routes[0].Timeout
 		assert.Equal(t, w.turns.kept[0].Retention, longest)
+		assert.True(t, w.turns.reserved.KeepTime() > longest, "spends are kept for %s", w.turns.reserved.KeepTime())
+	})
+	t.Run("guards against a budget that is had again within a long retention", func(t *testing.T) {
+		long := kept
+		long.Retention = time.Hour
+		w := newTestRunner(t, long, answersWith(200, wholeText, true, nil))
+		w.forward(turn)
+		assert.True(t, w.turns.reserved.KeepTime() > time.Hour, "spends are kept for %s", w.turns.reserved.KeepTime())
 	})
 	t.Run("guards against a chain that is not in order before the new input", func(t *testing.T) {
 		w := newTestRunner(t, kept, answersWith(200, wholeText, true, nil))
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -24,7 +24,7 @@
 	err := c.retryOnViewChange(ctx, func(view zinniapond.Index, set quorum.Set) error {
 		var err error
 		spends, err = c.writeReservation(ctx, set, zinniapond.KeepRequest{
-			DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: zinniapond.SpendRetention, SpendsOf: spend.Program,
+			DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: spend.KeepTime(), SpendsOf: spend.Program,
 		})
 		if err == nil && hasOtherReservation(spends, spend.Turn) {
 			err = c.readSpends(ctx, set, zinniapond.FindRequest{DisksIndex: view, SpendsOf: spend.Program}, spends)
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -206,7 +206,7 @@
 func (c *Client) Settle(ctx context.Context, _ time.Time, spend zinniapond.Spend) error {
 	spend.Settled = true
 	err := c.retryOnViewChange(ctx, func(view zinniapond.Index, set quorum.Set) error {
-		request := zinniapond.KeepRequest{DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: zinniapond.SpendRetention}
+		request := zinniapond.KeepRequest{DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: spend.KeepTime()}
 		return c.writeCopies(ctx, set, set.PreferenceOrder(zinniapond.TurnID(spend.Turn), c.DataCentre), request)
 	})
 	if err != nil {
--- a/internal/turns/disks/disks.go
+++ b/internal/turns/disks/disks.go
@@ -101,7 +101,9 @@
 	longestRetention := zinniapond.SpendRetention
 	if view.Routing != nil {
 		for _, r := range view.Routing.Routes {
-			longestRetention = max(longestRetention, r.Retention)
+			// Spends are kept from their reservation to the end of the longest turn
+			// that continues theirs.
+			longestRetention = max(longestRetention, r.Retention+2*r.Timeout)
 		}
 	}
 	return longestRetention + 2*zinniapond.RetentionSlack
--- a/internal/turns/keeper/keeper_test.go
+++ b/internal/turns/keeper/keeper_test.go
@@ -215,6 +215,48 @@
 	})
 }
 
+func TestSpendRetention(t *testing.T) {
+	long := zinniapond.Spend{Program: "p", Turn: "one", Reserved: 5, Retention: time.Hour}
+	assertKept := func(t *testing.T, h *hosts, k *Keeper) {
+		t.Helper()
+		assert.NoError(t, k.dropExpired(h.now().Add(long.Retention)))
+		assert.Equal(t, len(k.spends("p")), 1)
+		assert.NoError(t, k.dropExpired(h.now().Add(long.Retention+2*zinniapond.RetentionSlack)))
+		assert.Equal(t, len(k.spends("p")), 0)
+	}
+	t.Run("guards against a program that returns within its retention and has its budget again", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Spends: []zinniapond.Spend{long}, Retention: zinniapond.SpendRetention}), "not kept")
+		assertKept(t, h, k)
+	})
+	t.Run("guards against a budget that is spent again as a disk restarted", func(t *testing.T) {
+		h, folder := newHosts(t), t.TempDir()
+		k, stop := h.start(folder, 1)
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Spends: []zinniapond.Spend{long}, Retention: zinniapond.SpendRetention}), "not kept")
+		stop()
+		k, _ = h.start(folder, 1)
+		assertKept(t, h, k)
+	})
+	t.Run("guards against a budget that is spent again as its spends were copied to another disk", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Spends: []zinniapond.Spend{long}, Retention: zinniapond.SpendRetention}), "not kept")
+		other, _ := h.start(t.TempDir(), 2)
+		h.set(zinniapond.Disk{ID: "gone", State: zinniapond.DiskLost})
+		assert.Eventually(t, 5*time.Second, "the spends are copied", func() bool { return len(other.spends("p")) == 1 })
+		assertKept(t, h, other)
+	})
+	t.Run("guards against spends that are dropped with the turn that settled them", func(t *testing.T) {
+		h := newHosts(t)
+		k, _ := h.start(t.TempDir(), 1)
+		settled := zinniapond.Spend{Program: "p", Turn: "one", Settled: true}
+		assert.True(t, h.keep(k, zinniapond.KeepRequest{Turns: []zinniapond.Turn{turn("one")}, Spends: []zinniapond.Spend{settled}, Retention: time.Second}), "not kept")
+		assert.NoError(t, k.dropExpired(h.now().Add(zinniapond.SpendRetention)))
+		assert.Equal(t, len(k.spends("p")), 1)
+	})
+}
+
 func TestWalk(t *testing.T) {
 	keepOne := func(t *testing.T, h *hosts, k *Keeper) {
 		t.Helper()
--- a/internal/turns/keeper/serve.go
+++ b/internal/turns/keeper/serve.go
@@ -49,7 +49,7 @@
 // are synced.
 func (k *Keeper) appendNew(request zinniapond.KeepRequest) error {
 	now := k.Clock()
-	until := now.Add(request.Retention + zinniapond.RetentionSlack)
+	spendExpiry := func(s *zinniapond.Spend) time.Time { return now.Add(s.KeepTime() + zinniapond.RetentionSlack) }
 	var entries []diskRecord
 	for i := range request.Turns {
 		if _, ok := k.turns.Get(request.Turns[i].ID); !ok {
@@ -60,11 +60,11 @@
 		s := &request.Spends[i]
 		a := k.accountOf(s.Program)
 		if a.addsInformation(*s) {
-			entries = append(entries, diskRecord{Spend: s, Retention: request.Retention})
+			entries = append(entries, diskRecord{Spend: s, Retention: s.KeepTime()})
 		}
 		// A reservation counts before its sync has returned, as it may already be
 		// on the disk.
-		a.merge(*s, 0, until)
+		a.merge(*s, 0, spendExpiry(s))
 	}
 	if len(entries) == 0 {
 		return nil
@@ -88,7 +88,7 @@
 		if e.Turn != nil {
 			k.indexTurn(now, e.Turn, segments[i], offsets[i])
 		} else {
-			k.accountOf(e.Spend.Program).merge(*e.Spend, segments[i], until)
+			k.accountOf(e.Spend.Program).merge(*e.Spend, segments[i], spendExpiry(e.Spend))
 		}
 	}
 	return nil
--- a/internal/turns/keeper/spends.go
+++ b/internal/turns/keeper/spends.go
@@ -107,5 +107,5 @@
 	if len(missing) == 0 {
 		return nil
 	}
-	return k.copyRecords(ctx, d, zinniapond.KeepRequest{Spends: missing, Retention: zinniapond.SpendRetention})
+	return k.copyRecords(ctx, d, zinniapond.KeepRequest{Spends: missing})
 }
--- a/turns.go
+++ b/turns.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// SpendRetention is the time for which the spends of a program are kept after
-	// its last turn. It is longer than callers wait for a program.
+	// SpendRetention is the shortest time for which the spends of a program are kept
+	// after its last turn. It is longer than callers wait for a program.
 	SpendRetention = 2 * time.Minute
 	// RetentionSlack is added to each retention time, as hosts count it from
 	// different instants.
@@ -52,8 +52,15 @@
 	Settled bool   `cbor:"s,omitempty"`
 	// CacheLocation is the replica that ran the turn; valid if Settled.
 	CacheLocation CacheLocation `cbor:"l,omitzero"`
+	// Retention is the time from the reservation for which the program may go on
+	// after this turn.
+	Retention time.Duration `cbor:"n,omitempty"`
 }
 
+// KeepTime returns the time for which the spend is kept. A program that can go on
+// must not have its budget anew.
+func (s Spend) KeepTime() time.Duration { return max(SpendRetention, s.Retention) }
+
 // CacheLocation is the replica that last processed a conversation and
 // probably still has it in its cache. The next turn is routed by it.
 type CacheLocation struct {
