Answer all requests of a planned stop

Callers would see: in a planned stop, a request whose replica takes until the end of the grace is cut with no answer; one that comes as the first on an older connection after 2.5 s is read and closed with no answer, though it has not run.

Cause: http.Server.Shutdown drops what it reads from new connections, Close cuts open requests, and handlers did not learn that the end was near.

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -67,7 +67,9 @@
 }
 
 // Forward runs a request and writes its answer or refusal to the responder. If the
-// answer has begun and cannot be completed, or ctx is done, it aborts the answer.
+// answer has begun and cannot be completed, or ctx is done, it aborts the answer. If
+// ctx is done with a cause that wraps ErrUnavailable, the client still waits: an answer
+// that has not begun is then refused.
 func (r *Runner) Forward(ctx context.Context, now time.Time, request zinniapond.Request, to zinniapond.Responder) {
 	u := &run{Runner: r, request: &request, responder: to}
 	err := u.forward(ctx, now)
@@ -75,7 +77,7 @@
 	u.log(err)
 	switch {
 	case err == nil:
-	case u.answerBegun || ctx.Err() != nil:
+	case u.answerBegun || ctx.Err() != nil && !errors.Is(context.Cause(ctx), zinniapond.ErrUnavailable):
 		to.Abort()
 	default:
 		var e *zinniapond.Error
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -89,6 +90,27 @@
 		w.forward(zinniapond.Request{})
 		assert.Equal(t, w.marked, []netip.AddrPort{w.sent[0].Replica.Address})
 	})
+	// endedDuring forwards a request whose context ends with a cause during its attempt.
+	endedDuring := func(t *testing.T, cause error) *recorder {
+		t.Helper()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		w := newTestRunner(t, unsafe, func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			cancel(cause)
+			return nil, context.Canceled
+		})
+		to := new(recorder)
+		w.Forward(ctx, time.Now(), zinniapond.Request{ID: "id", Host: "h", Path: "/r/x", ReceivedAt: time.Now(), ClientTimeout: time.Second}, to)
+		return to
+	}
+	t.Run("guards against a request without an answer at the end of a stop", func(t *testing.T) {
+		to := endedDuring(t, zinniapond.ErrUnavailable)
+		assert.ErrorIs(t, to.refused, zinniapond.ErrOutcomeUnknown)
+		assert.True(t, !to.aborted, "the connection is closed")
+	})
+	t.Run("guards against an answer to a client that is gone", func(t *testing.T) {
+		to := endedDuring(t, nil)
+		assert.True(t, to.aborted && to.refused == nil, "answered: %v", to.refused)
+	})
 	t.Run("guards against relaying bytes without end", func(t *testing.T) {
 		w := newTestRunner(t, safe, func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
 			return &zinniapond.ReplicaAnswer{Status: 200, Length: -1, Verified: true, Body: &body{endless{}, nil}}, nil
