Show that an answer cut within its head is never taken for whole

A report of other operators: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Not possible here: net/http's parser, which both clients use, returns an error for a head that ends before its empty line. No change of the product.

--- a/internal/backend/conns/conns_test.go
+++ b/internal/backend/conns/conns_test.go
@@ -131,3 +131,27 @@
 		assert.NoError(t, get(t.Context(), p, server, DeadlineOnReused))
 	})
 }
+
+// TestCutHead sends the head of an answer up to each of its bytes and then closes.
+func TestCutHead(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length":  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 20\r\n\r\n",
+		"in chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"without length": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run("guards against taking an answer "+name+" for whole that stops within its head", func(t *testing.T) {
+			server := listen(t, func(n int, c net.Conn) bool {
+				go func() {
+					defer c.Close()
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, head[:n%len(head)])
+				}()
+				return true
+			})
+			for range len(head) {
+				err := get(t.Context(), &Pool{}, server, DeadlineNever)
+				assert.True(t, err != nil, "a part of the head was taken for an answer")
+			}
+		})
+	}
+}
