Bound the memory of all requests of a front together

Reported by other operators: a faulty replica sends bytes without end, the machine keeps them and runs out of memory.

Cause: each body, answer and turn was bounded alone, their sum was not.

--- a/internal/front/events/events.go
+++ b/internal/front/events/events.go
@@ -22,6 +22,9 @@
 // Add appends bytes of the stream.
 func (p *Parser) Add(part []byte) { p.buffer = append(p.buffer, part...) }
 
+// Size returns the size in bytes of the buffer.
+func (p *Parser) Size() int { return cap(p.buffer) }
+
 // Complete splits off all complete events: raw is their text with the blank lines that
 // end them, and is valid until the next call of Add. The error wraps
 // ErrBackendFailed if the event that has begun is too large.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -277,11 +277,13 @@
 
 // relayAnswer relays an answer that is not a stream.
 func (u *run) relayAnswer(ctx context.Context, answer *zinniapond.ReplicaAnswer) (verdict, error) {
-	head, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
-	if err != nil {
+	head, taken, err := u.Memory.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
+	u.held += taken
+	noMemory := errors.Is(err, zinniapond.ErrOverload)
+	if err != nil && !noMemory {
 		return verdictMayHaveRun, fmt.Errorf("read answer: %w", err)
 	}
-	if answer.Length > int64(len(head)) || answer.Length < 0 && len(head) == maxBufferedBytes {
+	if noMemory || answer.Length > int64(len(head)) || answer.Length < 0 && len(head) == maxBufferedBytes {
 		return u.relayLargeAnswer(answer, head)
 	}
 	if ctx.Err() != nil {
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -23,6 +23,7 @@
 // testRunner is a runner with fakes of its directory, roster, replica client and turns.
 type testRunner struct {
 	*Runner
+	mu      sync.Mutex // guards sent
 	view    zinniapond.ControlView
 	list    []zinniapond.Backend
 	replies []func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error)
@@ -47,8 +48,10 @@
 
 // Send answers with the next reply; the last one is repeated.
 func (w *testRunner) Send(_ context.Context, _ time.Time, s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+	w.mu.Lock()
 	n := min(len(w.sent), len(w.replies)-1)
 	w.sent = append(w.sent, s)
+	w.mu.Unlock()
 	return w.replies[n](s)
 }
 
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -51,6 +51,7 @@
 	possibleRuns int // number of attempts that may have run
 	answerBegun  bool
 	stream       stream
+	held         int64 // bytes of memory taken
 	// limitTime is the time for which the request has waited for permissions of
 	// limited replicas.
 	limitTime time.Duration
@@ -72,6 +73,7 @@
 // that has not begun is then refused.
 func (r *Runner) Forward(ctx context.Context, now time.Time, request zinniapond.Request, to zinniapond.Responder) {
 	u := &run{Runner: r, request: &request, responder: to}
+	defer func() { u.Memory.Give(u.held) }()
 	err := u.forward(ctx, now)
 	u.settle()
 	u.log(err)
@@ -218,7 +220,15 @@
 	u.home = findHome(u.request, others)
 	u.spend.CacheLocation = zinniapond.CacheLocation{SessionID: u.request.SessionID, TurnNumber: len(others) + 1}
 	if len(u.chain) > 0 {
-		u.body = nil
+		size := len(u.request.Body)
+		for _, t := range u.chain {
+			size += len(t.Input) + len(t.Output)
+		}
+		// The body is copied once more when it is encoded.
+		if err := u.takeMemory(2 * int64(size)); err != nil {
+			return retryableError("prepare turn", shortRetryAfter, err)
+		}
+		u.body = make([]byte, 0, size)
 		for _, t := range u.chain {
 			u.body = append(append(u.body, t.Input...), t.Output...)
 		}
@@ -227,6 +237,16 @@
 	return nil
 }
 
+// takeMemory takes memory that is given back at the end of the request.
+func (u *run) takeMemory(n int64) error {
+	if err := u.Memory.Take(n); err != nil {
+		u.Stats.Add("front.memory", 1)
+		return err
+	}
+	u.held += n
+	return nil
+}
+
 // turnRetention returns the time for which a turn is kept after its end: the
 // retention of the route and the longest time of a turn that continues it.
 func (u *run) turnRetention() time.Duration {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -17,6 +17,7 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/meter"
+	"zinniapond.example/zinniapond/internal/core/quota"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/front/doubts"
@@ -32,7 +33,7 @@
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		return r, errors.Join(
 			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Throttle),
-			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
+			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
 }
@@ -53,6 +54,8 @@
 	Logger     hclog.Logger
 	Clock      func() time.Time
 	NewRouter  func() (zinniapond.Router, error)
+	// Memory bounds the memory of all conversations and answers together.
+	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
 	// used if its field Peers is nil.
 	LoadExchange report.LoadExchange
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -20,6 +20,7 @@
 	resumedAfter string
 	events       int
 	output       []byte // data of the events, for a retained turn
+	held         int64  // bytes of memory taken for output and an incomplete event
 	generated    zinniapond.Tokens
 	status       int
 }
@@ -113,6 +114,12 @@
 		}
 		unparsed = rest
 	}
+	if grown := int64(cap(u.stream.output)) + int64(parser.Size()) - u.stream.held; grown > 0 {
+		if err := u.takeMemory(grown); err != nil {
+			return fmt.Errorf("relay stream: %w", err)
+		}
+		u.stream.held += grown
+	}
 	if len(u.stream.output) > maxTurnBytes {
 		return fmt.Errorf("turn of more than %d bytes: %w", maxTurnBytes, zinniapond.ErrBackendFailed)
 	}
