Make the tests of suspects and ended replicas notice their mechanisms

Suspects now meet a router that sends all of them to one replica, and the ended replica goes on refusing.

--- a/internal/front/runner/suspect_test.go
+++ b/internal/front/runner/suspect_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/policy/least"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -80,6 +81,8 @@
 		chosen := make(map[string]bool)
 		p, err := w.pool("pool")
 		assert.NoError(t, err)
+		p.router = &least.Router{} // sends all of them to the same idle replica
+		p.router.Update(time.Now(), w.list)
 		for i := range 6 {
 			q := zinniapond.Request{Body: []byte(fmt.Sprint("input ", i))}
 			w.Blame.RecordEnding(time.Now(), lost, digest(&q, "pool"))
@@ -122,7 +125,13 @@
 	}
 	for name, ended := range map[string]reply{"refuses connections": refused, "has another one at its address": misdirected} {
 		t.Run("guards against requests that each find out that a replica "+name, func(t *testing.T) {
-			w := newLargePool(t, 12, safe, ended, whole)
+			w := newLargePool(t, 4, safe)
+			w.replies = []reply{func(q zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+				if q.Replica.ID == "i-2" {
+					return ended(q)
+				}
+				return whole(q)
+			}}
 			for range 20 {
 				assert.Equal(t, w.forward(zinniapond.Request{}).body.String(), "answer")
 			}
