--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -44,6 +44,8 @@
 	// timeout. A connection that the replica has closed is detected before its
 	// reuse.
 	defaultIdleTimeout = 30 * time.Second
+	// maxIdleSeconds bounds the idle timeout that a replica announces.
+	maxIdleSeconds = 3600
 	// idleMargin is how long before the replica's idle timeout a connection is
 	// closed on this side, so that no request is sent while the replica closes it.
 	idleMargin = time.Second
@@ -270,7 +272,7 @@
 	for _, p := range strings.Split(value, ",") {
 		name, digits, _ := strings.Cut(strings.TrimSpace(p), "=")
 		if seconds, err := strconv.Atoi(digits); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 {
-			d := time.Duration(seconds) * time.Second
+			d := time.Duration(min(seconds, maxIdleSeconds)) * time.Second
 			return max(d-idleMargin, d/2)
 		}
 	}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -18,6 +18,9 @@
 	// prefixBlockTokens is the size of the blocks into which a prompt is divided to
 	// find replicas that have a prefix of the prompt in their cache.
 	prefixBlockTokens = 1024
+	// maxPrefixBlocks bounds the blocks of a prompt. Longer prompts share the replicas
+	// of their beginning.
+	maxPrefixBlocks = 1024
 	// maxBufferedBytes is the size up to which an answer is read completely before
 	// its status is sent to the client. If such an answer breaks off, the request
 	// can still be refused or sent again.
@@ -137,7 +140,7 @@
 	hash := xxhash.New()
 	add := func(name string, tokens zinniapond.Tokens) {
 		_, _ = hash.WriteString(name) // never fails
-		for at := zinniapond.Tokens(0); at < tokens; at += prefixBlockTokens {
+		for at := zinniapond.Tokens(0); at < tokens && len(n.PrefixHashes) < maxPrefixBlocks; at += prefixBlockTokens {
 			_, _ = hash.WriteString(strconv.Itoa(int(at)) + "/")
 			n.PrefixHashes = append(n.PrefixHashes, hash.Sum64())
 		}
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -121,6 +122,13 @@
 		assert.True(t, to.aborted && !to.ended, "the answer ends as complete")
 		assert.True(t, to.written <= maxAnswerBytes, "%d bytes relayed", to.written)
 	})
+	t.Run("guards against a prompt whose size takes the memory or the time of the host", func(t *testing.T) {
+		w := newTestRunner(t, safe, whole)
+		q := zinniapond.Request{PromptParts: []zinniapond.PromptPart{{ID: "a", Tokens: math.MaxInt64}, {ID: "b", Tokens: math.MaxInt64}}}
+		assert.Equal(t, w.forward(q).body.String(), "answer")
+		u := &run{Runner: w.Runner, request: &q, route: &safe}
+		assert.Equal(t, len(u.routingNeed().PrefixHashes), maxPrefixBlocks)
+	})
 	t.Run("guards against an answer for a path without a route", func(t *testing.T) {
 		w := newTestRunner(t, safe, whole)
 		to := new(recorder)
