End a call instead of the process when its method panics

Operators would see: an unexpected value in a message of one host ends the process of another one, with all requests under way there ('one malformed message or unexpected error took a whole process down').

Cause: net/rpc runs methods in goroutines of its own, where a panic ends the process. net/http's servers contain panics, this server did not.

Change: the panic is logged with its stack, and the call ends with an error.

--- a/internal/wire/serve/method.go
+++ b/internal/wire/serve/method.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"reflect"
+	"runtime/debug"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/wire/codec"
@@ -18,13 +20,14 @@
 	requestType   reflect.Type
 	replyType     reflect.Type // the type that the second parameter points to
 	maxReplyBytes int
+	logger        hclog.Logger
 }
 
 var errorType = reflect.TypeFor[error]()
 
 // findMethods returns the receiver's methods of the form
 // func(Request, *Reply) error by their names.
-func findMethods(receiver any, maxReplyBytes int) map[string]*method {
+func findMethods(receiver any, maxReplyBytes int, logger hclog.Logger) map[string]*method {
 	methods := make(map[string]*method)
 	v := reflect.ValueOf(receiver)
 	for i := range v.NumMethod() {
@@ -33,7 +36,7 @@
 			continue
 		}
 		methods[v.Type().Method(i).Name] = &method{
-			function: v.Method(i), requestType: t.In(0), replyType: t.In(1).Elem(), maxReplyBytes: maxReplyBytes,
+			function: v.Method(i), requestType: t.In(0), replyType: t.In(1).Elem(), maxReplyBytes: maxReplyBytes, logger: logger,
 		}
 	}
 	return methods
@@ -47,8 +50,19 @@
 		return m.encodeResult(envelope, nil, fmt.Errorf("decode request: %w: %w", zinniapond.ErrMalformed, err))
 	}
 	reply := reflect.New(m.replyType)
-	err, _ := m.function.Call([]reflect.Value{argument.Elem(), reply})[0].Interface().(error)
-	return m.encodeResult(envelope, reply.Interface(), err)
+	return m.encodeResult(envelope, reply.Interface(), m.run(argument.Elem(), reply))
+}
+
+// run runs the method. A panic ends this call only, with an error.
+func (m *method) run(argument, reply reflect.Value) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			m.logger.Error("call panicked", "request", m.requestType.String(), "cause", cause, "stack", string(debug.Stack()))
+			err = fmt.Errorf("panic in %s: %v", m.requestType, cause)
+		}
+	}()
+	err, _ = m.function.Call([]reflect.Value{argument, reply})[0].Interface().(error)
+	return err
 }
 
 func (m *method) encodeResult(envelope *cbor.RawMessage, reply any, failure error) error {
--- a/internal/wire/serve/serve.go
+++ b/internal/wire/serve/serve.go
@@ -65,7 +65,7 @@
 // func(Request, *Reply) error as name.Method. It fails if there is none or if the
 // name is mounted already.
 func (s *Server) Mount(name string, receiver any) error {
-	methods := findMethods(receiver, s.MaxMessageBytes)
+	methods := findMethods(receiver, s.MaxMessageBytes, s.Logger)
 	if len(methods) == 0 {
 		return fmt.Errorf("mount %s: %T has no method of the form func(Request, *Reply) error", name, receiver)
 	}
