Resume a stream only once its first run has ended

Cause: any error in reading a stream led to the next replica at once. A closed connection does not end the run at each replica.

Change: the front first finds out that the run is over: the replica refuses connections, or its report no longer names the run. If that is not known within 1 s, the stream breaks off and its client may resume it.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -81,6 +81,7 @@
 			continue
 		}
 		var v verdict
+		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
@@ -93,6 +94,10 @@
 			if !u.repeatable() || u.possibleRuns >= max(u.route.MaxAttempts, 1) {
 				return u.outcomeUnknownError(lastErr)
 			}
+			if u.route.IsStream() && !u.awaitRunEnd(ctx, replica.Backend, begun) {
+				u.Stats.Add("front.unended", 1)
+				return u.outcomeUnknownError(lastErr)
+			}
 			u.Stats.Add("front.repeated", 1)
 		case verdictFailed:
 			return lastErr
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -32,6 +32,10 @@
 	turns   fakeTurns
 	marked  []netip.AddrPort
 	gone    map[netip.AddrPort]bool // replicas that have ended
+	reports int                     // number of reports that were asked for
+	runsOn  int                     // number of reports that name the run of a broken stream
+	// reportErr is the error of each report.
+	reportErr error
 }
 
 func (w *testRunner) View() *zinniapond.ControlView  { return &w.view }
@@ -63,6 +67,13 @@
 	return w.gone[a]
 }
 
+func (w *testRunner) IsRunning(context.Context, zinniapond.Backend, zinniapond.AttemptID) (bool, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports++
+	return w.reports <= w.runsOn, w.reportErr
+}
+
 func (w *testRunner) CloseIdle(time.Time, []zinniapond.Backend) {}
 
 func (w *testRunner) HasIdleConnection(time.Time, netip.AddrPort, bool) bool { return false }
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -227,6 +227,8 @@
 		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
 		assert.Equal(t, len(w.sent), 1)
 	})
+	// A stream is resumed once the broken run is known to have ended.
+	patient := zinniapond.Request{SessionID: "s", ClientTimeout: time.Second}
 	for name, second := range map[string]reply{
 		"an error":                    answersWith(500, "HTTP/1.1 500 failed\r\n\r\nfailed", false, nil),
 		"an error of its status":      answersWith(200, "failed", false, nil),
@@ -237,7 +239,8 @@
 	} {
 		t.Run("guards against "+name+" in the middle of a stream that broke off", func(t *testing.T) {
 			w := newTestRunner(t, resumable, answersWith(200, first+"id: 2\nda", true, errBroken), second)
-			to := w.forward(zinniapond.Request{SessionID: "s"})
+			to := w.forward(patient)
+			assert.True(t, len(w.sent) > 1, "the stream was not resumed")
 			assert.Equal(t, to.status, 200)
 			assert.Equal(t, to.body.String(), first)
 			assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
@@ -245,16 +248,49 @@
 	}
 	t.Run("guards against giving up a broken stream when a replica refuses to resume it", func(t *testing.T) {
 		w := newTestRunner(t, resumable, answersWith(200, first, true, errBroken), refusesRequest, answersWith(200, "id: 2\ndata: two\n\n", true, nil))
-		to := w.forward(zinniapond.Request{SessionID: "s"})
+		to := w.forward(patient)
 		assert.Equal(t, to.body.String(), wholeText)
 		assert.True(t, to.ended, "the stream is broken off")
 	})
 	t.Run("guards against duplicate or missing events in a resumed stream", func(t *testing.T) {
 		w := newTestRunner(t, resumable, answersWith(200, first+"id: 2\nda", true, errBroken), answersWith(200, "id: 2\ndata: two\n\n", true, nil))
-		to := w.forward(zinniapond.Request{SessionID: "s"})
+		to := w.forward(patient)
 		assert.Equal(t, to.body.String(), wholeText)
 		assert.Equal(t, w.sent[1].LastEventID, "1")
 	})
+	// resumedAfter forwards a stream that breaks off, while its replica reports its run
+	// the given number of times or fails to report.
+	resumedAfter := func(t *testing.T, reports int, reportErr error) (*testRunner, *recorder) {
+		t.Helper()
+		w := newTestRunner(t, resumable, answersWith(200, first, true, errBroken), answersWith(200, "id: 2\ndata: two\n\n", true, nil))
+		w.runsOn, w.reportErr = reports, reportErr
+		return w, w.forward(patient)
+	}
+	t.Run("guards against resuming a stream while its first replica works on", func(t *testing.T) {
+		w, to := resumedAfter(t, 100, nil)
+		assert.Equal(t, len(w.sent), 1)
+		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
+	})
+	t.Run("guards against resuming a stream whose first replica does not say what it works on", func(t *testing.T) {
+		w, to := resumedAfter(t, 0, errBroken)
+		assert.Equal(t, len(w.sent), 1)
+		assert.True(t, to.aborted && !to.ended, "the stream ends as complete")
+	})
+	t.Run("guards against giving up a stream whose first replica has ended its run", func(t *testing.T) {
+		w, to := resumedAfter(t, 0, nil)
+		assert.Equal(t, to.body.String(), wholeText)
+		assert.Equal(t, w.reports, 1)
+	})
+	t.Run("guards against waiting for the report of a replica that has ended", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, first, true, errBroken), answersWith(200, "id: 2\ndata: two\n\n", true, nil))
+		w.gone = map[netip.AddrPort]bool{}
+		for _, b := range w.list {
+			w.gone[b.Address] = true
+		}
+		start := time.Now()
+		assert.Equal(t, w.forward(patient).body.String(), wholeText)
+		assert.True(t, w.reports == 0 && time.Since(start) < reportAge, "resumed after %s and %d reports", time.Since(start), w.reports)
+	})
 }
 
 func TestAwait(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -147,6 +147,10 @@
 	// HasEnded reports whether nothing listens at the address of a replica. It is false
 	// if that is not known.
 	HasEnded(ctx context.Context, replica netip.AddrPort) bool
+	// IsRunning reports whether a replica still works on a request. The report of a
+	// replica may be some hundred milliseconds old. The error wraps ErrOutcomeUnknown if
+	// the replica does not say it.
+	IsRunning(ctx context.Context, replica Backend, id AttemptID) (bool, error)
 	// CloseIdle closes connections that have been idle for too long, and those to
 	// replicas that are no longer listed.
 	CloseIdle(now time.Time, replicas []Backend)
