Keep a verdict when replicas end by themselves later

Cause: two endings make a request guilty unless two other endings have no cause; this was asked again at each look, so later crashes undid a verdict. Replicas that a release had taken away counted too.

Change: a verdict stays until its evidence is too old, tied or explained. Only endings with running requests are without cause, and the end of a replica that was leaving is no evidence.

--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -66,8 +66,12 @@
 }
 
 // checkEnded finds out in the background whether the replica of a broken attempt has
-// ended, and reports it to the other hosts.
+// ended, and reports it to the other hosts. The end of a replica that was leaving says
+// nothing about its requests.
 func (u *run) checkEnded(p *pool, replica zinniapond.Backend) {
+	if listed, live := (*p.replicas.Load())[replica.Address]; !live || listed.ID != replica.ID {
+		return
+	}
 	u.suspected = true
 	u.background.Go(func() {
 		if u.ended.Has(context.Background(), u.Clock(), replica) {
--- a/internal/front/runner/suspect_test.go
+++ b/internal/front/runner/suspect_test.go
@@ -63,6 +63,22 @@
 		}
 		assert.Equal(t, len(w.sent), 5)
 	})
+	t.Run("guards against blaming a request whose replica was leaving", func(t *testing.T) {
+		w := newLargePool(t, 12, stream)
+		w.replies = []reply{func(q zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			for i := range w.list {
+				if w.list[i].ID == q.Replica.ID {
+					w.list[i].State = zinniapond.BackendLeaving
+				}
+			}
+			assert.NoError(t, w.update())
+			return w.endsReplica(q)
+		}}
+		for range 4 {
+			w.forward(deadly)
+		}
+		assert.Equal(t, len(w.sent), 4)
+	})
 	t.Run("guards against a request that is known by its conversation and not by its input", func(t *testing.T) {
 		w := newLargePool(t, 12, zinniapond.Route{Kind: zinniapond.RequestStream, Retained: true})
 		w.replies = []reply{w.endsReplica}
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -68,7 +68,9 @@
 	endings    []lifetime
 	finishedAt time.Time // zero if the request has not finished since
 	learnedAt  time.Time // when this host learned of the finish
-	wasGuilty  bool
+	// wasGuilty is set while the request is guilty. Replicas that end by themselves
+	// later do not make its endings a coincidence.
+	wasGuilty bool
 }
 
 var _ zinniapond.Blame = (*Book)(nil)
@@ -225,7 +227,7 @@
 	switch {
 	case isExplained:
 		return zinniapond.Verdict{}
-	case own >= certainEndings, own >= guiltyEndings && !isTied && b.background(now, request) < backgroundEndings:
+	case own >= certainEndings, own >= guiltyEndings && !isTied && (s.wasGuilty || b.background(now, request) < backgroundEndings):
 		v.Standing = zinniapond.StandingGuilty
 	default:
 		v.Standing = zinniapond.StandingSuspect
@@ -233,12 +235,13 @@
 	return v
 }
 
-// background returns the number of recent endings that neither the given request nor
-// another one with several endings explains. The caller holds the lock.
+// background returns the number of recent endings with running requests that neither the
+// given request nor another one with several endings explains. The caller holds the
+// lock.
 func (b *Book) background(now time.Time, request zinniapond.Digest) int {
 	count := 0
 	for _, e := range b.endings {
-		if now.Sub(e.at) >= memory || slices.Contains(e.suspects, request) {
+		if now.Sub(e.at) >= memory || len(e.suspects) == 0 || slices.Contains(e.suspects, request) {
 			continue
 		}
 		if !slices.ContainsFunc(e.suspects, func(d zinniapond.Digest) bool { return b.strength(now, b.suspects[d]) >= guiltyEndings }) {
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -92,6 +92,24 @@
 		b.RecordEnding(start, replica(3, 1), 10)
 		assertStanding(t, b, start, 10, zinniapond.StandingGuilty)
 	})
+	t.Run("guards against a verdict that lapses as replicas end without a cause", func(t *testing.T) {
+		b := newBook()
+		b.RecordEnding(start, replica(1, 1), poison)
+		b.RecordEnding(start, replica(2, 1), poison)
+		for i := range 2 * backgroundEndings {
+			b.RecordEnding(start, replica(10+i, 1), zinniapond.Digest(100+i))
+		}
+		assertStanding(t, b, start, poison, zinniapond.StandingGuilty)
+	})
+	t.Run("guards against a cause that is not found as idle replicas are stopped", func(t *testing.T) {
+		b := newBook()
+		for i := range 2 * backgroundEndings {
+			b.RecordEnding(start, replica(10+i, 1))
+		}
+		b.RecordEnding(start, replica(1, 1), poison)
+		b.RecordEnding(start, replica(2, 1), poison)
+		assertStanding(t, b, start, poison, zinniapond.StandingGuilty)
+	})
 	t.Run("guards against endings by one cause that hide another one", func(t *testing.T) {
 		b := newBook()
 		for i := range 3 {
