Tell other hosts of an ended replica once, and drop an unused method

Each request that was refused by an ended replica woke the exchange of loads, up to 20 times a second at each host, though there was nothing new to tell. Only a first refusal and endings with running requests do so now. Blame.Suspects had no user.

Tests: the same ones; platform TestDeadlyRequest and the runner's pass.

--- a/blame.go
+++ b/blame.go
@@ -84,6 +84,4 @@
 	Merge(now time.Time, report BlameReport)
 	// News returns the evidence that this host has learned after the given instant.
 	News(now, since time.Time) BlameReport
-	// Suspects returns the digests with evidence against them, with their verdicts.
-	Suspects(now time.Time) map[Digest]Verdict
 }
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -139,9 +139,9 @@
 // Do sends a request and returns the answer once its header has arrived.
 // request is the encoded request, header and body. nonRepeatable limits the
 // idle time of a reused connection to MaxIdleNonRepeatable. The error wraps
-// ErrNotSent if no byte was written, and ErrUnavailable if nothing listens there. The connection is closed if ctx ends
-// before the answer is read. The caller closes the answer's body. id is the id of the
-// request; it may be empty if IDField is.
+// ErrNotSent if no byte was written, and ErrUnavailable if nothing listens there. The
+// connection is closed if ctx ends before the answer is read. The caller closes the
+// answer's body. id is the id of the request; it may be empty if IDField is.
 func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method, id string, nonRepeatable bool, request []byte) (*http.Response, error) {
 	l, err := p.acquire(ctx, now(), to, id, nonRepeatable)
 	if err != nil {
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -84,13 +84,16 @@
 // were running there.
 func (u *run) recordEnding(p *pool, replica zinniapond.Backend, suspects ...zinniapond.Digest) {
 	now := u.Clock()
-	if !p.doubts.Has(now, replica) {
+	isKnown := p.doubts.Has(now, replica)
+	if !isKnown {
 		u.Logger.Info("replica has ended", "replica", replica.Address, "id", replica.ID, "request", u.request.ID, "digest", u.digest, "bytes", len(u.request.Body))
 	}
 	p.doubts.Add(now, replica, endedDoubt)
 	u.Blame.RecordEnding(now, replica, suspects...)
 	u.Stats.Add("front.ended", 1)
-	u.LoadExchange.Wake()
+	if !isKnown || len(suspects) > 0 {
+		u.LoadExchange.Wake()
+	}
 }
 
 // applyEndings makes replicas doubtful that have ended at other hosts.
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -301,16 +301,3 @@
 	}
 	return report
 }
-
-// Suspects returns the requests with evidence against them.
-func (b *Book) Suspects(now time.Time) map[zinniapond.Digest]zinniapond.Verdict {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	list := make(map[zinniapond.Digest]zinniapond.Verdict)
-	for d := range b.suspects {
-		if v := b.judge(now, d); v.Standing != zinniapond.StandingClear {
-			list[d] = v
-		}
-	}
-	return list
-}
