Check clients' keys on the platform's path

A configuration may name plans with keys.

A key is checked before the body is read and before each attempt, with a lease on the confirmation of the configuration. Turns, budgets, sessions and digests are scoped by plan.

--- a/errors.go
+++ b/errors.go
@@ -20,6 +20,7 @@
 	ErrOutcomeUnknown  = errors.New("outcome unknown")
 	ErrBudgetExhausted = errors.New("budget of the plan is used up")
 	ErrOverload        = errors.New("overloaded")
+	ErrRateLimited     = errors.New("request limit of the plan is reached")
 	ErrStaleConfig     = errors.New("configuration not confirmed")
 	ErrNotOwner        = errors.New("not the owner of the shard")
 	ErrFenced          = errors.New("fenced by a newer epoch")
--- a/fleet.go
+++ b/fleet.go
@@ -101,8 +101,13 @@
 
 // Plan is one plan of the plan list.
 type Plan struct {
-	Name         PlanName
-	Class        Class
+	Name     PlanName
+	Class    Class
+	Priority int // 0 is the most urgent; takes precedence over the priority of a route
+	// RequestRate is the number of requests a second that replicas may run for the
+	// plan, and RequestBurst the number in excess of it; a rate of 0 means no limit.
+	RequestRate  RequestRate
+	RequestBurst int
 	Weight       int           // share under contention, at least 1
 	Budget       Tokens        // tokens for each window
 	BudgetWindow time.Duration // span of the budget
--- a/interfaces.go
+++ b/interfaces.go
@@ -224,6 +224,10 @@
 // TurnState is what is known of a turn when it is sent to a model server.
 type TurnState struct {
 	Priority int // of the route, 0 is the highest
+	// PlanPriority is the priority of the client's plan, 0 is the highest. It is valid
+	// if HasPlan is set.
+	PlanPriority int
+	HasPlan      bool
 	// FinishBy is the instant by which the program should finish; zero if unknown.
 	FinishBy time.Time
 }
--- a/internal/files/config/config_test.go
+++ b/internal/files/config/config_test.go
@@ -66,6 +66,7 @@
 				MaxBodyBytes: 8 << 20, MaxHeaderBytes: 64 << 10, ReadTimeout: 30 * time.Second, MaxOpenRequests: 1024,
 				ProgressTimeout: 10 * time.Second, AttemptTimeout: 10 * time.Minute,
 			},
+			Access:   zinniapond.AccessSettings{QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20},
 			LogLevel: "info", Plugins: map[string]string{"queue": "fair", "router": "prefix"},
 		})
 	})
@@ -90,7 +91,7 @@
 	file := filepath.Join(dir, "node.ini")
 	for _, c := range []struct{ name, old, text, want string }{
 		{"a key that is misspelt", "[platform]", "sesion = 1s\n[platform]", "12: [control] has no key sesion; allowed: voters"},
-		{"a section that is misspelt", "[platform]", "[limit]\nbody = 1\n[platform]", "12: unknown section [limit]; allowed: control, journal"},
+		{"a section that is misspelt", "[platform]", "[limit]\nbody = 1\n[platform]", "12: unknown section [limit]; allowed: access, control, journal"},
 		{"a key that is missing", "name = nord-1\n", "", "1: [node] name is not set; allowed: up to 63"},
 		{"a key that is empty", "name = nord-1", "name =", "2: [node] name is not set"},
 		{"a key that is set twice", "[listen]", "name = b\n[listen]", "5: name is already at line 2; allowed: each key once"},
--- a/internal/files/config/fields.go
+++ b/internal/files/config/fields.go
@@ -73,6 +73,10 @@
 		numberField("keeper", "zones", "0", 0, 3, &s.Keeper.MaxLostZones),
 		durationField("keeper", "catch-up", "10s", 100*time.Millisecond, time.Hour, &s.Keeper.CatchUpTime),
 		r.listField(),
+		durationField("access", "revocation", "0s", 0, time.Hour, &s.Access.RevocationTime),
+		durationField("access", "window", "5s", 100*time.Millisecond, time.Hour, &s.Access.QuotaWindow),
+		shareField("access", "overage", "0.1", &s.Access.QuotaOverage),
+		numberField("access", "slack", "20", 0, 1<<20, &s.Access.QuotaSlack),
 		durationField("platform", "apply", "4s", 100*time.Millisecond, time.Minute, &s.Platform.MaxApplyTime),
 		durationField("platform", "refresh", "1s", 50*time.Millisecond, time.Minute, &s.Platform.RefreshInterval),
 		durationField("platform", "weights", "5s", time.Millisecond, time.Hour, &s.Platform.MinWeightLoadInterval),
@@ -117,6 +121,17 @@
 	}}
 }
 
+func shareField(section, key, defaultValue string, target *float64) field {
+	return field{section, key, defaultValue, "number from 0 to 1", false, func(v string) error {
+		share, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(share >= 0 && share <= 1) {
+			return fmt.Errorf("%q is not a number from 0 to 1", v)
+		}
+		*target = share
+		return nil
+	}}
+}
+
 func durationField(section, key, defaultValue string, lowest, highest time.Duration, target *time.Duration) field {
 	return field{section, key, defaultValue, fmt.Sprintf("duration from %s to %s", lowest, highest), false, func(v string) error {
 		d, err := time.ParseDuration(v)
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -56,6 +56,10 @@
 		if ctx.Err() != nil || u.deadline.Sub(now) < replyMargin {
 			return u.deadlineError(lastErr)
 		}
+		// The key may have been revoked while the request waited.
+		if err := u.authorise(now); err != nil {
+			return u.overLimitError(zinniapond.Join(err, lastErr))
+		}
 		// Other hosts may have reported since.
 		if err := u.checkStanding(now, p); err != nil {
 			return u.overLimitError(zinniapond.Join(err, lastErr))
@@ -138,7 +142,7 @@
 // routingNeed describes the request to the router.
 func (u *run) routingNeed() zinniapond.PickInfo {
 	n := zinniapond.PickInfo{
-		Call: zinniapond.CallID(u.request.ID), Program: u.request.Program, DataCentre: u.DataCentre,
+		Call: zinniapond.CallID(u.request.ID), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
 		PromptTokens: u.request.PromptTokens, MaxGenerated: u.request.MaxGenerated, PrefixBackend: u.home.Replica, PrefixTokens: min(u.home.Tokens, u.request.PromptTokens),
 		HasIdleConnection: func(a netip.AddrPort) bool { return u.Client.HasIdleConnection(u.Clock(), a, u.sentOnce()) },
 	}
@@ -154,11 +158,11 @@
 		add(part.ID, part.Tokens)
 	}
 	if len(u.request.PromptParts) == 0 && u.request.SessionID != "" && u.route.IsStream() {
-		add(string(u.request.Program), prefixBlockTokens)
+		add(u.scoped(string(u.request.Program)), prefixBlockTokens)
 		add(u.request.SessionID, prefixBlockTokens)
 	}
 	if len(u.request.PromptParts) == 0 && u.request.AffinityKey != "" {
-		add(u.request.AffinityKey, prefixBlockTokens)
+		add(u.scoped(u.request.AffinityKey), prefixBlockTokens)
 	}
 	return n
 }
@@ -208,7 +212,7 @@
 		u.recordAttempt(replica, v, err)
 	}()
 	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
-		Request: u.request, Replica: replica, Body: u.body, Deadline: u.deadline,
+		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
 		NotRepeated: u.sentOnce(),
 		Priority:    u.urgency(start), LastEventID: u.resumeID(),
 	})
@@ -292,6 +296,9 @@
 		return -1
 	}
 	turn := zinniapond.TurnState{Priority: u.route.Priority}
+	if u.plan != nil {
+		turn.HasPlan, turn.PlanPriority = true, u.plan.Priority
+	}
 	if u.request.FinishWithin != 0 {
 		turn.FinishBy = u.request.ReceivedAt.Add(u.request.FinishWithin)
 	}
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -37,6 +37,7 @@
 	*Runner
 	request      *zinniapond.Request
 	responder    zinniapond.Responder
+	plan         *zinniapond.Plan // of the client; nil if the route needs no key
 	route        *zinniapond.Route
 	service      *zinniapond.Service
 	poolName     zinniapond.PoolName
@@ -106,11 +107,14 @@
 	if err := u.resolveRoute(now); err != nil {
 		return err
 	}
+	if err := u.authorise(now); err != nil {
+		return err
+	}
 	p, err := u.pool(u.poolName)
 	if err != nil {
 		return err
 	}
-	u.digest = digest(u.request, u.poolName)
+	u.digest = digest(u.request, u.scoped(string(u.poolName)))
 	if err := u.checkStanding(now, p); err != nil {
 		return err
 	}
@@ -161,14 +165,14 @@
 
 // resolveRoute sets the route, the service and the deadline of a request.
 func (u *run) resolveRoute(now time.Time) error {
-	t := u.table.Load()
+	t := u.currentTable()
 	if t == nil {
 		return retryableError("find route", shortRetryAfter, fmt.Errorf("no configuration yet: %w", zinniapond.ErrStaleConfig))
 	}
 	u.version = t.Routing().Version
 	route, ok := t.Find(u.request.Host, u.request.Path)
 	if !ok {
-		return fmt.Errorf("find route of %s%s in version %d: %w", u.request.Host, u.request.Path, u.version, zinniapond.ErrNotFound)
+		return notFoundError(u.request, t)
 	}
 	if maxBody := t.Routing().Limits.MaxBodyBytes; maxBody > 0 && int64(len(u.request.Body)) > maxBody {
 		return fmt.Errorf("body of %d bytes: %w", len(u.request.Body), zinniapond.ErrTooLarge)
@@ -203,7 +207,7 @@
 		// The time has whole seconds and the settlement has the same one, as disks
 		// compare their spends by second.
 		u.spend = zinniapond.Spend{
-			Program: u.request.Program, Turn: u.request.ID, Reserved: u.request.MaxGenerated, ReservedAt: now.Truncate(time.Second),
+			Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), Turn: u.request.ID, Reserved: u.request.MaxGenerated, ReservedAt: now.Truncate(time.Second),
 			Retention: u.turnRetention() + u.route.Timeout,
 		}
 		go func() {
@@ -216,7 +220,7 @@
 	}
 	var err error
 	if u.route.Retained && u.request.PreviousTurn != "" {
-		u.chain, err = u.Turns.ReadChain(ctx, now, u.request.PreviousTurn)
+		u.chain, err = u.Turns.ReadChain(ctx, now, zinniapond.TurnID(u.scoped(string(u.request.PreviousTurn))))
 	}
 	if err = zinniapond.Join(err, <-reserved); err != nil {
 		if errors.Is(err, zinniapond.ErrBudgetExhausted) {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -28,7 +28,7 @@
 
 func init() {
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Forwarder, error) {
-		r := &Runner{DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
+		r := &Runner{Access: k.Settings.Access, MaxApplyTime: k.Settings.Platform.MaxApplyTime, DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
@@ -42,28 +42,34 @@
 // Runner implements zinniapond.Forwarder. Its exported fields are set before
 // Run.
 type Runner struct {
-	DataCentre zinniapond.DataCentre
-	Directory  zinniapond.Directory
-	Roster     zinniapond.Roster
-	Turns      zinniapond.Turns
-	Client     zinniapond.ReplicaClient
-	Urgency    zinniapond.Urgency
-	Limits     zinniapond.LimitBook
-	Blame      zinniapond.Blame
-	Throttle   zinniapond.Throttle
-	Stats      *stats.Set[string]
-	Meter      *meter.Meter
-	Logger     hclog.Logger
-	Clock      func() time.Time
-	NewRouter  func() (zinniapond.Router, error)
+	Access zinniapond.AccessSettings
+	// MaxApplyTime is the time within which a configuration is in force.
+	MaxApplyTime time.Duration
+	DataCentre   zinniapond.DataCentre
+	Directory    zinniapond.Directory
+	Roster       zinniapond.Roster
+	Turns        zinniapond.Turns
+	Client       zinniapond.ReplicaClient
+	Urgency      zinniapond.Urgency
+	Limits       zinniapond.LimitBook
+	Blame        zinniapond.Blame
+	Throttle     zinniapond.Throttle
+	Stats        *stats.Set[string]
+	Meter        *meter.Meter
+	Logger       hclog.Logger
+	Clock        func() time.Time
+	NewRouter    func() (zinniapond.Router, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
 	// used if its field Peers is nil.
 	LoadExchange report.LoadExchange
 
-	table atomic.Pointer[table.Table]
-	once  sync.Once
+	table   atomic.Pointer[table.Table]
+	tableMu sync.Mutex // held while a new table is made
+	// leaseExpired is set while keys cannot be checked.
+	leaseExpired atomic.Bool
+	once         sync.Once
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
@@ -173,18 +179,32 @@
 	}
 }
 
-// update applies the current configuration and list of replicas. A configuration is
-// never replaced by an older one.
-func (r *Runner) update() error {
+// currentTable returns the table of the configuration that is known to this host; nil
+// before the first. A configuration is never replaced by an older one.
+func (r *Runner) currentTable() *table.Table {
 	routing := r.Directory.View().Routing
 	current := r.table.Load()
-	if routing != nil && (current == nil || routing.Version > current.Routing().Version) {
-		r.table.Store(table.New(routing))
-		if current == nil {
-			close(r.configured)
-		}
-		r.Logger.Info("configuration in force", "version", routing.Version, "routes", len(routing.Routes))
+	if routing == nil || current != nil && routing.Version <= current.Routing().Version {
+		return current
+	}
+	r.tableMu.Lock()
+	defer r.tableMu.Unlock()
+	current = r.table.Load()
+	if current != nil && routing.Version <= current.Routing().Version {
+		return current
+	}
+	next := table.New(routing)
+	r.table.Store(next)
+	if current == nil {
+		close(r.configured)
 	}
+	r.Logger.Info("configuration in force", "version", routing.Version, "routes", len(routing.Routes), "plans", len(routing.Plans))
+	return next
+}
+
+// update applies the current configuration and list of replicas.
+func (r *Runner) update() error {
+	r.currentTable()
 	backends := r.Roster.Backends()
 	byPool := make(map[zinniapond.PoolName][]zinniapond.Backend)
 	for _, b := range backends {
@@ -247,8 +267,9 @@
 	}
 }
 
-// Ready reports whether requests can be run: a configuration is in force, and the
-// list of replicas is not empty.
+// Ready reports whether requests can be run: a configuration is in force, keys can be
+// checked, and the list of replicas is not empty.
 func (r *Runner) Ready() bool {
-	return r.table.Load() != nil && len(r.Roster.Backends()) > 0
+	t := r.table.Load()
+	return t != nil && len(r.Roster.Backends()) > 0 && (!t.Routing().HasPlans || r.keyLeaseValid(r.Clock()))
 }
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -143,7 +143,7 @@
 func (u *run) finishStream(ctx context.Context) (verdict, error) {
 	if u.route.Retained && u.request.Program != "" && u.stream.status < 300 {
 		turn := zinniapond.Turn{
-			ID: zinniapond.TurnID(u.request.ID), Program: u.request.Program, Input: u.request.Body,
+			ID: zinniapond.TurnID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), Input: u.request.Body,
 			Output: u.stream.output, Retention: u.turnRetention(),
 		}
 		for _, t := range u.chain {
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -27,11 +27,11 @@
 	maxGuiltyRetryAfter = 10 * time.Second
 )
 
-// digest identifies a request by what its client sent. Turns of a conversation are
+// digest identifies a request by its pool and what its client sent. Turns of a conversation are
 // identified by their new input alone: the same input ends replicas in any conversation.
-func digest(request *zinniapond.Request, pool zinniapond.PoolName) zinniapond.Digest {
+func digest(request *zinniapond.Request, pool string) zinniapond.Digest {
 	hash := xxhash.New()
-	_, _ = hash.WriteString(string(pool) + "\x00") // never fails
+	_, _ = hash.WriteString(pool + "\x00") // never fails
 	if len(request.Body) > 0 {
 		_, _ = hash.Write(request.Body)
 	} else {
--- a/internal/policy/urgent/urgent.go
+++ b/internal/policy/urgent/urgent.go
@@ -19,6 +19,9 @@
 	// lateStep is the number of ranks by which a turn of a late program is less
 	// urgent: turns of the next lower priority that are in time go before it.
 	lateStep = 2
+	// routeRanks is the number of ranks of one priority of a plan. They distinguish the
+	// priorities of routes.
+	routeRanks = 2
 	// lowestUrgency is the least urgent rank that servers know.
 	lowestUrgency = 9
 )
@@ -27,7 +30,7 @@
 	kernel.Register("default", func(*kernel.Kernel) (zinniapond.Urgency, error) { return Policy{}, nil })
 }
 
-// Policy ranks by the priority of the route and by whether the program can still
+// Policy ranks by the priorities of the plan and the route and by whether the program can still
 // finish in time.
 type Policy struct{}
 
@@ -37,6 +40,9 @@
 // are in time; it is not refused, as its caller still waits for it.
 func (Policy) Rank(now time.Time, turn zinniapond.TurnState) int {
 	rank := highestUrgency + turn.Priority
+	if turn.HasPlan {
+		rank = highestUrgency + routeRanks*turn.PlanPriority + min(turn.Priority, routeRanks-1)
+	}
 	if !turn.FinishBy.IsZero() && !now.Before(turn.FinishBy) {
 		rank += lateStep
 	}
--- a/request.go
+++ b/request.go
@@ -23,6 +23,11 @@
 	ClientTimeout time.Duration
 	// AffinityKey identifies the object that the request refers to; may be empty.
 	AffinityKey string
+	// KeyHash is the SHA-256 of the client's key; zero if it sent no valid key.
+	KeyHash [32]byte
+	// Credentials are the header fields with the client's key and its claimed
+	// identity. They are forwarded only if the configuration has no plans.
+	Credentials []HeaderField
 
 	// The following fields are set for model requests only.
 	PromptParts  []PromptPart // parts of the prompt, in order
@@ -77,10 +82,21 @@
 	Forward(ctx context.Context, now time.Time, request Request, to Responder)
 }
 
+// Authenticator checks the keys of clients.
+type Authenticator interface {
+	// Authenticate checks the key of a request whose body has not been read. The error
+	// wraps ErrInvalidKey if no plan has the key, ErrNotFound if there is no route, and
+	// ErrStaleConfig if this host does not know whether the key is still valid. It is
+	// nil while no configuration is in force.
+	Authenticate(now time.Time, request Request) error
+}
+
 // ReplicaRequest is a request as it is sent to one replica.
 type ReplicaRequest struct {
 	Request *Request
 	Replica Backend
+	// Plan is the plan of the client; empty if the route needs no key.
+	Plan PlanName
 	// Body is the body to send. For a retained turn it begins with the content of
 	// the turns before it.
 	Body []byte
--- a/routing.go
+++ b/routing.go
@@ -19,9 +19,13 @@
 // Routing is a complete configuration of routes as sent by operators.
 type Routing struct {
 	// Version orders configurations; the highest is in force.
-	Version  uint64       `cbor:"v" json:"version"`
-	Routes   []Route      `cbor:"r" json:"routes"`
-	Services []Service    `cbor:"s" json:"services"`
+	Version  uint64    `cbor:"v" json:"version"`
+	Routes   []Route   `cbor:"r" json:"routes"`
+	Services []Service `cbor:"s" json:"services"`
+	// HasPlans is set if clients need the key of one of Plans, except on public
+	// routes.
+	HasPlans bool         `cbor:"hp,omitempty" json:"hasPlans,omitempty"`
+	Plans    []Plan       `cbor:"ps,omitempty" json:"-"`
 	Limits   CallerLimits `cbor:"l" json:"limits"`
 	// Source is the document as sent by the operator. It is returned unchanged
 	// when the configuration is read.
@@ -55,6 +59,8 @@
 	// Resumable is set if another replica can continue a stream after its last
 	// event.
 	Resumable bool `cbor:"re"`
+	// Public is set if clients need no key.
+	Public bool `cbor:"pu,omitempty"`
 }
 
 // Split assigns a share of a route's requests to one service.
--- a/settings.go
+++ b/settings.go
@@ -42,6 +42,7 @@
 	Platform PlatformSettings
 	Security SecuritySettings
 	Limits   LimitSettings
+	Access   AccessSettings
 	Trace    TraceSettings
 	LogLevel string
 	// MemoryLimit is the memory limit of the process in bytes; 0 for none.
@@ -161,6 +162,29 @@
 // GoString is String for the format %#v.
 func (SecuritySettings) GoString() string { return "(hidden)" }
 
+// AccessSettings are the settings for the keys and request limits of plans.
+type AccessSettings struct {
+	// RevocationTime is the time after which a revoked key is refused on all hosts, also
+	// on those without a connection to the control hosts; 0 if that is not required.
+	RevocationTime time.Duration
+	// QuotaWindow is the length of the sliding window in which the requests of a plan
+	// are bounded: by its rate times the window and its burst, times 1 + QuotaOverage,
+	// plus QuotaSlack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   int
+}
+
+// keyLeaseShare is the share of RevocationTime for which a host accepts keys without
+// confirmation of its configuration. The rest allows for clocks of different speed.
+const keyLeaseShare = 0.9
+
+// KeyLease returns the largest age of a confirmed configuration with which a host accepts
+// keys; 0 if it does not expire.
+func (s AccessSettings) KeyLease() time.Duration {
+	return time.Duration(float64(s.RevocationTime) * keyLeaseShare)
+}
+
 // LimitSettings are the limits for the requests of callers and for attempts at
 // backend servers.
 type LimitSettings struct {
