--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -36,12 +36,14 @@
 	runsOn  int                     // number of reports that name the run of a broken stream
 	// reportErr is the error of each report.
 	reportErr error
+	// confirmedAge is the age of the confirmation of the configuration.
+	confirmedAge time.Duration
 }
 
 func (w *testRunner) View() *zinniapond.ControlView  { return &w.view }
 func (w *testRunner) Catalog() *zinniapond.Catalog   { return nil }
 func (w *testRunner) LeaseValid(time.Time) bool      { return true }
-func (w *testRunner) ConfirmedAt() time.Time         { return time.Now() }
+func (w *testRunner) ConfirmedAt() time.Time         { return time.Now().Add(-w.confirmedAge) }
 func (w *testRunner) Changed() <-chan struct{}       { return nil }
 func (w *testRunner) Backends() []zinniapond.Backend { return w.list }
 func (w *testRunner) SetState(_ time.Time, a netip.AddrPort, _ zinniapond.BackendState) {
@@ -131,9 +133,11 @@
 	reserve  error
 	keepErr  error
 	settled  []zinniapond.Spend
+	asked    []zinniapond.TurnID // turns whose chains were read
 }
 
-func (f *fakeTurns) ReadChain(context.Context, time.Time, zinniapond.TurnID) ([]zinniapond.Turn, error) {
+func (f *fakeTurns) ReadChain(_ context.Context, _ time.Time, id zinniapond.TurnID) ([]zinniapond.Turn, error) {
+	f.asked = append(f.asked, id)
 	if f.chain == nil {
 		return nil, zinniapond.ErrNotFound
 	}
