Say what bounds the work of Merge

The comment called it linear in the entries; adding a suspect also compares the endings that it has (at most 512, 1 to 4 for requests that clients send again). No change of the code.

--- a/internal/policy/blame/merge.go
+++ b/internal/policy/blame/merge.go
@@ -6,8 +6,8 @@
 	"zinniapond.example/zinniapond"
 )
 
-// Merge adds the evidence of another host. Its work is linear in the entries of the
-// report, of which no more are read than a host keeps.
+// Merge adds the evidence of another host. It reads no more of a report than a host
+// keeps, and makes the verdicts once at the end.
 func (b *Book) Merge(now time.Time, report zinniapond.BlameReport) {
 	if report.Size() == 0 {
 		return
