Bound the requests at new and failing replicas

Each of 50 to 70 hosts sends an idle new replica a few requests before the sums of their loads arrive: it is flooded while its cache is cold.

zinniapond.Pace decides how many requests all hosts together should have at such a replica. The bound follows the answers of all hosts, which the exchange of loads now sums for bounded and failing replicas. The runner prefers replicas below their bound. It takes effect only if the settings name a pace.

--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -30,6 +30,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/fifo"
 	_ "zinniapond.example/zinniapond/internal/policy/least"
 	_ "zinniapond.example/zinniapond/internal/policy/limit"
+	_ "zinniapond.example/zinniapond/internal/policy/pace"
 	_ "zinniapond.example/zinniapond/internal/policy/place"
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
--- a/internal/files/config/config.go
+++ b/internal/files/config/config.go
@@ -128,7 +128,7 @@
 // the settings.
 var pluginInterfaces = []string{
 	"budget", "cacheleases", "control", "detector", "directory", "journal", "limiter", "mounter",
-	"peers", "placer", "queue", "retrier", "roster", "router", "scheduler", "urgency",
+	"pace", "peers", "placer", "queue", "retrier", "roster", "router", "scheduler", "urgency",
 }
 
 func (r *reader) readPlugins() {
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -176,7 +176,7 @@
 // pickReplica picks a live replica for which allowed returns true. A doubtful one is
 // picked only if there is no other.
 func (p *pool) pickReplica(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
-	c, ok := p.pickAllowed(now, need, func(b zinniapond.Backend) bool { return allowed(b) && !p.doubts.Has(now, b) })
+	c, ok := p.pickPaced(now, need, func(b zinniapond.Backend) bool { return allowed(b) && !p.doubts.Has(now, b) })
 	if !ok {
 		c, ok = p.pickAllowed(now, need, allowed)
 	}
@@ -204,11 +204,13 @@
 	}
 	u.replica = replica.Address
 	p.recordStart(start, replica.Address, need)
+	paced := u.beginPaced(p, start, replica, cached)
 	observation := zinniapond.Observation{Cancelled: true}
 	defer func() {
 		now := u.Clock()
 		observation.Duration = now.Sub(start)
 		p.recordFinish(now, replica.Address, need, observation)
+		paced.end(now, v, observation)
 		u.recordAttempt(replica, v, err)
 	}()
 	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
@@ -253,6 +255,7 @@
 		return verdictMayHaveRun, fmt.Errorf("replica %s: answer with status %d is not its own: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
 	p.doubts.Clear(replica)
+	paced.observe(answer)
 	observation.TimeToFirstByte = u.Clock().Sub(start)
 	if u.answerBegun && (!answer.IsStream || answer.Status != u.stream.status) {
 		observation = zinniapond.Observation{Failed: true}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -32,6 +32,9 @@
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
+		if err := r.findPace(k); err != nil {
+			return nil, err
+		}
 		return r, errors.Join(
 			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
@@ -54,6 +57,8 @@
 	Limits       zinniapond.LimitBook
 	Blame        zinniapond.Blame
 	Throttle     zinniapond.Throttle
+	// Pace bounds the requests at new replicas; nil if the settings do not name one.
+	Pace  zinniapond.Pace
 	Stats        *stats.Set[string]
 	Meter        *meter.Meter
 	Logger       hclog.Logger
@@ -81,6 +86,7 @@
 // pool has the replicas of one service.
 type pool struct {
 	router   zinniapond.Router
+	pace     zinniapond.Pace // nil if replicas are not bounded
 	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
@@ -113,12 +119,13 @@
 		})
 		return true
 	})
-	return loads
+	return r.reportAnswers(loads)
 }
 
 // reportLoads passes the number of all hosts' running requests at each replica to the
 // routers.
 func (r *Runner) reportLoads(now time.Time, loads []zinniapond.Load) {
+	r.setLoads(now, loads)
 	counts := make(map[netip.AddrPort]int, len(loads))
 	for _, l := range loads {
 		counts[l.Replica] = l.Count
@@ -149,7 +156,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	if r.LoadExchange.Peers != nil {
 		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums = r.localLoads, r.reportLoads
-		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.Throttle.SetHostCount
+		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.setHostCount
 		r.LoadExchange.Blame, r.LoadExchange.OnEndings = r.Blame, r.applyEndings
 		group.Go(func() error { return r.LoadExchange.Run(ctx) })
 	}
@@ -217,10 +224,12 @@
 			return err
 		}
 		p.update(now, list)
+		r.setPaced(now, name, list)
 	}
 	r.pools.Each(func(name zinniapond.PoolName, p *pool) bool {
 		if _, ok := byPool[name]; !ok {
 			p.update(now, nil)
+			r.setPaced(now, name, nil)
 		}
 		return true
 	})
@@ -238,7 +247,7 @@
 		return nil, err
 	}
 	return r.pools.GetOrCreate(name, func() *pool {
-		p := &pool{router: router}
+		p := &pool{router: router, pace: r.Pace}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
 		return p
 	}), nil
--- /dev/null
+++ b/internal/policy/pace/pace.go
@@ -0,0 +1,306 @@
+// Package pace bounds the requests of all hosts together at a replica that is new or
+// that has failed. It answers the load of 50 to 70 hosts that see the same idle replica
+// at once: each of them sends it a few requests before the first sums of their loads
+// arrive, and these wait for each other behind a cold cache or are refused. The bound
+// follows the answers that all hosts have seen, so that a replica which answers well is
+// full within seconds, and a failing one keeps a single request that shows when it works
+// again. docs/design/pace.md has the reasons.
+package pace
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/shard"
+	"zinniapond.example/zinniapond/internal/core/stats"
+)
+
+func init() {
+	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Pace, error) {
+		b := &Book{Seed: xxhash.Sum64String(string(k.Settings.Host)), Logger: k.Logger.Named("pace")}
+		return b, kernel.FindInto(k, &b.Stats)
+	})
+}
+
+const (
+	// absenceTime is the time out of the list after which a replica counts as new when
+	// it returns under the same id. Lists that are read at different hosts may alternate
+	// for a shorter time.
+	absenceTime = time.Second
+	// forgetTime is the time out of the list after which the state of a replica is
+	// dropped.
+	forgetTime = 30 * time.Second
+	// maxTroubledShare is the share of a pool that is bounded because of bad answers.
+	// When more replicas answer badly, the cause is load or this host's network, and a
+	// bound would move the requests to replicas that are no better.
+	maxTroubledShare = 1.0 / 3
+)
+
+// Book implements zinniapond.Pace. The state of each replica is guarded by a lock of its
+// own. Its exported fields are set before use.
+type Book struct {
+	// Seed differs between hosts, so that they do not all use the same free place.
+	Seed   uint64
+	Logger hclog.Logger
+	Stats  *stats.Set[string]
+
+	servers   shard.Map[netip.AddrPort, *server]
+	pools     shard.Map[zinniapond.PoolName, *pool]
+	hostCount atomic.Int64
+}
+
+var _ zinniapond.Pace = (*Book)(nil)
+
+// pool is what the replicas of a pool have in common.
+type pool struct {
+	size    atomic.Int64 // live replicas
+	bounded atomic.Int64 // replicas that are bounded
+	usual   usualTimes
+}
+
+func (b *Book) pool(name zinniapond.PoolName) *pool {
+	return b.pools.GetOrCreate(name, func() *pool { return new(pool) })
+}
+
+// SetHostCount sets the number of hosts that send requests to the replicas.
+func (b *Book) SetHostCount(count int) { b.hostCount.Store(int64(count)) }
+
+func (b *Book) hosts() float64 { return float64(max(b.hostCount.Load(), 1)) }
+
+// SetReplicas sets the live replicas of a pool. Those that were not in the list before
+// are bounded, the less the more of the pool they are: the replicas of a pool that is
+// new as a whole, or known to a host that has just started, are not bounded at all.
+func (b *Book) SetReplicas(now time.Time, name zinniapond.PoolName, live []zinniapond.Backend) {
+	p := b.pool(name)
+	p.size.Store(int64(len(live)))
+	present := make(map[netip.AddrPort]bool, len(live))
+	var begun, known []*server
+	for _, replica := range live {
+		present[replica.Address] = true
+		s := b.servers.GetOrCreate(replica.Address, func() *server { return &server{address: replica.Address, phase: b.phaseOf(replica.Address)} })
+		if s.setPresent(now, replica, p) {
+			begun = append(begun, s)
+		} else {
+			known = append(known, s)
+		}
+	}
+	for _, s := range known {
+		b.learn(now, s, 0, 0) // ramp-ups end with time while there are no sums
+	}
+	for _, s := range begun {
+		b.begin(now, s, "new", float64(len(begun))/float64(len(live)))
+	}
+	var forgotten []netip.AddrPort
+	b.servers.Each(func(a netip.AddrPort, s *server) bool {
+		if !present[a] && s.setAbsent(now, name) {
+			forgotten = append(forgotten, a)
+		}
+		return true
+	})
+	for _, a := range forgotten {
+		b.servers.Delete(a)
+	}
+}
+
+// phaseOf spreads the hosts over the draws for a replica.
+func (b *Book) phaseOf(a netip.AddrPort) uint64 {
+	return xxhash.Sum64String(a.String()) ^ b.Seed*0x9e3779b97f4a7c15
+}
+
+// begin bounds a replica. share is the share of the pool that begins at this time.
+func (b *Book) begin(now time.Time, s *server, reason string, share float64) {
+	if bound, ok := s.begin(now, share); ok {
+		b.Stats.Add("pace.begun", 1)
+		b.Stats.Add("pace.bounded", 1)
+		b.Logger.Info("replica ramps up", "replica", s.address, "id", s.currentID(), "reason", reason, "bound", bound)
+	}
+}
+
+// end logs the end of a ramp-up.
+func (b *Book) end(e ended) {
+	b.Stats.Add("pace.ended", 1)
+	b.Stats.Add("pace.bounded", -1)
+	b.Stats.Add("pace.good", int64(e.good))
+	b.Stats.Add("pace.bad", int64(e.bad))
+	b.Logger.Info("replica has ramped up", "replica", e.address, "id", e.id, "reason", e.reason, "took", e.took, "good", e.good, "bad", e.bad)
+}
+
+// SetLoads sets the sums of all hosts.
+func (b *Book) SetLoads(now time.Time, sums []zinniapond.Load) {
+	byReplica := make(map[netip.AddrPort]zinniapond.Load, len(sums))
+	for _, l := range sums {
+		byReplica[l.Replica] = l
+	}
+	var known []*server
+	b.servers.Each(func(_ netip.AddrPort, s *server) bool {
+		known = append(known, s)
+		return true
+	})
+	for _, s := range known {
+		good, bad := s.setSum(now, byReplica[s.address])
+		b.learn(now, s, good, bad)
+	}
+}
+
+// learn applies answers of a replica, and begins or ends its ramp-up.
+func (b *Book) learn(now time.Time, s *server, good, bad int) {
+	troubled, e, isOver := s.learn(now, good, bad)
+	if isOver {
+		b.end(e)
+	}
+	if troubled && s.mayBoundMore() {
+		b.begin(now, s, "bad answers", 0)
+	}
+}
+
+// Report adds to the loads of this host how the replicas have answered it lately.
+func (b *Book) Report(now time.Time, loads []zinniapond.Load) []zinniapond.Load {
+	counts := make(map[netip.AddrPort]tally)
+	b.servers.Each(func(a netip.AddrPort, s *server) bool {
+		if t := s.report(now); t != (tally{}) {
+			counts[a] = t
+		}
+		return true
+	})
+	for i := range loads {
+		t := counts[loads[i].Replica]
+		loads[i].Good, loads[i].Bad = t.good, t.bad
+		delete(counts, loads[i].Replica)
+	}
+	for a, t := range counts {
+		loads = append(loads, zinniapond.Load{Replica: a, Good: t.good, Bad: t.bad})
+	}
+	return loads
+}
+
+// Bound returns the largest number of requests that all hosts together should have at a
+// replica.
+func (b *Book) Bound(_ time.Time, replica zinniapond.Backend) (int, bool) {
+	s, ok := b.find(replica)
+	if !ok {
+		return 0, false
+	}
+	return s.currentBound()
+}
+
+// Admits reports whether this host should send a request to a replica now.
+func (b *Book) Admits(now time.Time, replica zinniapond.Backend, noOther bool) bool {
+	s, ok := b.find(replica)
+	return !ok || s.admits(now, b.hosts(), noOther)
+}
+
+// IsFull reports whether a replica is known to have all its slots in use.
+func (b *Book) IsFull(now time.Time, replica zinniapond.Backend) bool {
+	s, ok := b.find(replica)
+	return ok && s.isFull(now)
+}
+
+// RecordStart records that a request of this host begins at a replica.
+func (b *Book) RecordStart(now time.Time, replica zinniapond.Backend) {
+	if s, ok := b.find(replica); ok {
+		s.recordStart(now)
+	}
+}
+
+// RecordFinish records that a request of this host has ended at a replica.
+func (b *Book) RecordFinish(_ time.Time, replica zinniapond.Backend) {
+	if s, ok := b.find(replica); ok {
+		s.recordFinish()
+	}
+}
+
+// RecordAnswer records how a replica has answered a request of this host.
+func (b *Book) RecordAnswer(now time.Time, replica zinniapond.Backend, answer zinniapond.PaceAnswer) {
+	s, ok := b.find(replica)
+	if !ok {
+		return
+	}
+	good, bad := s.recordAnswer(now, answer)
+	b.learn(now, s, good, bad)
+}
+
+// find returns the state of a replica if the list has this lifetime of it.
+func (b *Book) find(replica zinniapond.Backend) (*server, bool) {
+	s, ok := b.servers.Get(replica.Address)
+	return s, ok && s.currentID() == replica.ID
+}
+
+// usualTimes are the usual times to the first byte of a pool's replicas, by the size of
+// the part of the prompt that is prefilled. One time for each token would compare the
+// prompts of a cold cache with those of a warm one, which take mostly network time.
+type usualTimes struct {
+	mu      sync.Mutex
+	classes [sizeClasses]median
+}
+
+const (
+	// sizeClasses is the number of classes of prompts; each has prompts of up to four
+	// times the size of the one before.
+	sizeClasses = 10
+	// medianStep is the relative change of a usual time by one answer.
+	medianStep = 0.03
+	// minAnswers is the number of answers after which a usual time is known.
+	minAnswers = 8
+	// goodRatio and slowRatio are the ratios to the usual time up to which an answer is
+	// good, and from which it is slow.
+	goodRatio = 2
+	slowRatio = 3
+	// timeSlack is added to both bounds: replicas in other data centres, and short answers
+	// of plain services, differ by as much. Clients accept 250 ms to the first event.
+	timeSlack = 100 * time.Millisecond
+)
+
+type median struct {
+	value float64 // in nanoseconds
+	count int
+}
+
+func sizeClass(uncached zinniapond.Tokens) int {
+	class := 0
+	for size := max(uncached, 0); size > 0 && class < sizeClasses-1; size /= 4 {
+		class++
+	}
+	return class
+}
+
+// observe adds an answer of a replica that is not bounded.
+func (u *usualTimes) observe(answer zinniapond.PaceAnswer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	m := &u.classes[sizeClass(answer.Uncached)]
+	m.count++
+	value := float64(answer.TimeToFirstByte)
+	step := max(medianStep, 1/float64(m.count+1))
+	switch {
+	case m.count == 1:
+		m.value = value
+	case value > m.value:
+		m.value *= 1 + step
+	default:
+		m.value *= 1 - step
+	}
+}
+
+// judge compares an answer with the usual time of its class.
+func (u *usualTimes) judge(answer zinniapond.PaceAnswer) (isGood, isSlow bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	m := u.classes[sizeClass(answer.Uncached)]
+	if m.count < minAnswers {
+		return true, false
+	}
+	usual := time.Duration(m.value)
+	return answer.TimeToFirstByte <= goodRatio*usual+timeSlack, answer.TimeToFirstByte > slowRatio*usual+timeSlack
+}
+
+// draw returns a number between 0 and 1 that is the same for all calls of a host with
+// the same slot.
+func draw(phase, slot uint64) float64 { return rand.New(rand.NewPCG(phase, slot)).Float64() }
--- a/loads.go
+++ b/loads.go
@@ -9,8 +9,22 @@
 type Load struct {
 	Replica netip.AddrPort `cbor:"r"`
 	Count   int            `cbor:"c"`
+	// Good and Bad count the answers that the replica has given lately. They are zero
+	// for a replica that is not bounded by its Pace and has not failed lately.
+	Good int `cbor:"g,omitempty"`
+	Bad  int `cbor:"b,omitempty"`
 }
 
+// Add adds the counts of another host's load of the same replica.
+func (l *Load) Add(o Load) {
+	l.Count += o.Count
+	l.Good += o.Good
+	l.Bad += o.Bad
+}
+
+// HasAnswers reports whether the load has counts of answers.
+func (l Load) HasAnswers() bool { return l.Good != 0 || l.Bad != 0 }
+
 // LoadsRequest reports how many requests one host has running at each replica.
 type LoadsRequest struct {
 	Sender HostName `cbor:"h"`
