--- a/internal/front/runner/pace.go
+++ b/internal/front/runner/pace.go
@@ -53,12 +53,20 @@
 	if p.pace == nil {
 		return p.pickAllowed(now, need, allowed)
 	}
+	heldBack := false
 	pick := func(noOther bool) (candidate, bool) {
-		return p.pickAllowed(now, need, func(b zinniapond.Backend) bool { return allowed(b) && p.pace.Admits(now, b, noOther) })
+		return p.pickAllowed(now, need, func(b zinniapond.Backend) bool {
+			if !allowed(b) {
+				return false
+			}
+			admitted := p.pace.Admits(now, b, noOther)
+			heldBack = heldBack || !admitted
+			return admitted
+		})
 	}
 	c, ok := pick(false)
-	if ok && !p.pace.IsFull(now, c.Backend) {
-		return c, true
+	if !heldBack || ok && !p.pace.IsFull(now, c.Backend) {
+		return c, ok
 	}
 	if other, found := pick(true); found && (!ok || !p.pace.IsFull(now, other.Backend)) {
 		return other, true
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -58,12 +58,12 @@
 	Blame        zinniapond.Blame
 	Throttle     zinniapond.Throttle
 	// Pace bounds the requests at new replicas; nil if the settings do not name one.
-	Pace  zinniapond.Pace
-	Stats        *stats.Set[string]
-	Meter        *meter.Meter
-	Logger       hclog.Logger
-	Clock        func() time.Time
-	NewRouter    func() (zinniapond.Router, error)
+	Pace      zinniapond.Pace
+	Stats     *stats.Set[string]
+	Meter     *meter.Meter
+	Logger    hclog.Logger
+	Clock     func() time.Time
+	NewRouter func() (zinniapond.Router, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -52,7 +52,9 @@
 	Logger hclog.Logger
 	Stats  *stats.Set[string]
 
-	servers   shard.Map[netip.AddrPort, *server]
+	servers shard.Map[netip.AddrPort, *server]
+	// all has the same servers as a list, which is never changed once set.
+	all       atomic.Pointer[[]*server]
 	pools     shard.Map[zinniapond.PoolName, *pool]
 	hostCount atomic.Int64
 }
@@ -86,7 +88,9 @@
 	for _, replica := range live {
 		present[replica.Address] = true
 		s := b.servers.GetOrCreate(replica.Address, func() *server { return &server{address: replica.Address, phase: b.phaseOf(replica.Address)} })
-		if s.setPresent(now, replica, p) {
+		isNew, dropped := s.setPresent(now, replica, p)
+		b.countDropped(dropped)
+		if isNew {
 			begun = append(begun, s)
 		} else {
 			known = append(known, s)
@@ -99,15 +103,31 @@
 		b.begin(now, s, "new", float64(len(begun))/float64(len(live)))
 	}
 	var forgotten []netip.AddrPort
+	var all []*server
 	b.servers.Each(func(a netip.AddrPort, s *server) bool {
-		if !present[a] && s.setAbsent(now, name) {
-			forgotten = append(forgotten, a)
+		if !present[a] {
+			isForgotten, dropped := s.setAbsent(now, name)
+			b.countDropped(dropped)
+			if isForgotten {
+				forgotten = append(forgotten, a)
+				return true
+			}
 		}
+		all = append(all, s)
 		return true
 	})
 	for _, a := range forgotten {
 		b.servers.Delete(a)
 	}
+	b.all.Store(&all)
+}
+
+// list returns all servers.
+func (b *Book) list() []*server {
+	if all := b.all.Load(); all != nil {
+		return *all
+	}
+	return nil
 }
 
 // phaseOf spreads the hosts over the draws for a replica.
@@ -119,15 +139,21 @@
 func (b *Book) begin(now time.Time, s *server, reason string, share float64) {
 	if bound, ok := s.begin(now, share); ok {
 		b.Stats.Add("pace.begun", 1)
-		b.Stats.Add("pace.bounded", 1)
 		b.Logger.Info("replica ramps up", "replica", s.address, "id", s.currentID(), "reason", reason, "bound", bound)
 	}
 }
 
+// countDropped counts a ramp-up whose replica has left the list: begun is the sum of ended,
+// dropped and those that go on.
+func (b *Book) countDropped(dropped bool) {
+	if dropped {
+		b.Stats.Add("pace.dropped", 1)
+	}
+}
+
 // end logs the end of a ramp-up.
 func (b *Book) end(e ended) {
 	b.Stats.Add("pace.ended", 1)
-	b.Stats.Add("pace.bounded", -1)
 	b.Stats.Add("pace.good", int64(e.good))
 	b.Stats.Add("pace.bad", int64(e.bad))
 	b.Logger.Info("replica has ramped up", "replica", e.address, "id", e.id, "reason", e.reason, "took", e.took, "good", e.good, "bad", e.bad)
@@ -139,12 +165,7 @@
 	for _, l := range sums {
 		byReplica[l.Replica] = l
 	}
-	var known []*server
-	b.servers.Each(func(_ netip.AddrPort, s *server) bool {
-		known = append(known, s)
-		return true
-	})
-	for _, s := range known {
+	for _, s := range b.list() {
 		good, bad := s.setSum(now, byReplica[s.address])
 		b.learn(now, s, good, bad)
 	}
@@ -152,6 +173,9 @@
 
 // learn applies answers of a replica, and begins or ends its ramp-up.
 func (b *Book) learn(now time.Time, s *server, good, bad int) {
+	if good+bad == 0 && !s.isBounded.Load() {
+		return
+	}
 	troubled, e, isOver := s.learn(now, good, bad)
 	if isOver {
 		b.end(e)
@@ -164,12 +188,11 @@
 // Report adds to the loads of this host how the replicas have answered it lately.
 func (b *Book) Report(now time.Time, loads []zinniapond.Load) []zinniapond.Load {
 	counts := make(map[netip.AddrPort]tally)
-	b.servers.Each(func(a netip.AddrPort, s *server) bool {
+	for _, s := range b.list() {
 		if t := s.report(now); t != (tally{}) {
-			counts[a] = t
+			counts[s.address] = t
 		}
-		return true
-	})
+	}
 	for i := range loads {
 		t := counts[loads[i].Replica]
 		loads[i].Good, loads[i].Bad = t.good, t.bad
@@ -246,7 +269,7 @@
 	// times the size of the one before.
 	sizeClasses = 10
 	// medianStep is the relative change of a usual time by one answer.
-	medianStep = 0.03
+	medianStep = 0.1
 	// minAnswers is the number of answers after which a usual time is known.
 	minAnswers = 8
 	// goodRatio and slowRatio are the ratios to the usual time up to which an answer is
--- a/internal/policy/pace/server.go
+++ b/internal/policy/pace/server.go
@@ -53,6 +53,15 @@
 	drawInterval = 400 * time.Millisecond
 )
 
+const (
+	// gainGrowth is the growth of the share of the hosts that may use a free place, for
+	// each sum that shows less than half of the bound in use: most hosts that may send a
+	// request have none that suits the replica. With maxGain, about every host of the
+	// largest deployments in use may use one free place.
+	gainGrowth = 1.25
+	maxGain    = 32
+)
+
 // tally counts answers.
 type tally struct{ good, bad int }
 
@@ -77,6 +86,7 @@
 	pool        *pool
 	poolName    zinniapond.PoolName
 	slots       float64
+	listedAt    time.Time // when the list first had this lifetime
 	absentSince time.Time // zero while the list has the replica
 	inFlight    int       // requests of this host
 
@@ -96,6 +106,8 @@
 	begunAt  time.Time
 	badAt    time.Time
 	answers  tally // of all hosts during this ramp-up
+	endedAt  time.Time
+	gain     float64 // factor of the places that are shared out
 	slot     uint64
 	sentSlot int // requests that were sent in the slot
 }
@@ -119,13 +131,14 @@
 }
 
 // setPresent applies an entry of the list and reports whether it is of a lifetime that
-// the list did not have before.
-func (s *server) setPresent(now time.Time, replica zinniapond.Backend, p *pool) bool {
+// the list did not have before, and whether a ramp-up of the one before was dropped.
+func (s *server) setPresent(now time.Time, replica zinniapond.Backend, p *pool) (isNew, dropped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNew := s.pool == nil || s.id != replica.ID || !s.absentSince.IsZero() && now.Sub(s.absentSince) >= absenceTime
+	isNew = s.pool == nil || s.id != replica.ID || !s.absentSince.IsZero() && now.Sub(s.absentSince) >= absenceTime
 	if isNew {
-		s.stop()
+		dropped = s.stop()
+		s.listedAt = now
 		s.own, s.trouble, s.ownTrouble, s.badAt = tally{}, fading{}, fading{}, time.Time{}
 		if s.id != replica.ID {
 			s.inFlight = 0 // requests of the former lifetime are not recorded any more
@@ -136,32 +149,33 @@
 	if replica.Slots <= 0 {
 		s.slots = defaultSlots
 	}
-	return isNew
+	return isNew, dropped
 }
 
 // setAbsent records that the list does not have the replica, and reports whether its
-// state is to be dropped.
-func (s *server) setAbsent(now time.Time, name zinniapond.PoolName) bool {
+// state is to be forgotten, and whether a ramp-up was dropped with it.
+func (s *server) setAbsent(now time.Time, name zinniapond.PoolName) (forgotten, dropped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.poolName != name {
-		return false
+		return false, false
 	}
 	if s.absentSince.IsZero() {
 		s.absentSince = now
 	}
 	if s.inFlight > 0 || now.Sub(s.absentSince) < forgetTime {
-		return false
+		return false, false
 	}
-	s.stop()
-	return true
+	return true, s.stop()
 }
 
-// stop ends a ramp-up without a result. The caller holds the lock.
-func (s *server) stop() {
-	if s.isBounded.Swap(false) {
-		s.pool.bounded.Add(-1)
+// stop ends a ramp-up and reports whether there was one. The caller holds the lock.
+func (s *server) stop() bool {
+	if !s.isBounded.Swap(false) {
+		return false
 	}
+	s.pool.bounded.Add(-1)
+	return true
 }
 
 // begin bounds the replica unless its first bound is all its slots.
@@ -172,7 +186,7 @@
 	if bound >= s.slots || s.isBounded.Load() {
 		return 0, false
 	}
-	s.bound, s.begunAt, s.answers = bound, now, tally{}
+	s.bound, s.begunAt, s.answers, s.gain = bound, now, tally{}, 1
 	s.isBounded.Store(true)
 	s.pool.bounded.Add(1)
 	return bound, true
@@ -190,6 +204,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.load, s.loadAt, s.inFlightAtLoad = sum.Count, now, s.inFlight
+	switch {
+	case float64(s.load) > s.bound/2:
+		s.gain = max(s.gain/2, 1)
+	case now.Sub(s.badAt) >= cautiousTime: // a replica that fails at once is idle too
+		s.gain = min(s.gain*gainGrowth, maxGain)
+	}
 	// The sum has the answers that this host has reported, which are known already.
 	next := tally{max(sum.Good-s.reported.good, 0), max(sum.Bad-s.reported.bad, 0)}
 	good, bad = max(next.good-s.others.good, 0), max(next.bad-s.others.bad, 0)
@@ -223,10 +243,13 @@
 		if !isBounded && !answer.Unfinished {
 			s.pool.usual.observe(answer)
 		}
-		if isGood && isBounded && !answer.Unfinished {
+		// Other hosts may still need the answer after this one has seen enough.
+		if isGood && (isBounded || now.Sub(s.endedAt) < reportTime) && !answer.Unfinished {
 			good = 1
 		}
-		if isSlow && !(isBounded && now.Sub(s.begunAt) < coldTime) {
+		// A slow answer of a replica with many requests shows its load.
+		isBusy := !isBounded && s.knownLoad() > s.slots/2
+		if isSlow && !isBusy && now.Sub(s.listedAt) >= coldTime {
 			bad = 1
 		}
 	}
@@ -246,7 +269,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if bad > 0 {
-		s.badAt = now
+		s.badAt, s.gain = now, 1
 	}
 	recent := s.trouble.add(now, float64(bad))
 	if !s.isBounded.Load() {
@@ -270,6 +293,7 @@
 		return false, e, false
 	}
 	s.stop()
+	s.endedAt = now
 	e.address, e.id, e.took, e.tally = s.address, s.id, age, s.answers
 	return false, e, true
 }
@@ -306,7 +330,8 @@
 	if slot == s.slot {
 		sent = s.sentSlot
 	}
-	return float64(sent) < math.Floor((room+float64(sent))/hosts+chance)
+	// A sudden burst sends no more than fill the slots.
+	return float64(sent) < math.Floor((min(s.gain*room, s.slots)+float64(sent))/hosts+chance)
 }
 
 // knownLoad is the last sum, with the requests of this host since then. The caller holds
