Forget the cache and the speed of a server that was started again

The prefix router keeps its state by address. A server that was started again at its address between two lists, or listed again after it was gone, counted as having the conversations of the one before in its cache, so its first requests were those that it has to prefill as a whole.

The id of the list entry now decides: a new id begins a new generation of the cache index, without slowness. The location of a conversation that is stored with its turn has no id and still counts for the address.

--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -95,9 +95,7 @@
 		s := r.servers.GetOrCreate(b.Address, func() *server {
 			return &server{address: b.Address, dataCentre: b.DataCentre, slots: defaultSlots}
 		})
-		if b.Slots > 0 {
-			s.setSlots(b.Slots)
-		}
+		s.setEntry(b)
 		s.eligible.Store(true)
 		eligible = append(eligible, s)
 	}
--- a/internal/policy/prefix/prefix_test.go
+++ b/internal/policy/prefix/prefix_test.go
@@ -66,6 +66,24 @@
 	home := runCall(t, r, startTime, need, normalSpeed)
 	need.Call, need.PromptTokens = "again", 1280
 	need.PrefixHashes = append(need.PrefixHashes, 1005)
+	t.Run("guards against sending a conversation to a server that was started again without its cache", func(t *testing.T) {
+		r := newRouter(12)
+		for i := range 50 {
+			runCall(t, r, startTime, newNeed(i), normalSpeed)
+		}
+		need := newNeed(100)
+		home := runCall(t, r, startTime, need, normalSpeed)
+		need.Call = "again"
+		c, _ := r.Pick(startTime, need, allFree)
+		assert.True(t, c.Backend == home && c.CachedTokens > 0, "the conversation does not return to its server")
+		var servers []zinniapond.Backend
+		for i := range 12 {
+			servers = append(servers, zinniapond.Backend{Address: address(i), ID: "next"})
+		}
+		r.Update(startTime, servers)
+		c, _ = r.Pick(startTime, need, allFree)
+		assert.Equal(t, c.CachedTokens, 0)
+	})
 	t.Run("guards against leaving the server with the cache", func(t *testing.T) {
 		c, _ := r.Pick(startTime, need, allFree)
 		assert.True(t, c.Backend == home, "chose %s, cache is at %s", c.Backend, home)
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapond.example/zinniapond"
 )
 
@@ -45,6 +47,7 @@
 	eligible atomic.Bool // may receive new work
 
 	mu       sync.Mutex
+	id       string  // distinguishes successive starts at the address
 	slots    float64 // requests that run at once
 	inFlight []request
 	// slowness is the moving average of the ratio of observed to expected time;
@@ -94,10 +97,18 @@
 	return g
 }
 
-func (s *server) setSlots(slots int) {
+// setEntry applies the server's entry of the list. A server that was started again has
+// neither the cache nor the speed of the one before.
+func (s *server) setEntry(b zinniapond.Backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots = float64(slots)
+	if b.Slots > 0 {
+		s.slots = float64(b.Slots)
+	}
+	if b.ID != s.id {
+		s.id, s.cacheGeneration = b.ID, xxhash.Sum64String(b.ID)
+		s.slowness, s.nextProbe, s.probeInterval, s.eventSequence = 0, time.Time{}, 0, 0
+	}
 }
 
 func (s *server) addRequest(f request) {
