--- a/internal/fleet/loads/loads_test.go
+++ b/internal/fleet/loads/loads_test.go
@@ -37,6 +37,14 @@
 		assert.Equal(t, exchange(t, l, "two", 4).Loads[0], zinniapond.Load{Replica: replica, Count: 7})
 		assert.Equal(t, exchange(t, l, "one", 1).Loads[0].Count, 5)
 	})
+	t.Run("guards against a host that does not see the answers to others", func(t *testing.T) {
+		var reply zinniapond.LoadsReply
+		for host, count := range map[zinniapond.HostName]int{"one": 1, "two": 4} {
+			loads := []zinniapond.Load{{Replica: replica, Count: count, Good: 2, Bad: 3}}
+			assert.NoError(t, l.Exchange(zinniapond.LoadsRequest{Sender: host, Loads: loads}, &reply))
+		}
+		assert.Equal(t, reply.Loads[0], zinniapond.Load{Replica: replica, Count: 5, Good: 4, Bad: 6})
+	})
 	t.Run("guards against counting the requests of a host that is gone", func(t *testing.T) {
 		now = now.Add(time.Second)
 		assert.Equal(t, exchange(t, l, "two", 4).Loads[0].Count, 4)
@@ -52,7 +60,7 @@
 		request := zinniapond.LoadsRequest{Sender: "one"}
 		for i := range 600 {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80)
-			request.Loads = append(request.Loads, zinniapond.Load{Replica: address, Count: 1})
+			request.Loads = append(request.Loads, zinniapond.Load{Replica: address, Count: 1, Good: 1000 * (i % 2), Bad: 1000 * (i % 2)})
 		}
 		var reply zinniapond.LoadsReply
 		assert.NoError(t, l.Exchange(request, &reply))
