--- a/internal/policy/pace/model_test.go
+++ b/internal/policy/pace/model_test.go
@@ -359,12 +359,6 @@
 // time until no host holds it below the mean load of the others, and its requests in the
 // last 5 s as a share of their mean.
 func (m *model) watch(r *modelReplica) (allowed time.Duration, part float64) {
-	start := m.now
-	for m.now.Sub(start) < 4*time.Second {
-		if m.run(modelTick); m.isHeldBack(r) {
-			allowed = m.now.Sub(start)
-		}
-	}
 	counts := func() (own, others float64) {
 		for _, o := range m.replicas {
 			if o == r {
@@ -375,8 +369,16 @@
 		}
 		return own, others
 	}
-	own, others := counts()
-	m.run(5 * time.Second)
+	start := m.now
+	var own, others float64
+	for m.now.Sub(start) < 9*time.Second {
+		if m.now.Sub(start) == 4*time.Second {
+			own, others = counts()
+		}
+		if m.run(modelTick); m.isHeldBack(r) {
+			allowed = m.now.Sub(start)
+		}
+	}
 	ownLater, othersLater := counts()
 	return allowed, (ownLater - own) / (othersLater - others)
 }
