--- a/request.go
+++ b/request.go
@@ -77,6 +77,13 @@
 	Abort()
 }
 
+// WriteBounder is implemented by Responders whose writes can be bounded in time.
+type WriteBounder interface {
+	// BoundWrites makes writes fail that have not ended at the given instant of the
+	// operating system's clock. It may be called while another goroutine writes.
+	BoundWrites(until time.Time) error
+}
+
 // Forwarder forwards requests to replicas and their answers to the clients.
 type Forwarder interface {
 	Forward(ctx context.Context, now time.Time, request Request, to Responder)
