Read answers on at the front while their clients are slow

A client that stopped reading also stopped the reading of the replica's answer, so that the replica aborted it, and counted the replica as busy until the client had read everything. A turn whose client took its last events after the deadline was not stored, though its answer was complete.

Each attempt now relays its answer with ahead.Relay. Once an answer is read to its end while the client is slow, the attempt is finished for the router and the load reports, and the connection to the replica is returned. The fake of the turns now heeds its context.

go test -race ./internal/front/runner: ok, and with -count=3 (22.9 s). With the delay set to an hour, so that reading never goes on, 4 of the 8 subtests of TestSlowClients fail; with the deadline as the end for storing, the one of the turn that is read after the deadline does.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -205,13 +205,14 @@
 	u.replica = replica.Address
 	p.recordStart(start, replica.Address, need)
 	observation := zinniapond.Observation{Cancelled: true}
+	finish := finishOnce(p, start, replica.Address, need)
 	defer func() {
-		now := u.Clock()
-		observation.Duration = now.Sub(start)
-		p.recordFinish(now, replica.Address, need, observation)
+		finish(u.Clock(), observation)
 		u.recordAttempt(replica, v, err)
 	}()
-	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
+	readCtx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
+	answer, err := u.Client.Send(readCtx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
 		NotRepeated: u.sentOnce(),
 		Priority:    u.urgency(start), LastEventID: u.resumeID(),
@@ -258,6 +259,10 @@
 		observation = zinniapond.Observation{Failed: true}
 		return verdictMayHaveRun, fmt.Errorf("replica %s: status %d in place of the rest of a stream: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
+	u.relay = u.newRelay(readCtx, answer, interrupt, func(err error, unread int) {
+		finish(u.Clock(), u.observeEnd(ctx, err, observation.TimeToFirstByte, cached, unread))
+	})
+	defer u.relay.Close()
 	if answer.IsStream {
 		v, err = u.relayStream(ctx, answer, &observation, start)
 	} else {
@@ -307,7 +312,7 @@
 
 // relayAnswer relays an answer that is not a stream.
 func (u *run) relayAnswer(ctx context.Context, answer *zinniapond.ReplicaAnswer) (verdict, error) {
-	head, taken, err := u.Memory.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
+	head, taken, err := u.Memory.ReadAll(io.LimitReader(u.relay, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
 	u.held += taken
 	noMemory := errors.Is(err, zinniapond.ErrOverload)
 	if err != nil && !noMemory {
@@ -323,7 +328,7 @@
 	if err := u.responder.Begin(answer.Status, answer.Fields, int64(len(head))); err != nil {
 		return verdictFailed, err
 	}
-	if err := u.responder.Write(head); err != nil {
+	if err := u.relay.Write(head); err != nil {
 		return verdictFailed, err
 	}
 	if err := u.responder.End(); err != nil {
@@ -345,13 +350,13 @@
 		if relayed += int64(len(head)); answer.Length < 0 && relayed > maxAnswerBytes {
 			return verdictFailed, fmt.Errorf("answer of more than %d bytes: %w", maxAnswerBytes, zinniapond.ErrBackendFailed)
 		}
-		if err := u.responder.Write(head); err != nil {
+		if err := u.relay.Write(head); err != nil {
 			return verdictFailed, err
 		}
-		n, err := answer.Body.Read(buffer)
+		n, err := u.relay.Read(buffer)
 		head = buffer[:n]
 		if errors.Is(err, io.EOF) {
-			if err := u.responder.Write(head); err != nil {
+			if err := u.relay.Write(head); err != nil {
 				return verdictFailed, err
 			}
 			if err := u.responder.End(); err != nil {
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -156,9 +156,9 @@
 	return nil
 }
 
-func (f *fakeTurns) Keep(_ context.Context, _ time.Time, t zinniapond.Turn, s zinniapond.Spend) error {
-	if f.keepErr != nil {
-		return f.keepErr
+func (f *fakeTurns) Keep(ctx context.Context, _ time.Time, t zinniapond.Turn, s zinniapond.Spend) error {
+	if err := zinniapond.Join(f.keepErr, ctx.Err()); err != nil {
+		return err
 	}
 	f.kept = append(f.kept, t)
 	return f.Settle(context.Background(), time.Time{}, s)
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/front/ahead"
 	"zinniapond.example/zinniapond/internal/routes/table"
 )
 
@@ -37,6 +38,8 @@
 	*Runner
 	request      *zinniapond.Request
 	responder    zinniapond.Responder
+	client       context.Context  // done when the client has gone
+	relay        *ahead.Relay     // of the answer to the current attempt
 	plan         *zinniapond.Plan // of the client; nil if the route needs no key
 	route        *zinniapond.Route
 	service      *zinniapond.Service
@@ -75,7 +78,7 @@
 // ctx is done with a cause that wraps ErrUnavailable, the client still waits: an answer
 // that has not begun is then refused.
 func (r *Runner) Forward(ctx context.Context, now time.Time, request zinniapond.Request, to zinniapond.Responder) {
-	u := &run{Runner: r, request: &request, responder: to}
+	u := &run{Runner: r, request: &request, responder: to, client: ctx}
 	defer func() { u.Memory.Give(u.held) }()
 	err := u.forward(ctx, now)
 	u.settle()
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -57,7 +57,7 @@
 	buffer := make([]byte, streamReadSize)
 	beforeFirstByte := true
 	for {
-		n, err := answer.Body.Read(buffer)
+		n, err := u.relay.Read(buffer)
 		if n > 0 {
 			if beforeFirstByte {
 				now := u.Clock()
@@ -124,7 +124,7 @@
 		return fmt.Errorf("turn of more than %d bytes: %w", maxTurnBytes, zinniapond.ErrBackendFailed)
 	}
 	if len(complete) > 0 {
-		if err := u.responder.Write(complete); err != nil {
+		if err := u.relay.Write(complete); err != nil {
 			return err
 		}
 	}
@@ -150,6 +150,8 @@
 			turn.Chain = append(turn.Chain, t.ID)
 		}
 		start := u.Clock()
+		ctx, cancel := u.keepContext(ctx, start)
+		defer cancel()
 		err := u.Turns.Keep(ctx, start, turn, u.settledSpend())
 		u.keepTime = u.Clock().Sub(start)
 		if err != nil {
