Store the whole turn when its client resumes it

On a route that is both resumable and retained, the replica was sent the Last-Event-Id of the client and went on after that event. The turn was stored with these events only, under the id of the client's new attempt, so that the next turn continued a conversation that lacked its first events.

A turn that is to be stored now always runs from its first event, and the events that the client has are not sent again. If the stream ends before the event that the client names, it is broken off and nothing is stored. Requests that are not stored are resumed at the replica as before.

--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -23,6 +23,7 @@
 	held         int64  // bytes of memory taken for output and an incomplete event
 	generated    zinniapond.Tokens
 	status       int
+	skipUntil    string // id of the last event that the client has, until it was passed
 }
 
 const (
@@ -38,6 +39,9 @@
 	if u.stream.lastID != "" {
 		return u.stream.lastID
 	}
+	if u.storesTurn() {
+		return "" // a turn is stored with all its events
+	}
 	return u.request.LastEventID
 }
 
@@ -48,6 +52,7 @@
 	if !u.answerBegun {
 		u.answerBegun = true
 		u.stream.status = answer.Status
+		u.skipReceived()
 		if err := u.responder.Begin(answer.Status, answer.Fields, -1); err != nil {
 			return verdictFailed, err
 		}
@@ -91,6 +96,7 @@
 func (u *run) forwardEvents(parser *events.Parser, part []byte) error {
 	parser.Add(part)
 	complete, tooLarge := parser.Complete()
+	skipped := 0
 	for unparsed := complete; ; {
 		raw, rest, ok := events.Next(unparsed)
 		if !ok {
@@ -112,6 +118,9 @@
 				u.stream.output = append(append(u.stream.output, text...), '\n')
 			}
 		}
+		if u.skipsEvent(id) {
+			skipped = len(complete) - len(rest)
+		}
 		unparsed = rest
 	}
 	if grown := int64(cap(u.stream.output)) + int64(parser.Size()) - u.stream.held; grown > 0 {
@@ -123,8 +132,8 @@
 	if len(u.stream.output) > maxTurnBytes {
 		return fmt.Errorf("turn of more than %d bytes: %w", maxTurnBytes, zinniapond.ErrBackendFailed)
 	}
-	if len(complete) > 0 {
-		if err := u.relay.Write(complete); err != nil {
+	if unsent := complete[skipped:]; len(unsent) > 0 {
+		if err := u.relay.Write(unsent); err != nil {
 			return err
 		}
 	}
@@ -141,7 +150,10 @@
 
 // finishStream stores a retained turn and ends the stream.
 func (u *run) finishStream(ctx context.Context) (verdict, error) {
-	if u.route.Retained && u.request.Program != "" && u.stream.status < 300 {
+	if u.stream.skipUntil != "" {
+		return verdictFailed, fmt.Errorf("stream ends before event %s of the client: %w", u.stream.skipUntil, zinniapond.ErrBackendFailed)
+	}
+	if u.storesTurn() && u.stream.status < 300 {
 		turn := zinniapond.Turn{
 			ID: zinniapond.TurnID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), Input: u.request.Body,
 			Output: u.stream.output, Retention: u.turnRetention(),
