--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -114,8 +114,8 @@
 	copies           int           // number of late copies before the answer
 	decoded          io.ReadCloser // as net/http decodes it
 	connection       *connection
-	stopCancellation func() bool // stops closing the connection at the end of ctx
-	writeResult      chan error
+	stopCancellation func() bool   // stops closing the connection at the end of ctx
+	writeDone        chan struct{} // closed when no more of the request is written
 	complete         bool
 	closed           bool
 	idleTimeout      time.Duration // how long the connection may be idle after the answer
@@ -163,20 +163,20 @@
 		}
 		return nil, zinniapond.Wrap("connect", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err))
 	}
-	b := &body{connection: l, id: id, now: now, ctx: ctx, writeResult: make(chan error, 1)}
+	b := &body{connection: l, id: id, now: now, ctx: ctx, writeDone: make(chan struct{})}
 	l.written.Store(false)
 	b.stopCancellation = context.AfterFunc(ctx, func() { _ = l.abort() })
 	go func() {
 		// An answer may arrive before the whole request is written.
 		_, err := l.Write(request)
 		l.written.Store(err == nil)
-		b.writeResult <- err
+		close(b.writeDone)
 	}()
 	answer, copies, err := p.readAnswer(l, method, id)
 	if err != nil {
 		b.stopCancellation()
 		_ = l.abort()
-		<-b.writeResult // which the close ends; the memory of the request is in use until then
+		<-b.writeDone // the close ends the write; the request is in memory until then
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -259,24 +259,16 @@
 		return nil
 	}
 	b.closed = true
-	written, sent := false, false
-	select {
-	case err := <-b.writeResult:
-		written, sent = true, err == nil
-	default:
-	}
 	notCancelled := b.stopCancellation()
 	l := b.connection
 	if b.answer.StatusCode >= http.StatusBadRequest {
 		l.refused = append(l.refused, b.id)
 		l.refused = l.refused[max(len(l.refused)-maxRefusedIDs, 0):]
 	}
-	if !notCancelled || !sent || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
+	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
 		err := l.abort()
-		if !written {
-			<-b.writeResult // which the close ends; the memory of the request is in use until then
-		}
+		<-b.writeDone // the close ends the write; the request is in memory until then
 		return err
 	}
 	l.idleSince = b.now()
--- a/internal/backend/links/slow_test.go
+++ b/internal/backend/links/slow_test.go
@@ -126,8 +126,13 @@
 			if err := a.Body.Close(); err != nil {
 				return err
 			}
-			if len(b.writeResult) > 0 || ctx.Err() != nil || p.HasIdleConnection(time.Now(), to, false) {
-				return fmt.Errorf("%d results of writing, context %w", len(b.writeResult), ctx.Err())
+			select {
+			case <-b.writeDone:
+			default:
+				return errors.New("the request is still being written")
+			}
+			if ctx.Err() != nil || p.HasIdleConnection(time.Now(), to, false) {
+				return fmt.Errorf("the connection is kept, or the answer was late: %w", ctx.Err())
 			}
 			return nil
 		})
