Count no pause of a slow client as the replica's time

A replica whose answer was not read while the buffer was full counted as slow for the router. The pauses are now left out of Observation.Duration.

Without the change TestSlowObservations sees 403 ms for a replica that answered at once (limit 200 ms). With it go test -race ./internal/front/ahead (4.3 s, -count=2) and the tests of slow clients in ./internal/front/runner (8.4 s, -count=3) pass.

--- a/internal/front/ahead/relay.go
+++ b/internal/front/ahead/relay.go
@@ -56,8 +56,11 @@
 	writing bool  // the caller's goroutine is in Write
 	reading bool  // the second goroutine is running
 	told    bool  // OnEnd was called
-	closed  bool
-	timer   *time.Timer
+	// pausedAt is when reading stopped as a bound was reached; zero while it goes on.
+	pausedAt time.Time
+	paused   time.Duration // of the pauses that have ended
+	closed   bool
+	timer    *time.Timer
 	// unwatch ends the watches of Client and Reading; nil before the first slow write.
 	unwatch func()
 }
@@ -78,6 +81,7 @@
 		return 0, r.err
 	}
 	r.buffer.release()
+	r.endPause()
 	r.mu.Unlock()
 	n, err := r.Source.Read(part)
 	if err != nil {
@@ -138,8 +142,13 @@
 	for r.writing && !r.closed && r.err == nil {
 		space := r.buffer.space()
 		if space == nil {
-			break // until the client has taken the running write and the next one waits
+			// The client has to take the running write first.
+			if r.pausedAt.IsZero() {
+				r.pausedAt = time.Now()
+			}
+			break
 		}
+		r.endPause()
 		r.mu.Unlock()
 		n, err := r.Source.Read(space)
 		r.mu.Lock()
@@ -151,6 +160,18 @@
 	r.changed.Signal()
 }
 
+// endPause counts the pause that has ended, if there was one.
+func (r *Relay) endPause() {
+	if !r.pausedAt.IsZero() {
+		r.paused += time.Since(r.pausedAt)
+		r.pausedAt = time.Time{}
+	}
+}
+
+// Paused returns the time for which reading was stopped as the buffer was full. The
+// replica may have waited meanwhile. It is called in OnEnd or after Close.
+func (r *Relay) Paused() time.Duration { return r.paused }
+
 // reportEnd calls OnEnd if the answer has ended and the client is still slow. An answer
 // that is not being read, as its buffer is full, ends with Reading.
 func (r *Relay) reportEnd() {
@@ -161,6 +182,7 @@
 		return
 	}
 	r.told = true
+	r.endPause()
 	r.OnEnd(r.err, r.buffer.countEvents())
 }
 
@@ -196,6 +218,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
+	r.endPause()
 	if r.unwatch != nil {
 		r.unwatch()
 	}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -205,7 +205,8 @@
 	u.replica = replica.Address
 	p.recordStart(start, replica.Address, need)
 	observation := zinniapond.Observation{Cancelled: true}
-	finish := finishOnce(p, start, replica.Address, need)
+	u.relay = nil
+	finish := u.finishOnce(p, start, replica.Address, need)
 	defer func() {
 		finish(u.Clock(), observation)
 		u.recordAttempt(replica, v, err)
--- a/internal/front/runner/slow.go
+++ b/internal/front/runner/slow.go
@@ -34,8 +34,9 @@
 	}
 }
 
-// finishOnce returns a function that records the end of an attempt at its first call.
-func finishOnce(p *pool, start time.Time, replica netip.AddrPort, need zinniapond.PickInfo) func(now time.Time, observation zinniapond.Observation) {
+// finishOnce returns a function that records the end of an attempt at its first call. The
+// time for which its answer was not read does not count as the replica's.
+func (u *run) finishOnce(p *pool, start time.Time, replica netip.AddrPort, need zinniapond.PickInfo) func(now time.Time, observation zinniapond.Observation) {
 	finished := false
 	return func(now time.Time, observation zinniapond.Observation) {
 		if finished {
@@ -43,6 +44,9 @@
 		}
 		finished = true
 		observation.Duration = now.Sub(start)
+		if u.relay != nil {
+			observation.Duration -= u.relay.Paused()
+		}
 		p.recordFinish(now, replica, need, observation)
 	}
 }
