--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,6 +93,18 @@
 	// refused has the ids of the last requests that were answered with an error. A
 	// copy of such an answer could not be told from the answer to the same request.
 	refused []string
+	// written is set while all bytes of the last request are written.
+	written atomic.Bool
+}
+
+// abort closes the connection. The rest of a request that is not written is dropped at
+// once: the operating system would go on sending what it holds of it, for as long as a
+// replica that reads slowly takes.
+func (l *connection) abort() error {
+	if c, ok := l.Conn.(*net.TCPConn); ok && !l.written.Load() {
+		_ = c.SetLinger(0) // fails only if the connection is closed
+	}
+	return l.Close()
 }
 
 // body is the body of an answer. It implements io.ReadCloser.
@@ -101,8 +114,8 @@
 	copies           int           // number of late copies before the answer
 	decoded          io.ReadCloser // as net/http decodes it
 	connection       *connection
-	stopCancellation func() bool // stops closing the connection at the end of ctx
-	writeResult      chan error
+	stopCancellation func() bool   // stops closing the connection at the end of ctx
+	writeDone        chan struct{} // closed when no more of the request is written
 	complete         bool
 	closed           bool
 	idleTimeout      time.Duration // how long the connection may be idle after the answer
@@ -150,17 +163,20 @@
 		}
 		return nil, zinniapond.Wrap("connect", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err))
 	}
-	b := &body{connection: l, id: id, now: now, ctx: ctx, writeResult: make(chan error, 1)}
-	b.stopCancellation = context.AfterFunc(ctx, func() { l.Close() })
+	b := &body{connection: l, id: id, now: now, ctx: ctx, writeDone: make(chan struct{})}
+	l.written.Store(false)
+	b.stopCancellation = context.AfterFunc(ctx, func() { _ = l.abort() })
 	go func() {
 		// An answer may arrive before the whole request is written.
 		_, err := l.Write(request)
-		b.writeResult <- err
+		l.written.Store(err == nil)
+		close(b.writeDone)
 	}()
 	answer, copies, err := p.readAnswer(l, method, id)
 	if err != nil {
 		b.stopCancellation()
-		l.Close()
+		_ = l.abort()
+		<-b.writeDone // the close ends the write; the request is in memory until then
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -243,21 +259,17 @@
 		return nil
 	}
 	b.closed = true
-	sent := false
-	select {
-	case err := <-b.writeResult:
-		sent = err == nil
-	default:
-	}
 	notCancelled := b.stopCancellation()
 	l := b.connection
 	if b.answer.StatusCode >= http.StatusBadRequest {
 		l.refused = append(l.refused, b.id)
 		l.refused = l.refused[max(len(l.refused)-maxRefusedIDs, 0):]
 	}
-	if !notCancelled || !sent || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
+	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
-		return l.Close()
+		err := l.abort()
+		<-b.writeDone // the close ends the write; the request is in memory until then
+		return err
 	}
 	l.idleSince = b.now()
 	l.reusableUntil = l.idleSince.Add(b.idleTimeout)
