Decide how many requests of a plan may run

Limits of plans are counted nowhere. The bound holds for each sliding window and over all hosts, so a count in fixed windows would not do.

policy/allow is a token bucket with the lifetime of tokens, the level from which programs may begin, the exact return of unused tokens, and reserves for the failure of control hosts that count towards the burst until they expire.

--- /dev/null
+++ b/internal/policy/allow/allow.go
@@ -0,0 +1,71 @@
+// Package allow decides how many requests of a plan may run. It answers a load of one
+// plan far above its limit, over many hosts: the number of requests in each sliding
+// window is bounded exactly, and programs that were begun are finished before others
+// begin.
+package allow
+
+import (
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+)
+
+func init() {
+	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.AllowancePolicy, error) {
+		return Policy{Access: k.Settings.Access}, nil
+	})
+}
+
+const (
+	// minLifetime and maxLifetime bound the lifetime of tokens: a shorter one would end
+	// before a token arrives, and a longer one delays the effect of a lower limit.
+	minLifetime = 100 * time.Millisecond
+	maxLifetime = 2 * time.Second
+	// shareLatency is the time that a request may take from its permit to the replica.
+	shareLatency = 250 * time.Millisecond
+)
+
+// Policy implements zinniapond.AllowancePolicy. Its exported field is set before use.
+type Policy struct {
+	Access zinniapond.AccessSettings
+}
+
+var _ zinniapond.AllowancePolicy = Policy{}
+
+// excess returns half of the requests above the limit that are accepted in a window.
+func (p Policy) excess(limit zinniapond.PlanLimit) float64 {
+	return p.Access.QuotaOverage / 2 * (float64(limit.Rate)*p.Access.QuotaWindow.Seconds() + float64(limit.Burst))
+}
+
+// Lifetime returns the time in which the rate refills half of the accepted excess. A
+// window contains requests with tokens that were granted up to this time before it.
+func (p Policy) Lifetime(limit zinniapond.PlanLimit) time.Duration {
+	if limit.Rate <= 0 {
+		return maxLifetime
+	}
+	lifetime := p.excess(limit) / float64(limit.Rate)
+	return time.Duration(min(max(lifetime, minLifetime.Seconds()), maxLifetime.Seconds()) * float64(time.Second))
+}
+
+// OwnInterval divides the other half of the accepted excess and half of the slack by the
+// number of hosts. The other half of the slack is left for requests that reach a replica
+// after their token has expired, as the process was suspended while it sent them.
+func (p Policy) OwnInterval(limit zinniapond.PlanLimit, hosts int) time.Duration {
+	if hosts <= 0 {
+		return 0
+	}
+	tokens := int((p.excess(limit) + float64(p.Access.QuotaSlack)/2) / float64(hosts))
+	if tokens == 0 {
+		return 0
+	}
+	return (p.Access.QuotaWindow+shareLatency)/time.Duration(tokens) + time.Millisecond
+}
+
+// NewBucket returns the bucket of a plan for which no token was granted since the given
+// instant. It is empty if counting has just begun.
+func (p Policy) NewBucket(now, since time.Time, limit zinniapond.PlanLimit) zinniapond.AllowanceBucket {
+	b := &bucket{limit: limit, since: since, updated: since, slot: slotOf(since)}
+	b.advance(now)
+	return b
+}
--- /dev/null
+++ b/internal/policy/allow/bucket.go
@@ -0,0 +1,193 @@
+package allow
+
+import (
+	"math"
+	"time"
+
+	"zinniapond.example/zinniapond"
+)
+
+const (
+	// slotTime is the resolution of a bucket's past, and slots the length that is kept:
+	// the lifetime of a token or reserve and a second until it is returned.
+	slotTime = 100 * time.Millisecond
+	slots    = 32
+	// reserveSlots is the number of slots after which a reserve has expired, including
+	// the one in which it was granted.
+	reserveSlots = int64(zinniapond.ReserveLifetime/slotTime) + 1
+	// beginShare is the share of the burst that is left to programs that were begun.
+	beginShare = 0.5
+	// startTime is the time in which beginShare comes into effect after counting has
+	// begun. A plan at nine tenths of its limit fills its bucket as slowly as this, and
+	// its programs would not begin for as long.
+	startTime = 10 * time.Second
+	// reserveShare is the share of the burst that reserves leave.
+	reserveShare = 0.75
+	// maxWait bounds the wait that is told to clients.
+	maxWait = 2 * time.Second
+)
+
+// bucket implements zinniapond.AllowanceBucket. It holds at most the burst of the plan.
+type bucket struct {
+	limit   zinniapond.PlanLimit
+	since   time.Time // counting has begun
+	updated time.Time
+	// level is the number of tokens, and reserved the number of those that are set aside
+	// as reserves.
+	level, reserved float64
+	// refused counts the refused requests that begin programs in the last second, with
+	// older ones weighted less.
+	refused float64
+	// The following have one element for each of the last slots, slot being the present
+	// one: the reserves, the highest sum of level and reserved, and the highest one since
+	// the first tokens were taken in the slot.
+	slot     int64
+	reserves [slots]float64
+	peaks    [slots]float64
+	rests    [slots]float64
+}
+
+func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotTime) }
+
+func position(slot int64) int64 { return (slot%slots + slots) % slots }
+
+// capacity returns the burst, or 1 if it is 0: a request needs a whole token.
+func (b *bucket) capacity() float64 { return float64(max(b.limit.Burst, 1)) }
+
+// advance refills the bucket and ends reserves. The refill of time that has passed is
+// limited by the reserves that ended in this time.
+func (b *bucket) advance(now time.Time) {
+	elapsed := now.Sub(b.updated).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.updated = now
+	b.refused *= math.Exp(-elapsed)
+	b.level = min(b.level+float64(b.limit.Rate)*elapsed, b.capacity()-b.reserved)
+	total := b.level + b.reserved
+	last := slotOf(now)
+	for s := max(b.slot+1, last-slots+1); s <= last; s++ {
+		b.peaks[position(s)] = total
+		b.rests[position(s)] = math.Inf(-1)
+		b.reserves[position(s)] = 0
+	}
+	b.slot = max(b.slot, last)
+	at := position(b.slot)
+	b.peaks[at] = max(b.peaks[at], total)
+	if !math.IsInf(b.rests[at], -1) {
+		b.rests[at] = max(b.rests[at], total)
+	}
+	b.reserved = 0
+	for s := b.slot - reserveSlots + 1; s <= b.slot; s++ {
+		b.reserved += b.reserves[position(s)]
+	}
+}
+
+// SetLimit changes the limit. A lower burst takes effect at once. Tokens that were taken
+// before are not returned, as the bucket was filled up to another level in the meantime.
+func (b *bucket) SetLimit(now time.Time, limit zinniapond.PlanLimit) {
+	if limit == b.limit {
+		return
+	}
+	b.advance(now)
+	b.limit = limit
+	for i := range b.peaks {
+		b.peaks[i], b.rests[i] = b.capacity(), b.capacity()
+	}
+	b.level = min(b.level, b.capacity()-b.reserved)
+}
+
+// threshold returns the level above which programs may begin.
+func (b *bucket) threshold() float64 {
+	return b.capacity() * beginShare * min(1, b.updated.Sub(b.since).Seconds()/startTime.Seconds())
+}
+
+// Take takes tokens: for requests of programs that were begun as long as there are any,
+// and for requests that begin programs while the level is above the threshold.
+func (b *bucket) Take(now time.Time, beginning, continuing int) (begin, other int) {
+	b.advance(now)
+	other = b.takeDownTo(0, continuing)
+	begin = b.takeDownTo(b.threshold(), beginning)
+	b.refused += float64(beginning - begin)
+	if begin+other > 0 {
+		at := position(b.slot)
+		b.rests[at] = max(b.rests[at], b.level+b.reserved)
+	}
+	return begin, other
+}
+
+// takeDownTo takes whole tokens while the level is above floor.
+func (b *bucket) takeDownTo(floor float64, count int) int {
+	taken := max(0, min(count, int(math.Ceil(b.level-floor)), int(b.level)))
+	b.level -= float64(taken)
+	return taken
+}
+
+// Return gives tokens back. The level becomes what it would be if they had not been
+// taken: without them the bucket would have been full at its highest level since, and
+// would have lost a part of its refill.
+func (b *bucket) Return(now, takenAt time.Time, count int) {
+	b.advance(now)
+	from := slotOf(takenAt)
+	if from <= b.slot-slots || from > b.slot || count <= 0 {
+		return
+	}
+	highest := b.rests[position(from)]
+	if math.IsInf(highest, -1) {
+		return // no token was taken then
+	}
+	for s := from + 1; s <= b.slot; s++ {
+		highest = max(highest, b.peaks[position(s)])
+	}
+	returned := min(float64(count), b.capacity()-highest)
+	if returned <= 0 {
+		return
+	}
+	b.level += returned
+	for s := from; s <= b.slot; s++ {
+		b.peaks[position(s)] += returned
+		b.rests[position(s)] += returned
+	}
+}
+
+// Reserve takes the held tokens of a reserve back and sets others aside. The reserves
+// count towards the capacity until they expire, so that they can be used at any time
+// until then.
+func (b *bucket) Reserve(now, reservedAt time.Time, held, count int) int {
+	b.advance(now)
+	if s := slotOf(reservedAt); held > 0 && s > b.slot-reserveSlots && s <= b.slot {
+		back := min(float64(held), b.reserves[position(s)])
+		b.reserves[position(s)] -= back
+		b.reserved -= back
+		b.level += back
+	}
+	taken := min(float64(count), math.Floor(b.level-b.capacity()*reserveShare))
+	if taken <= 0 {
+		return 0
+	}
+	b.level -= taken
+	b.reserved += taken
+	b.reserves[position(b.slot)] += taken
+	return int(taken)
+}
+
+// Wait returns the time in which the bucket refills to the level that a request needs.
+// For requests that begin programs it includes the time for those that were refused.
+func (b *bucket) Wait(now time.Time) (begin, other time.Duration) {
+	b.advance(now)
+	return b.refillTime(max(b.threshold(), 1) + b.refused), b.refillTime(1)
+}
+
+func (b *bucket) refillTime(level float64) time.Duration {
+	if b.limit.Rate <= 0 {
+		return maxWait
+	}
+	seconds := (level - b.level) / float64(b.limit.Rate)
+	return time.Duration(min(max(seconds, 0.001), maxWait.Seconds()) * float64(time.Second))
+}
+
+// IsFull reports whether the bucket is full without reserves.
+func (b *bucket) IsFull(now time.Time) bool {
+	b.advance(now)
+	return b.reserved == 0 && b.level >= b.capacity()
+}
