Obtain a token for each request of a plan with a limit

One control host counts all plans; a lease that a majority of the control hosts accepts makes it the only one at any time, and the others forward to it. Fronts hold tokens, fetch them for many plans in one message, and return unused ones. The runner acquires one after the key is checked and before the turn is prepared, checks it again before each send and gives it back if no replica ran the request. go test ./internal/front/runner and ./internal/policy/allow pass; the tests of the two sides together follow.

--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -23,6 +23,7 @@
 	_ "zinniapond.example/zinniapond/internal/program/owner"
 
 	// Policies.
+	_ "zinniapond.example/zinniapond/internal/policy/allow"
 	_ "zinniapond.example/zinniapond/internal/policy/blame"
 	_ "zinniapond.example/zinniapond/internal/policy/cache"
 	_ "zinniapond.example/zinniapond/internal/policy/drift"
@@ -42,7 +43,9 @@
 	_ "zinniapond.example/zinniapond/internal/fleet/grants"
 	_ "zinniapond.example/zinniapond/internal/fleet/limits"
 	_ "zinniapond.example/zinniapond/internal/fleet/loads"
+	_ "zinniapond.example/zinniapond/internal/fleet/quotas"
 	_ "zinniapond.example/zinniapond/internal/front/permit"
+	_ "zinniapond.example/zinniapond/internal/front/quota"
 	_ "zinniapond.example/zinniapond/internal/front/runner"
 	_ "zinniapond.example/zinniapond/internal/routes/review"
 	_ "zinniapond.example/zinniapond/internal/turns/client"
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -84,6 +84,9 @@
 			}
 			continue
 		}
+		if err := u.obtainAllowance(ctx); err != nil {
+			return zinniapond.Join(err, lastErr)
+		}
 		var v verdict
 		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -134,6 +134,8 @@
 	keepErr  error
 	settled  []zinniapond.Spend
 	asked    []zinniapond.TurnID // turns whose chains were read
+	// onReserve is called during each reservation; may be nil.
+	onReserve func()
 }
 
 func (f *fakeTurns) ReadChain(_ context.Context, _ time.Time, id zinniapond.TurnID) ([]zinniapond.Turn, error) {
@@ -146,6 +148,9 @@
 
 func (f *fakeTurns) Reserve(_ context.Context, _ time.Time, s zinniapond.Spend, _ zinniapond.Tokens) ([]zinniapond.Spend, error) {
 	f.reserved = s
+	if f.onReserve != nil {
+		f.onReserve()
+	}
 	return f.others, f.reserve
 }
 
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -45,6 +45,7 @@
 	version      uint64
 	body         []byte
 	chain        []zinniapond.Turn
+	allowance    allowance
 	spend        zinniapond.Spend         // of a turn with a budget
 	home         zinniapond.CacheLocation // replica that processed the conversation last
 	replica      netip.AddrPort           // replica of the last attempt
@@ -78,6 +79,7 @@
 	u := &run{Runner: r, request: &request, responder: to}
 	defer func() { u.Memory.Give(u.held) }()
 	err := u.forward(ctx, now)
+	u.returnAllowance(u.Clock())
 	u.settle()
 	u.log(err)
 	switch {
@@ -122,6 +124,10 @@
 	// sends the error answer, so it must not use this context.
 	callCtx, cancel := context.WithTimeout(ctx, u.deadline.Sub(now))
 	defer cancel()
+	if err := u.obtainAllowance(callCtx); err != nil {
+		return err
+	}
+	now = u.Clock()
 	err = u.prepareWithRetry(callCtx, now)
 	u.prepareTime = u.Clock().Sub(now)
 	if err != nil {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -20,6 +20,7 @@
 	"zinniapond.example/zinniapond/internal/core/quota"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/front/begun"
 	"zinniapond.example/zinniapond/internal/front/doubts"
 	"zinniapond.example/zinniapond/internal/front/ended"
 	"zinniapond.example/zinniapond/internal/front/report"
@@ -33,7 +34,7 @@
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
@@ -54,11 +55,13 @@
 	Limits       zinniapond.LimitBook
 	Blame        zinniapond.Blame
 	Throttle     zinniapond.Throttle
-	Stats        *stats.Set[string]
-	Meter        *meter.Meter
-	Logger       hclog.Logger
-	Clock        func() time.Time
-	NewRouter    func() (zinniapond.Router, error)
+	// Allowances keeps plans within their limits. It is not used if it is nil.
+	Allowances zinniapond.Allowances
+	Stats      *stats.Set[string]
+	Meter      *meter.Meter
+	Logger     hclog.Logger
+	Clock      func() time.Time
+	NewRouter  func() (zinniapond.Router, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -74,6 +77,7 @@
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
 	ended      ended.Checker
+	begun      begun.Book
 	// background counts the settlements that run after an answer.
 	background sync.WaitGroup
 }
@@ -149,7 +153,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	if r.LoadExchange.Peers != nil {
 		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums = r.localLoads, r.reportLoads
-		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.Throttle.SetHostCount
+		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.setHostCount
 		r.LoadExchange.Blame, r.LoadExchange.OnEndings = r.Blame, r.applyEndings
 		group.Go(func() error { return r.LoadExchange.Run(ctx) })
 	}
@@ -159,6 +163,14 @@
 	return err
 }
 
+// setHostCount sets the number of hosts that send requests to replicas.
+func (r *Runner) setHostCount(count int) {
+	r.Throttle.SetHostCount(count)
+	if r.Allowances != nil {
+		r.Allowances.SetHostCount(count)
+	}
+}
+
 // followUpdates applies the configuration and the list of replicas whenever they
 // change, and at least once each updateInterval.
 func (r *Runner) followUpdates(ctx context.Context) error {
--- a/internal/policy/allow/allow.go
+++ b/internal/policy/allow/allow.go
@@ -65,7 +65,7 @@
 // NewBucket returns the bucket of a plan for which no token was granted since the given
 // instant. It is empty if counting has just begun.
 func (p Policy) NewBucket(now, since time.Time, limit zinniapond.PlanLimit) zinniapond.AllowanceBucket {
-	b := &bucket{limit: limit, since: since, updated: since, slot: slotOf(since)}
+	b := &bucket{limit: limit, since: since, updated: since, entered: since, slot: slotOf(since)}
 	b.advance(now)
 	return b
 }
--- a/internal/policy/allow/bucket.go
+++ b/internal/policy/allow/bucket.go
@@ -31,7 +31,8 @@
 type bucket struct {
 	limit   zinniapond.PlanLimit
 	since   time.Time // counting has begun
-	updated time.Time
+	updated time.Time // of level
+	entered time.Time // time of the last call
 	// level is the number of tokens, and reserved the number of those that are set aside
 	// as reserves.
 	level, reserved float64
@@ -54,33 +55,57 @@
 // capacity returns the burst, or 1 if it is 0: a request needs a whole token.
 func (b *bucket) capacity() float64 { return float64(max(b.limit.Burst, 1)) }
 
-// advance refills the bucket and ends reserves. The refill of time that has passed is
-// limited by the reserves that ended in this time.
+// advance refills the bucket and ends reserves.
 func (b *bucket) advance(now time.Time) {
 	elapsed := now.Sub(b.updated).Seconds()
 	if elapsed <= 0 {
 		return
 	}
-	b.updated = now
 	b.refused *= math.Exp(-elapsed)
-	b.level = min(b.level+float64(b.limit.Rate)*elapsed, b.capacity()-b.reserved)
-	total := b.level + b.reserved
-	last := slotOf(now)
-	for s := max(b.slot+1, last-slots+1); s <= last; s++ {
-		b.peaks[position(s)] = total
-		b.rests[position(s)] = math.Inf(-1)
-		b.reserves[position(s)] = 0
-	}
-	b.slot = max(b.slot, last)
-	at := position(b.slot)
+	last := max(slotOf(now), b.slot)
+	for b.slot < last && b.reserved > 0 {
+		b.refill(time.Unix(0, (b.slot+1)*int64(slotTime)))
+		b.enter(b.slot + 1)
+	}
+	b.slot = max(b.slot, last-slots)
+	for b.slot < last {
+		b.enter(b.slot + 1)
+	}
+	b.refill(now)
+	// The bucket may have refilled in any of the slots since the last call.
+	for s := max(slotOf(b.entered), b.slot-slots+1); s < b.slot; s++ {
+		b.recordLevel(s)
+	}
+	b.entered = now
+}
+
+// refill adds the tokens of the time since the last refill.
+func (b *bucket) refill(until time.Time) {
+	if elapsed := until.Sub(b.updated).Seconds(); elapsed > 0 {
+		b.level = min(b.level+float64(b.limit.Rate)*elapsed, b.capacity()-b.reserved)
+		b.updated = until
+	}
+	b.recordLevel(b.slot)
+}
+
+// recordLevel records that the present level may have been reached in a slot.
+func (b *bucket) recordLevel(slot int64) {
+	at, total := position(slot), b.level+b.reserved
 	b.peaks[at] = max(b.peaks[at], total)
 	if !math.IsInf(b.rests[at], -1) {
 		b.rests[at] = max(b.rests[at], total)
 	}
-	b.reserved = 0
-	for s := b.slot - reserveSlots + 1; s <= b.slot; s++ {
-		b.reserved += b.reserves[position(s)]
+}
+
+// enter begins a slot and ends the reserves that have expired.
+func (b *bucket) enter(slot int64) {
+	if old := slot - reserveSlots; old >= 0 {
+		b.reserved -= b.reserves[position(old)]
+		b.reserves[position(old)] = 0
 	}
+	b.slot = slot
+	b.peaks[position(slot)] = b.level + b.reserved
+	b.rests[position(slot)] = math.Inf(-1)
 }
 
 // SetLimit changes the limit. A lower burst takes effect at once. Tokens that were taken
@@ -150,17 +175,10 @@
 	}
 }
 
-// Reserve takes the held tokens of a reserve back and sets others aside. The reserves
-// count towards the capacity until they expire, so that they can be used at any time
-// until then.
-func (b *bucket) Reserve(now, reservedAt time.Time, held, count int) int {
+// Reserve sets tokens aside while the bucket is nearly full. Reserves count towards the
+// capacity until they expire, so that they can be used at any time until then.
+func (b *bucket) Reserve(now time.Time, count int) int {
 	b.advance(now)
-	if s := slotOf(reservedAt); held > 0 && s > b.slot-reserveSlots && s <= b.slot {
-		back := min(float64(held), b.reserves[position(s)])
-		b.reserves[position(s)] -= back
-		b.reserved -= back
-		b.level += back
-	}
 	taken := min(float64(count), math.Floor(b.level-b.capacity()*reserveShare))
 	if taken <= 0 {
 		return 0
--- a/quotas.go
+++ b/quotas.go
@@ -48,9 +48,9 @@
 	Take(now time.Time, beginning, continuing int) (begin, other int)
 	// Return gives back tokens that were taken at the given time and were not used.
 	Return(now, takenAt time.Time, count int)
-	// Reserve replaces a reserve of held tokens by another one of at most count tokens,
-	// and returns its size. A reserve may be used within ReserveLifetime.
-	Reserve(now, reservedAt time.Time, held, count int) int
+	// Reserve sets at most count tokens aside, and returns their number. They may be used
+	// at any time within ReserveLifetime.
+	Reserve(now time.Time, count int) int
 	// Wait returns the times until a request that begins a program and another request
 	// are likely to be allowed.
 	Wait(now time.Time) (begin, other time.Duration)
@@ -77,10 +77,7 @@
 	Beginning  int // tokens for requests that begin programs
 	Continuing int // tokens for other requests
 	Reserve    int // tokens for the failure of control hosts
-	// Held is the number of unused tokens of the last reserve, granted at HeldMark.
-	Held     int
-	HeldMark QuotaMark
-	Unused   []UnusedTokens
+	Unused     []UnusedTokens
 }
 
 // UnusedTokens are tokens that a front has not used and will not use.
@@ -126,6 +123,10 @@
 type CounterRequest struct {
 	Sender  netip.AddrPort `cbor:"s"`
 	Process uint64         `cbor:"p"` // identifies the process of the sender
+	// Attempt orders the requests of a process.
+	Attempt uint64 `cbor:"n"`
+	// Withdrawn is set if the sender does not count, as no majority has accepted it.
+	Withdrawn bool `cbor:"w,omitempty"`
 }
 
 // CounterReply accepts the sender, or names the control host that counts.
