--- a/internal/fleet/quotas/lease.go
+++ b/internal/fleet/quotas/lease.go
@@ -14,9 +14,11 @@
 const (
 	// leaseTime is the time for which a control host accepts no other one to count, and
 	// counterTime the time for which the one that counts relies on that. The difference
-	// allows for clocks of different speed.
-	leaseTime   = 500 * time.Millisecond
-	counterTime = 450 * time.Millisecond
+	// allows for clocks of different speed. A lease that expires between two renewals is
+	// obtained again at the next request without loss, so it is as short as that: it is
+	// also the time without tokens after the counting host has failed.
+	leaseTime   = 300 * time.Millisecond
+	counterTime = 270 * time.Millisecond
 	// renewInterval is the interval between renewals of the lease, and renewTimeout
 	// bounds one of them.
 	renewInterval = 100 * time.Millisecond
@@ -38,6 +40,8 @@
 	process uint64
 	attempt uint64 // last one of the process
 	until   time.Time
+	// quietSince is the end of the last promise to another process.
+	quietSince time.Time
 }
 
 // start sets the start of the process.
@@ -59,7 +63,7 @@
 	}
 	if request.Withdrawn {
 		if v.counter == request.Sender && v.process == request.Process && v.attempt <= request.Attempt {
-			v.counter, v.until = netip.AddrPort{}, time.Time{}
+			v.counter, v.until = netip.AddrPort{}, now
 		}
 		return zinniapond.CounterReply{}
 	}
@@ -69,13 +73,22 @@
 	if v.counter != request.Sender && now.Before(v.until) {
 		return zinniapond.CounterReply{Counter: v.counter}
 	}
-	unchanged := v.counter == request.Sender && v.process == request.Process
-	if !unchanged {
-		v.attempt = 0
+	if v.counter != request.Sender || v.process != request.Process {
+		v.attempt, v.quietSince = 0, later(v.until, v.started.Add(leaseTime))
+		if v.counter == request.Sender {
+			v.quietSince = now // its former process may have counted until now
+		}
 	}
 	v.attempt = max(v.attempt, request.Attempt)
 	v.counter, v.process, v.until = request.Sender, request.Process, now.Add(leaseTime)
-	return zinniapond.CounterReply{Accepted: true, Counter: request.Sender, Unchanged: unchanged}
+	return zinniapond.CounterReply{Accepted: true, Counter: request.Sender, Quiet: now.Sub(v.quietSince)}
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
 }
 
 // current returns the other control host that counts, if there is one.
@@ -159,13 +172,14 @@
 	return t.process
 }
 
-// extend records a renewal that a majority has accepted. A new term begins if another
-// host may have counted since the last renewal.
-func (t *tenure) extend(now, sentAt time.Time, unchanged bool) {
+// extend records a renewal that a majority has accepted. No other host has counted in the
+// time quiet. A new term begins if another one may have counted since this one did.
+func (t *tenure) extend(now, sentAt time.Time, quiet time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.term.number == 0 || !unchanged && !now.Before(t.until) {
-		t.term = term{number: rand.Uint64() | 1, since: now}
+	quietSince := now.Add(-quiet)
+	if t.term.number == 0 || !now.Before(t.until) && quietSince.After(t.until) {
+		t.term = term{number: rand.Uint64() | 1, since: quietSince}
 	}
 	if until := sentAt.Add(counterTime); until.After(t.until) {
 		t.until = until
@@ -225,12 +239,12 @@
 		return own.Counter, false
 	}
 	replies := c.ask(ctx, voters, request, timeout)
-	accepted, unchanged := 1, own.Unchanged
+	accepted, quiet := 1, own.Quiet
 	for remaining := len(voters) - 1; accepted < len(voters)/2+1 && remaining > 0; remaining-- {
 		reply := <-replies
 		if reply.Accepted {
 			accepted++
-			unchanged = unchanged && reply.Unchanged
+			quiet = min(quiet, reply.Quiet)
 		} else if reply.Counter.IsValid() {
 			counter = reply.Counter
 		}
@@ -238,7 +252,7 @@
 	if accepted < len(voters)/2+1 {
 		return counter, false
 	}
-	c.tenure.extend(c.Clock(), now, unchanged)
+	c.tenure.extend(c.Clock(), now, quiet)
 	return c.Address, true
 }
 
--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -13,10 +13,12 @@
 	// demandTime is the time over which the demand of a plan is averaged.
 	demandTime = 2 * time.Second
 	// minPrefetch is the least number of requests that are expected within the lifetime
-	// of a token for which tokens are obtained in advance.
-	minPrefetch = 0.3
-	// limitedTime is the time after a refusal for which a plan counts as near its limit.
-	limitedTime = 2 * time.Second
+	// of a token, and minRefill that of tokens that the limit allows in this time, for
+	// which tokens are obtained in advance. With 0.3 requests and without minRefill,
+	// tokens that many hosts held in advance used up the burst of small plans: 7% of
+	// their requests were refused below the limit.
+	minPrefetch = 1.2
+	minRefill   = 2
 	// maxRefusalAge is the time for which requests are refused because of the last reply.
 	maxRefusalAge = 250 * time.Millisecond
 	// returnTime is the time after their expiry for which tokens are still returned.
@@ -54,9 +56,7 @@
 	demand   [kinds]float64
 	demandAt time.Time
 	used     time.Time // time of the last request
-	// limitedUntil is the end of the time in which the plan counts as near its limit,
-	// and refusedUntil that in which requests are refused without a message.
-	limitedUntil time.Time
+	// refusedUntil is the end of the time in which requests are refused without a message.
 	refusedUntil [kinds]time.Time
 	// nextOwn is the time of the next request that no control host counts.
 	nextOwn time.Time
@@ -187,7 +187,7 @@
 	need.Beginning = waiting[kindBegin] + b.prefetch(now, kindBegin)
 	need.Continuing = waiting[kindOther] + b.prefetch(now, kindOther)
 	if need.Beginning+need.Continuing == 0 {
-		return need, len(need.Unused) > 0 && b.isLimited(now)
+		return need, len(need.Unused) > 0
 	}
 	if len(b.reserves) == 0 || b.reserves[len(b.reserves)-1].expires.Sub(now) < zinniapond.ReserveLifetime/2 {
 		// Half of the demand in the lifetime of a reserve.
@@ -197,18 +197,15 @@
 }
 
 // prefetch returns the number of tokens to obtain in advance: those for half of their
-// lifetime, or at least one if the plan is not near its limit.
+// lifetime.
 func (b *balance) prefetch(now time.Time, k kind) int {
 	expected := b.demand[k] * b.lifetime.Seconds()
-	count := int(expected/2 + 0.5)
-	if !b.isLimited(now) && expected >= minPrefetch {
-		count = max(count, 1)
+	if expected < minPrefetch || float64(b.limit.Rate)*b.lifetime.Seconds() < minRefill {
+		return 0
 	}
-	return max(count-b.held(now, k), 0)
+	return max(int(expected/2+0.5)-b.held(now, k), 0)
 }
 
-func (b *balance) isLimited(now time.Time) bool { return now.Before(b.limitedUntil) }
-
 // collectUnused returns the tokens that have expired, and removes old batches and
 // reserves.
 func (b *balance) collectUnused(now time.Time) []zinniapond.UnusedTokens {
@@ -237,9 +234,6 @@
 		b.reserves = append(b.reserves, reserve{grant.Reserve, sentAt.Add(zinniapond.ReserveLifetime)})
 	}
 	waits := [kinds]time.Duration{grant.BeginWait, grant.OtherWait}
-	if grant.BeginWait > 0 {
-		b.limitedUntil = now.Add(limitedTime)
-	}
 	for k, wait := range waits {
 		b.refusedUntil[k] = time.Time{}
 		if wait > waitTime {
@@ -304,11 +298,11 @@
 	return len(b.waiting) == 0 && now.Sub(b.used) > forgetTime
 }
 
-// hasUnused reports whether a plan near its limit has tokens that have expired.
+// hasUnused reports whether the plan has tokens that have expired.
 func (b *balance) hasUnused(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.isLimited(now) && slices.ContainsFunc(b.batches, func(p batch) bool {
+	return slices.ContainsFunc(b.batches, func(p batch) bool {
 		return p.tokens != [kinds]int{} && !now.Before(p.expires)
 	})
 }
--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -20,6 +20,9 @@
 	gatherTime = 50 * time.Millisecond
 	// failureInterval is the time after which another control host is asked.
 	failureInterval = 20 * time.Millisecond
+	// avoidTime is the time for which the control host that counts is not asked directly
+	// after a failure.
+	avoidTime = 3 * time.Second
 	// sweepInterval is the interval at which unused tokens are collected and idle plans
 	// are forgotten.
 	sweepInterval = 500 * time.Millisecond
@@ -158,6 +161,12 @@
 	}
 	c.mu.Lock()
 	c.sent, c.counter = sentAt, counter
+	switch {
+	case err != nil:
+		c.failed, c.failedAt = host, now
+	case counter == c.failed && now.Sub(c.failedAt) < avoidTime:
+		c.counter = host // it forwards to the one that this host cannot reach
+	}
 	c.mu.Unlock()
 	if failed := err != nil; c.failing.Swap(failed) != failed {
 		c.Logger.Info("tokens for plans with a limit", "available", !failed, "host", host, "error", err)
@@ -203,8 +212,7 @@
 	}
 }
 
-// sweep requests a message if a plan near its limit has unused tokens, and forgets idle
-// plans.
+// sweep requests a message if there are unused tokens, and forgets idle plans.
 func (c *Client) sweep(now time.Time) {
 	var idle []zinniapond.PlanName
 	var unused bool
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -65,7 +65,10 @@
 	mu      sync.Mutex
 	due     time.Time      // time of the next message; zero if none is needed
 	sent    time.Time      // time of the last message
-	counter netip.AddrPort // control host that counts; not valid if unknown
+	counter netip.AddrPort // control host to ask; not valid if unknown
+	// failed is the control host of the last call that failed, at failedAt.
+	failed   netip.AddrPort
+	failedAt time.Time
 }
 
 var _ zinniapond.Allowances = (*Client)(nil)
--- a/internal/policy/allow/allow.go
+++ b/internal/policy/allow/allow.go
@@ -63,9 +63,12 @@
 }
 
 // NewBucket returns the bucket of a plan for which no token was granted since the given
-// instant. It is empty if counting has just begun.
+// instant. It is empty if counting has just begun, and has the tokens of a bucket that was
+// full then as soon as no window contains requests with earlier tokens.
 func (p Policy) NewBucket(now, since time.Time, limit zinniapond.PlanLimit) zinniapond.AllowanceBucket {
 	b := &bucket{limit: limit, since: since, updated: since, entered: since, slot: slotOf(since)}
+	b.fullAt = since.Add(p.Access.QuotaWindow + max(maxLifetime, zinniapond.ReserveLifetime))
+	b.surplus = b.capacity()
 	b.advance(now)
 	return b
 }
--- a/internal/policy/allow/allow_test.go
+++ b/internal/policy/allow/allow_test.go
@@ -1,6 +1,7 @@
 package allow
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -108,17 +109,46 @@
 			uses = append(uses, use{at: now.Add(time.Duration(rapid.Int64Range(0, int64(lifetime)).Draw(t, "delay"))), count: begin + other})
 		}
 		slices.SortFunc(uses, func(x, y use) int { return x.at.Compare(y.at) })
-		window := policy.Access.QuotaWindow
-		allowed := (float64(limit.Rate)*window.Seconds() + float64(limit.Burst)) * (1 + policy.Access.QuotaOverage/2)
-		assertWindows(t, uses, func(span time.Duration) float64 {
-			if span > window {
-				return 1e9
+		assertWindows(t, uses, windowBound(limit))
+	})
+}
+
+// TestHandOver lets one bucket follow another one at some time, and checks each window that
+// contains tokens of both.
+func TestHandOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := zinniapond.PlanLimit{Rate: zinniapond.RequestRate(rapid.Float64Range(0.1, 100).Draw(t, "rate")), Burst: rapid.IntRange(1, 200).Draw(t, "burst")}
+		lifetime := policy.Lifetime(limit)
+		b := full(limit)
+		changed := start.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "change")) * time.Millisecond)
+		var uses []use
+		hasChanged := false
+		for now := start; now.Before(start.Add(25 * time.Second)); now = now.Add(time.Duration(rapid.IntRange(5, 900).Draw(t, "pause")) * time.Millisecond) {
+			if !hasChanged && !now.Before(changed) {
+				hasChanged = true
+				b = policy.NewBucket(now, changed, limit)
 			}
-			return allowed
-		})
+			_, other := b.Take(now, 0, rapid.IntRange(0, 300).Draw(t, "continuing"))
+			uses = append(uses, use{at: now.Add(time.Duration(rapid.Int64Range(0, int64(lifetime)).Draw(t, "delay"))), count: other})
+		}
+		slices.SortFunc(uses, func(x, y use) int { return x.at.Compare(y.at) })
+		assertWindows(t, uses, windowBound(limit))
 	})
 }
 
+// windowBound returns the bound of a window without the half of the accepted excess and
+// the slack that are left to other cases.
+func windowBound(limit zinniapond.PlanLimit) func(time.Duration) float64 {
+	window := policy.Access.QuotaWindow
+	allowed := (float64(limit.Rate)*window.Seconds() + float64(limit.Burst)) * (1 + policy.Access.QuotaOverage/2)
+	return func(span time.Duration) float64 {
+		if span > window {
+			return math.Inf(1)
+		}
+		return allowed
+	}
+}
+
 func TestTake(t *testing.T) {
 	limit := zinniapond.PlanLimit{Rate: 10, Burst: 20}
 	t.Run("guards against programs that begin with the tokens of those that were begun", func(t *testing.T) {
@@ -136,6 +166,14 @@
 		_, other = b.Take(start.Add(time.Second), 0, 100)
 		assert.Equal(t, other, 10)
 	})
+	t.Run("guards against slow plans that are refused long after a change of the host", func(t *testing.T) {
+		slow := zinniapond.PlanLimit{Rate: 0.1, Burst: 20}
+		b := policy.NewBucket(start, start, slow)
+		_, other := b.Take(start.Add(6900*time.Millisecond), 0, 100)
+		assert.Equal(t, other, 0)
+		_, other = b.Take(start.Add(7*time.Second), 0, 100)
+		assert.Equal(t, other, 20)
+	})
 	t.Run("guards against programs that do not begin for as long as a new bucket fills", func(t *testing.T) {
 		b := policy.NewBucket(start, start, limit)
 		served := 0
--- a/internal/policy/allow/bucket.go
+++ b/internal/policy/allow/bucket.go
@@ -15,8 +15,11 @@
 	// reserveSlots is the number of slots after which a reserve has expired, including
 	// the one in which it was granted.
 	reserveSlots = int64(zinniapond.ReserveLifetime/slotTime) + 1
-	// beginShare is the share of the burst that is left to programs that were begun.
+	// beginShare is the share of the burst that is left to programs that were begun, but
+	// not more than they and new programs took in recentTime: a plan with few requests
+	// would otherwise be refused a second program long before it has used its burst.
 	beginShare = 0.5
+	recentTime = 2 * time.Second
 	// startTime is the time in which beginShare comes into effect after counting has
 	// begun. A plan at nine tenths of its limit fills its bucket as slowly as this, and
 	// its programs would not begin for as long.
@@ -36,9 +39,13 @@
 	// level is the number of tokens, and reserved the number of those that are set aside
 	// as reserves.
 	level, reserved float64
-	// refused counts the refused requests that begin programs in the last second, with
-	// older ones weighted less.
-	refused float64
+	// surplus is what the bucket would have in addition if it had been full when counting
+	// began. It is added at fullAt, when no window contains tokens of earlier counts.
+	surplus float64
+	fullAt  time.Time
+	// refused counts the refused requests that begin programs in the last second, and
+	// taken the tokens taken in the last recentTime, with older ones weighted less.
+	refused, taken float64
 	// The following have one element for each of the last slots, slot being the present
 	// one: the reserves, the highest sum of level and reserved, and the highest one since
 	// the first tokens were taken in the slot.
@@ -62,6 +69,7 @@
 		return
 	}
 	b.refused *= math.Exp(-elapsed)
+	b.taken *= math.Exp(-elapsed / recentTime.Seconds())
 	last := max(slotOf(now), b.slot)
 	for b.slot < last && b.reserved > 0 {
 		b.refill(time.Unix(0, (b.slot+1)*int64(slotTime)))
@@ -72,6 +80,9 @@
 		b.enter(b.slot + 1)
 	}
 	b.refill(now)
+	if !now.Before(b.fullAt) {
+		b.level, b.surplus = b.level+b.surplus, 0
+	}
 	// The bucket may have refilled in any of the slots since the last call.
 	for s := max(slotOf(b.entered), b.slot-slots+1); s < b.slot; s++ {
 		b.recordLevel(s)
@@ -82,15 +93,25 @@
 // refill adds the tokens of the time since the last refill.
 func (b *bucket) refill(until time.Time) {
 	if elapsed := until.Sub(b.updated).Seconds(); elapsed > 0 {
-		b.level = min(b.level+float64(b.limit.Rate)*elapsed, b.capacity()-b.reserved)
+		b.add(float64(b.limit.Rate) * elapsed)
 		b.updated = until
 	}
 	b.recordLevel(b.slot)
 }
 
+// add adds tokens, up to the capacity.
+func (b *bucket) add(tokens float64) {
+	full := min(b.level+b.surplus+tokens, b.capacity()-b.reserved)
+	b.level = min(b.level+tokens, full)
+	b.surplus = full - b.level
+}
+
+// total returns the highest number of tokens that the bucket may have.
+func (b *bucket) total() float64 { return b.level + b.surplus + b.reserved }
+
 // recordLevel records that the present level may have been reached in a slot.
 func (b *bucket) recordLevel(slot int64) {
-	at, total := position(slot), b.level+b.reserved
+	at, total := position(slot), b.total()
 	b.peaks[at] = max(b.peaks[at], total)
 	if !math.IsInf(b.rests[at], -1) {
 		b.rests[at] = max(b.rests[at], total)
@@ -104,7 +125,7 @@
 		b.reserves[position(old)] = 0
 	}
 	b.slot = slot
-	b.peaks[position(slot)] = b.level + b.reserved
+	b.peaks[position(slot)] = b.total()
 	b.rests[position(slot)] = math.Inf(-1)
 }
 
@@ -119,12 +140,12 @@
 	for i := range b.peaks {
 		b.peaks[i], b.rests[i] = b.capacity(), b.capacity()
 	}
-	b.level = min(b.level, b.capacity()-b.reserved)
+	b.add(0)
 }
 
 // threshold returns the level above which programs may begin.
 func (b *bucket) threshold() float64 {
-	return b.capacity() * beginShare * min(1, b.updated.Sub(b.since).Seconds()/startTime.Seconds())
+	return min(b.taken, b.capacity()*beginShare) * min(1, b.updated.Sub(b.since).Seconds()/startTime.Seconds())
 }
 
 // Take takes tokens: for requests of programs that were begun as long as there are any,
@@ -132,11 +153,14 @@
 func (b *bucket) Take(now time.Time, beginning, continuing int) (begin, other int) {
 	b.advance(now)
 	other = b.takeDownTo(0, continuing)
-	begin = b.takeDownTo(b.threshold(), beginning)
+	// One at a time, as each of them raises the threshold.
+	for begin < beginning && b.takeDownTo(b.threshold(), 1) == 1 {
+		begin++
+	}
 	b.refused += float64(beginning - begin)
 	if begin+other > 0 {
 		at := position(b.slot)
-		b.rests[at] = max(b.rests[at], b.level+b.reserved)
+		b.rests[at] = max(b.rests[at], b.total())
 	}
 	return begin, other
 }
@@ -145,6 +169,7 @@
 func (b *bucket) takeDownTo(floor float64, count int) int {
 	taken := max(0, min(count, int(math.Ceil(b.level-floor)), int(b.level)))
 	b.level -= float64(taken)
+	b.taken += float64(taken)
 	return taken
 }
 
@@ -207,5 +232,5 @@
 // IsFull reports whether the bucket is full without reserves.
 func (b *bucket) IsFull(now time.Time) bool {
 	b.advance(now)
-	return b.reserved == 0 && b.level >= b.capacity()
+	return b.reserved == 0 && b.surplus == 0 && b.level >= b.capacity()
 }
--- a/quotas.go
+++ b/quotas.go
@@ -133,6 +133,6 @@
 type CounterReply struct {
 	Accepted bool           `cbor:"a,omitempty"`
 	Counter  netip.AddrPort `cbor:"c"`
-	// Unchanged is set if the sender is also the last one that was accepted.
-	Unchanged bool `cbor:"u,omitempty"`
+	// Quiet is the time since which no other process has been accepted.
+	Quiet time.Duration `cbor:"q,omitempty"`
 }
