--- a/internal/fleet/quotas/quotas_test.go
+++ b/internal/fleet/quotas/quotas_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 
 // quorum is a set of control hosts with a common clock.
 type quorum struct {
+	mu       sync.Mutex // guards now and cut
 	now      time.Time
 	counters map[netip.AddrPort]*Counter
 	list     []netip.AddrPort
@@ -38,7 +40,7 @@
 }
 func (q *quorum) Catalog() *zinniapond.Catalog { return nil }
 func (q *quorum) LeaseValid(time.Time) bool    { return true }
-func (q *quorum) ConfirmedAt() time.Time       { return q.now.Add(-q.age) }
+func (q *quorum) ConfirmedAt() time.Time       { return q.clock().Add(-q.age) }
 func (q *quorum) Changed() <-chan struct{}     { return nil }
 
 // link is the network from one host.
@@ -48,7 +50,10 @@
 }
 
 func (l link) Call(_ context.Context, to netip.AddrPort, method string, request, reply any) error {
-	if l.cut[to] || l.cut[l.from] {
+	l.mu.Lock()
+	cut := l.cut[to] || l.cut[l.from]
+	l.mu.Unlock()
+	if cut {
 		return zinniapond.ErrUnavailable
 	}
 	if method == "Quotas.Acquire" {
@@ -57,6 +62,27 @@
 	return l.counters[to].Accept(request.(zinniapond.CounterRequest), reply.(*zinniapond.CounterReply))
 }
 
+func (q *quorum) clock() time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.now
+}
+
+func (q *quorum) advance(span time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.now = q.now.Add(span)
+}
+
+// cutOff cuts the connections of control hosts.
+func (q *quorum) cutOff(hosts ...int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, i := range hosts {
+		q.cut[q.list[i]] = true
+	}
+}
+
 // newQuorum returns control hosts that were started a minute ago, and one plan.
 func newQuorum(count int) *quorum {
 	q := &quorum{now: start, counters: make(map[netip.AddrPort]*Counter), cut: make(map[netip.AddrPort]bool)}
@@ -67,11 +93,11 @@
 		q.list = append(q.list, a)
 		q.counters[a] = &Counter{
 			Address: a, Peers: link{q, a}, ControlHosts: hosts.Chooser{Directory: q}, MaxConfigAge: 4 * time.Second, Stats: new(stats.Set[string]), Logger: logger,
-			Policy: allow.Policy{Access: zinniapond.AccessSettings{QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20}}, Clock: func() time.Time { return q.now },
+			Policy: allow.Policy{Access: zinniapond.AccessSettings{QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20}}, Clock: q.clock,
 		}
 		q.counters[a].vote.start(start)
 	}
-	q.now = q.now.Add(time.Minute)
+	q.advance(time.Minute)
 	return q
 }
 
@@ -110,26 +136,26 @@
 	t.Run("guards against a grant without a majority", func(t *testing.T) {
 		q := newQuorum(5)
 		assertGranted(t, q, 0, 1, 1)
-		q.cut[q.list[2]], q.cut[q.list[3]], q.cut[q.list[4]] = true, true, true
-		q.now = q.now.Add(leaseTime)
+		q.cutOff(2, 3, 4)
+		q.advance(leaseTime)
 		_, err := q.ask(0, 1)
 		assert.ErrorIs(t, err, zinniapond.ErrUnavailable)
 	})
 	t.Run("guards against the burst of a host that takes over", func(t *testing.T) {
 		q := newQuorum(5)
 		assertGranted(t, q, 0, 20, 20)
-		q.cut[q.list[0]] = true
+		q.cutOff(0)
 		_, err := q.ask(1, 20)
 		assert.ErrorIs(t, err, zinniapond.ErrUnavailable)
-		q.now = q.now.Add(leaseTime)
+		q.advance(leaseTime)
 		assertGranted(t, q, 1, 100, 0)
-		q.now = q.now.Add(100 * time.Millisecond)
+		q.advance(100 * time.Millisecond)
 		assertGranted(t, q, 1, 100, 1)
 	})
 	t.Run("guards against a bucket that is empty after a pause of the load", func(t *testing.T) {
 		q := newQuorum(5)
 		assertGranted(t, q, 0, 20, 20)
-		q.now = q.now.Add(time.Minute)
+		q.advance(time.Minute)
 		assertGranted(t, q, 0, 100, 20)
 	})
 	t.Run("guards against a host that grants by an old configuration", func(t *testing.T) {
@@ -170,11 +196,11 @@
 			_, err := q.ask(0, 100)
 			assert.NoError(t, err)
 			c.prune(q.now)
-			q.now = q.now.Add(100 * time.Millisecond)
+			q.advance(100 * time.Millisecond)
 		}
 		assert.Equal(t, c.Limited(), []zinniapond.PlanName{"p"})
 		assert.Equal(t, c.Stats.Value("quotas.refused.p") > 0, true)
-		q.now = q.now.Add(underLimitTime + time.Second)
+		q.advance(underLimitTime + time.Second)
 		c.prune(q.now)
 		c.prune(q.now)
 		assert.Equal(t, len(c.Limited()), 0)
@@ -204,7 +230,7 @@
 		assertGranted(t, q, 0, 20, 20)
 		c.prune(q.now)
 		assert.Equal(t, c.plans.Len(), 1)
-		q.now = q.now.Add(time.Minute)
+		q.advance(time.Minute)
 		c.prune(q.now)
 		assert.Equal(t, c.plans.Len(), 0)
 		assertGranted(t, q, 0, 100, 20)
@@ -223,7 +249,7 @@
 	c := q.counters[q.list[0]]
 	needs := make([]zinniapond.QuotaNeed, 4)
 	for i := 0; b.Loop(); i++ {
-		q.now = q.now.Add(time.Millisecond)
+		q.advance(time.Millisecond)
 		for j := range needs {
 			needs[j] = zinniapond.QuotaNeed{Plan: q.routing.Plans[(4*i+j)%len(q.routing.Plans)].Name, Continuing: 1}
 		}
--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -15,8 +15,8 @@
 	// minPrefetch is the least number of requests that are expected within the lifetime
 	// of a token, and minRefill that of tokens that the limit allows in this time, for
 	// which tokens are obtained in advance. With 0.3 requests and without minRefill,
-	// tokens that many hosts held in advance used up the burst of small plans: 7% of
-	// their requests were refused below the limit.
+	// tokens that several hosts held in advance used up the burst of small plans, and a
+	// model of 7 hosts refused twice as many requests below the limit.
 	minPrefetch = 1.2
 	minRefill   = 2
 	// maxRefusalAge is the time for which requests are refused because of the last reply.
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -194,3 +194,6 @@
 	defer b.mu.Unlock()
 	b.giveBack(now, permit.ExpiresAt)
 }
+
+// Plans returns the number of plans with requests in the last seconds.
+func (c *Client) Plans() int { return c.plans.Len() }
--- a/internal/policy/allow/bucket.go
+++ b/internal/policy/allow/bucket.go
@@ -15,11 +15,8 @@
 	// reserveSlots is the number of slots after which a reserve has expired, including
 	// the one in which it was granted.
 	reserveSlots = int64(zinniapond.ReserveLifetime/slotTime) + 1
-	// beginShare is the share of the burst that is left to programs that were begun, but
-	// not more than they and new programs took in recentTime: a plan with few requests
-	// would otherwise be refused a second program long before it has used its burst.
+	// beginShare is the share of the burst that is left to programs that were begun.
 	beginShare = 0.5
-	recentTime = 2 * time.Second
 	// startTime is the time in which beginShare comes into effect after counting has
 	// begun. A plan at nine tenths of its limit fills its bucket as slowly as this, and
 	// its programs would not begin for as long.
@@ -43,9 +40,9 @@
 	// began. It is added at fullAt, when no window contains tokens of earlier counts.
 	surplus float64
 	fullAt  time.Time
-	// refused counts the refused requests that begin programs in the last second, and
-	// taken the tokens taken in the last recentTime, with older ones weighted less.
-	refused, taken float64
+	// refused counts the refused requests that begin programs in the last second, with
+	// older ones weighted less.
+	refused float64
 	// The following have one element for each of the last slots, slot being the present
 	// one: the reserves, the highest sum of level and reserved, and the highest one since
 	// the first tokens were taken in the slot.
@@ -69,7 +66,6 @@
 		return
 	}
 	b.refused *= math.Exp(-elapsed)
-	b.taken *= math.Exp(-elapsed / recentTime.Seconds())
 	last := max(slotOf(now), b.slot)
 	for b.slot < last && b.reserved > 0 {
 		b.refill(time.Unix(0, (b.slot+1)*int64(slotTime)))
@@ -145,7 +141,7 @@
 
 // threshold returns the level above which programs may begin.
 func (b *bucket) threshold() float64 {
-	return min(b.taken, b.capacity()*beginShare) * min(1, b.updated.Sub(b.since).Seconds()/startTime.Seconds())
+	return b.capacity() * beginShare * min(1, b.updated.Sub(b.since).Seconds()/startTime.Seconds())
 }
 
 // Take takes tokens: for requests of programs that were begun as long as there are any,
@@ -153,10 +149,7 @@
 func (b *bucket) Take(now time.Time, beginning, continuing int) (begin, other int) {
 	b.advance(now)
 	other = b.takeDownTo(0, continuing)
-	// One at a time, as each of them raises the threshold.
-	for begin < beginning && b.takeDownTo(b.threshold(), 1) == 1 {
-		begin++
-	}
+	begin = b.takeDownTo(b.threshold(), beginning)
 	b.refused += float64(beginning - begin)
 	if begin+other > 0 {
 		at := position(b.slot)
@@ -169,7 +162,6 @@
 func (b *bucket) takeDownTo(floor float64, count int) int {
 	taken := max(0, min(count, int(math.Ceil(b.level-floor)), int(b.level)))
 	b.level -= float64(taken)
-	b.taken += float64(taken)
 	return taken
 }
 
