--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,10 +25,26 @@
 // controlHost is a fake of a control host that answers every call alike.
 type controlHost struct {
 	*quota.Client
-	grant    zinniapond.QuotaGrant
+	grant zinniapond.QuotaGrant
+	log   bytes.Buffer
+
+	mu       sync.Mutex // guards the following
 	err      error
 	requests []zinniapond.QuotaRequest
-	log      bytes.Buffer
+}
+
+// fail makes all further calls fail.
+func (h *controlHost) fail() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.err = zinniapond.ErrUnavailable
+}
+
+// seen returns the requests that have arrived.
+func (h *controlHost) seen() []zinniapond.QuotaRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.requests)
 }
 
 func (h *controlHost) View() *zinniapond.ControlView {
@@ -39,7 +57,9 @@
 
 func (h *controlHost) Call(_ context.Context, to netip.AddrPort, _ string, request, reply any) error {
 	q := request.(zinniapond.QuotaRequest)
+	h.mu.Lock()
 	h.requests = append(h.requests, q)
+	h.mu.Unlock()
 	time.Sleep(time.Millisecond)
 	r := reply.(*zinniapond.QuotaReply)
 	r.Counter = to
@@ -50,6 +70,8 @@
 		}
 		r.Grants = append(r.Grants, h.grant)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return h.err
 }
 
@@ -92,7 +114,7 @@
 		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
 			_, err := h.acquire(&zinniapond.Plan{Name: "p"}, true)
 			assert.NoError(t, err)
-			assert.Equal(t, len(h.requests), 0)
+			assert.Equal(t, len(h.seen()), 0)
 		})
 	})
 	t.Run("guards against a message for each request", func(t *testing.T) {
@@ -101,7 +123,7 @@
 				_, err := h.acquire(plan, true)
 				assert.NoError(t, err)
 			}
-			assert.Equal(t, len(h.requests), 1)
+			assert.Equal(t, len(h.seen()), 1)
 		})
 	})
 	t.Run("guards against a token that is used after its lifetime", func(t *testing.T) {
@@ -113,7 +135,7 @@
 			time.Sleep(time.Second)
 			_, err = h.acquire(plan, false)
 			assert.NoError(t, err)
-			assert.Equal(t, h.requests[len(h.requests)-1].Needs[0].Continuing, 1)
+			assert.Equal(t, h.seen()[len(h.seen())-1].Needs[0].Continuing, 1)
 		})
 	})
 	t.Run("guards against a returned token that is lost", func(t *testing.T) {
@@ -123,7 +145,7 @@
 			h.Return(time.Now(), plan, permit)
 			_, err = h.acquire(plan, false)
 			assert.NoError(t, err)
-			assert.Equal(t, len(h.requests), 1)
+			assert.Equal(t, len(h.seen()), 1)
 		})
 	})
 	t.Run("guards against unused tokens that are not returned", func(t *testing.T) {
@@ -131,10 +153,10 @@
 			_, err := h.acquire(plan, true)
 			assert.NoError(t, err)
 			time.Sleep(2 * time.Second)
-			assert.Equal(t, len(h.requests), 2)
-			assert.Equal(t, h.requests[1].Needs[0].Unused[0].Count, 4)
+			assert.Equal(t, len(h.seen()), 2)
+			assert.Equal(t, h.seen()[1].Needs[0].Unused[0].Count, 4)
 			time.Sleep(5 * time.Second)
-			assert.Equal(t, len(h.requests), 2)
+			assert.Equal(t, len(h.seen()), 2)
 		})
 	})
 	t.Run("guards against a message for each refusal", func(t *testing.T) {
@@ -144,7 +166,7 @@
 				_, err := h.acquire(plan, true)
 				assertRefused(t, err, 100*time.Millisecond, 1500*time.Millisecond)
 			}
-			assert.Equal(t, len(h.requests), 1)
+			assert.Equal(t, len(h.seen()), 1)
 			assert.True(t, time.Since(start) < 10*time.Millisecond, "refused after %s", time.Since(start))
 		})
 	})
@@ -175,7 +197,7 @@
 			_, err := h.acquire(plan, false)
 			assert.NoError(t, err)
 			time.Sleep(time.Second)
-			h.err = zinniapond.ErrUnavailable
+			h.fail()
 			for range 10 {
 				_, err = h.acquire(plan, false)
 				assert.NoError(t, err)
@@ -189,7 +211,7 @@
 		withHost(t, zinniapond.QuotaGrant{Beginning: 1, Reserve: 10, Lifetime: 100 * time.Millisecond}, func(t *testing.T, h *controlHost) {
 			_, err := h.acquire(plan, false)
 			assert.NoError(t, err)
-			h.err = zinniapond.ErrUnavailable
+			h.fail()
 			time.Sleep(zinniapond.ReserveLifetime)
 			_, err = h.acquire(plan, false)
 			assertRefused(t, err, 100*time.Millisecond, time.Second)
@@ -197,7 +219,7 @@
 	})
 	t.Run("guards against more than this host's share without control hosts", func(t *testing.T) {
 		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
-			h.err = zinniapond.ErrUnavailable
+			h.fail()
 			h.SetHostCount(10)
 			allowed := 0
 			for end := time.Now().Add(access.QuotaWindow); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -219,9 +241,9 @@
 				assert.NoError(t, err)
 			}
 			time.Sleep(20 * time.Second)
-			sent := len(h.requests)
+			sent := len(h.seen())
 			time.Sleep(time.Hour)
-			assert.Equal(t, len(h.requests), sent)
+			assert.Equal(t, len(h.seen()), sent)
 			assert.Equal(t, h.Plans(), 0)
 		})
 	})
