--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -131,7 +131,7 @@
 		return
 	}
 	host, ok := c.controlHost(now)
-	err := error(zinniapond.ErrUnavailable)
+	err := zinniapond.ErrUnavailable
 	var reply zinniapond.QuotaReply
 	if ok {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -89,7 +89,7 @@
 		go func() { done <- h.Run(ctx) }()
 		defer func() {
 			cancel()
-			<-done
+			assert.NoError(t, <-done)
 		}()
 		time.Sleep(time.Second)
 		play(t, h)
