--- a/internal/front/runner/pace.go
+++ b/internal/front/runner/pace.go
@@ -32,13 +32,6 @@
 	}
 }
 
-func (r *Runner) setHostCount(count int) {
-	r.Throttle.SetHostCount(count)
-	if r.Pace != nil {
-		r.Pace.SetHostCount(count)
-	}
-}
-
 // reportAnswers adds the answers of bounded and failing replicas to the loads.
 func (r *Runner) reportAnswers(loads []zinniapond.Load) []zinniapond.Load {
 	if r.Pace == nil {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -20,6 +20,7 @@
 	"zinniapond.example/zinniapond/internal/core/quota"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/front/begun"
 	"zinniapond.example/zinniapond/internal/front/doubts"
 	"zinniapond.example/zinniapond/internal/front/ended"
 	"zinniapond.example/zinniapond/internal/front/report"
@@ -36,7 +37,7 @@
 			return nil, err
 		}
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
@@ -58,12 +59,14 @@
 	Blame        zinniapond.Blame
 	Throttle     zinniapond.Throttle
 	// Pace bounds the requests at new replicas; nil if the settings do not name one.
-	Pace      zinniapond.Pace
-	Stats     *stats.Set[string]
-	Meter     *meter.Meter
-	Logger    hclog.Logger
-	Clock     func() time.Time
-	NewRouter func() (zinniapond.Router, error)
+	Pace zinniapond.Pace
+	// Allowances keeps plans within their limits. It is not used if it is nil.
+	Allowances zinniapond.Allowances
+	Stats      *stats.Set[string]
+	Meter      *meter.Meter
+	Logger     hclog.Logger
+	Clock      func() time.Time
+	NewRouter  func() (zinniapond.Router, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -79,6 +82,7 @@
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
 	ended      ended.Checker
+	begun      begun.Book
 	// background counts the settlements that run after an answer.
 	background sync.WaitGroup
 }
@@ -166,6 +170,17 @@
 	return err
 }
 
+// setHostCount sets the number of hosts that send requests to replicas.
+func (r *Runner) setHostCount(count int) {
+	r.Throttle.SetHostCount(count)
+	if r.Allowances != nil {
+		r.Allowances.SetHostCount(count)
+	}
+	if r.Pace != nil {
+		r.Pace.SetHostCount(count)
+	}
+}
+
 // followUpdates applies the configuration and the list of replicas whenever they
 // change, and at least once each updateInterval.
 func (r *Runner) followUpdates(ctx context.Context) error {
