Let requests wait in one ordered queue for each pool

A request that found all replicas full slept for 15 ms and tried all of them again, so that chance decided which request got a place that became free, and each waiting request caused as many refusals as the pool has replicas each time.

Requests now wait on a channel in a queue that orders them by the priority of the plan, whether the program can still finish in time, the priority of the route, calls of tools before turns, and turns that continue a program before those that begin one. One request is woken for each place: when an attempt of this host has ended, when the sums of loads show room, and when the list has a new replica. While requests wait, one is woken each 100 ms without known room and tries the four replicas whose refusals are oldest.

--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -35,6 +35,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
 	_ "zinniapond.example/zinniapond/internal/policy/urgent"
+	_ "zinniapond.example/zinniapond/internal/policy/wait"
 
 	// Requests of an external platform: they run on the host that receives them,
 	// and turns and budgets are stored on the keepers' disks.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -50,6 +50,9 @@
 	start := u.Clock()
 	waitUntil := start.Add(time.Duration(float64(u.deadline.Sub(start)) * maxWaitShare))
 	need := u.routingNeed()
+	wait := u.newWait(p, start, waitUntil)
+	defer wait.end()
+	need.Exclude = wait.excluded(start, p)
 	var lastErr error
 	for {
 		now := u.Clock()
@@ -64,7 +67,10 @@
 		if err := u.checkStanding(now, p); err != nil {
 			return u.overLimitError(zinniapond.Join(err, lastErr))
 		}
-		replica, err := u.chooseReplica(ctx, p, need, waitUntil)
+		replica, err := candidate{}, zinniapond.ErrUnavailable
+		if !wait.isOver() {
+			replica, err = u.chooseReplica(ctx, p, need, waitUntil)
+		}
 		if ctx.Err() != nil {
 			return u.deadlineError(zinniapond.Join(lastErr, err))
 		}
@@ -72,29 +78,28 @@
 			return u.overLimitError(zinniapond.Join(lastErr, err))
 		}
 		if err != nil {
-			// All replicas were tried. Those that were full may have capacity by
-			// now.
-			need.Exclude = nil
 			if now.After(waitUntil) || !u.repeatable() && u.possibleRuns > 0 {
 				return u.noReplicaError(lastErr)
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(fullRetryDelay):
+			if err := wait.await(ctx, p); err != nil {
+				return u.noReplicaError(zinniapond.Join(lastErr, err))
 			}
+			need.Exclude = wait.excluded(u.Clock(), p)
 			continue
 		}
 		var v verdict
+		wait.begin()
 		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
 			return nil
 		case verdictNotRun:
+			wait.recordRefusal(u.Clock(), replica.Address)
 			need.Exclude = append(need.Exclude, replica.Address)
 			u.Stats.Add("front.again", 1)
 		case verdictMayHaveRun:
-			need.Exclude = append(need.Exclude, replica.Address)
+			need.Exclude = append(wait.recordRun(need.Exclude), replica.Address)
 			if !u.repeatable() || u.possibleRuns >= max(u.route.MaxAttempts, 1) {
 				return u.outcomeUnknownError(lastErr)
 			}
@@ -209,6 +214,9 @@
 		now := u.Clock()
 		observation.Duration = now.Sub(start)
 		p.recordFinish(now, replica.Address, need, observation)
+		if v != verdictNotRun {
+			p.waiters.recordEnd(now, replica.Address)
+		}
 		u.recordAttempt(replica, v, err)
 	}()
 	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -31,6 +31,7 @@
 		r := &Runner{Access: k.Settings.Access, MaxApplyTime: k.Settings.Platform.MaxApplyTime, DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
+		r.NewWaitQueue = func() (zinniapond.WaitQueue, error) { return kernel.New[zinniapond.WaitQueue](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		return r, errors.Join(
 			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle),
@@ -59,6 +60,7 @@
 	Logger       hclog.Logger
 	Clock        func() time.Time
 	NewRouter    func() (zinniapond.Router, error)
+	NewWaitQueue func() (zinniapond.WaitQueue, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -73,6 +75,7 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
+	hostCount  atomic.Int64 // hosts that exchange loads
 	ended      ended.Checker
 	// background counts the settlements that run after an answer.
 	background sync.WaitGroup
@@ -81,6 +84,7 @@
 // pool has the replicas of one service.
 type pool struct {
 	router   zinniapond.Router
+	waiters  *waiters
 	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
@@ -127,10 +131,17 @@
 		for a := range *p.replicas.Load() {
 			p.router.UpdateLoad(now, zinniapond.LoadReport{Backend: a, TakenAt: now, RunningCalls: counts[a]})
 		}
+		p.offerReported(now, counts)
 		return true
 	})
 }
 
+// setHostCount sets the number of hosts that send requests to the replicas.
+func (r *Runner) setHostCount(count int) {
+	r.hostCount.Store(int64(count))
+	r.Throttle.SetHostCount(count)
+}
+
 // updateInterval is the longest time between two updates. Each update also makes
 // the replica client close connections that were idle for too long.
 const updateInterval = time.Second
@@ -149,7 +160,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	if r.LoadExchange.Peers != nil {
 		r.LoadExchange.LocalLoads, r.LoadExchange.ApplySums = r.localLoads, r.reportLoads
-		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.Throttle.SetHostCount
+		r.LoadExchange.Limits, r.LoadExchange.SetHostCount = r.Limits, r.setHostCount
 		r.LoadExchange.Blame, r.LoadExchange.OnEndings = r.Blame, r.applyEndings
 		group.Go(func() error { return r.LoadExchange.Run(ctx) })
 	}
@@ -216,11 +227,11 @@
 		if err != nil {
 			return err
 		}
-		p.update(now, list)
+		p.update(now, list, r.hostCount.Load())
 	}
 	r.pools.Each(func(name zinniapond.PoolName, p *pool) bool {
 		if _, ok := byPool[name]; !ok {
-			p.update(now, nil)
+			p.update(now, nil, 0)
 		}
 		return true
 	})
@@ -237,22 +248,27 @@
 	if err != nil {
 		return nil, err
 	}
+	queue, err := r.NewWaitQueue()
+	if err != nil {
+		return nil, err
+	}
 	return r.pools.GetOrCreate(name, func() *pool {
-		p := &pool{router: router}
+		p := &pool{router: router, waiters: newWaiters(queue, r.Clock)}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
 		return p
 	}), nil
 }
 
 // update sets the replicas of the pool. Only live replicas get new requests.
-func (p *pool) update(now time.Time, list []zinniapond.Backend) {
+func (p *pool) update(now time.Time, list []zinniapond.Backend, hosts int64) {
 	live := slices.DeleteFunc(slices.Clone(list), func(b zinniapond.Backend) bool { return b.State != zinniapond.BackendLive })
 	replicas := make(map[netip.AddrPort]zinniapond.Backend, len(live))
 	for _, b := range live {
 		replicas[b.Address] = b
 	}
-	p.replicas.Store(&replicas)
+	old := p.replicas.Swap(&replicas)
 	p.router.Update(now, live)
+	p.offerListed(now, *old, replicas, hosts)
 	p.doubts.Prune(now)
 	var idle []netip.AddrPort
 	p.inFlight.Each(func(a netip.AddrPort, n *atomic.Int64) bool {
