Spread the clients of refused requests over the time until places are free

All clients that no replica had taken were told to return after 100 ms, so that they returned together. The time is now random within that in which the requests before it get their places, half of it for programs that have begun, at least 50 ms and at most a third of the client's remaining time.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -79,10 +79,10 @@
 		}
 		if err != nil {
 			if now.After(waitUntil) || !u.repeatable() && u.possibleRuns > 0 {
-				return u.noReplicaError(lastErr)
+				return u.noReplicaError(wait.retryAfter(now), lastErr)
 			}
 			if err := wait.await(ctx, p); err != nil {
-				return u.noReplicaError(zinniapond.Join(lastErr, err))
+				return u.noReplicaError(wait.retryAfter(u.Clock()), zinniapond.Join(lastErr, err))
 			}
 			need.Exclude = wait.excluded(u.Clock(), p)
 			continue
@@ -132,11 +132,11 @@
 }
 
 // noReplicaError returns the error for a request that no replica has accepted.
-func (u *run) noReplicaError(last error) error {
+func (u *run) noReplicaError(retryAfter time.Duration, last error) error {
 	if u.possibleRuns > 0 {
 		return u.outcomeUnknownError(last)
 	}
-	return retryableError("choose replica", shortRetryAfter, zinniapond.Join(zinniapond.ErrOverload, last))
+	return retryableError("choose replica", retryAfter, zinniapond.Join(zinniapond.ErrOverload, last))
 }
 
 // outcomeUnknownError returns the error for a request that may have run.
--- a/internal/front/runner/await.go
+++ b/internal/front/runner/await.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -129,6 +130,11 @@
 	return nil
 }
 
+// retryAfter returns the time after which the client of a refused request is to return.
+func (w *waitState) retryAfter(now time.Time) time.Duration {
+	return w.waiters.queue.RetryAfter(now, w.state, rand.Float64())
+}
+
 // excluded returns the replicas that the request does not try now.
 func (w *waitState) excluded(now time.Time, p *pool) []netip.AddrPort {
 	switch {
--- a/waits.go
+++ b/waits.go
@@ -46,4 +46,7 @@
 	// EstimateWait returns how long a request that enters the queue will wait, from the
 	// rate at which places became free lately; ok is false if the rate is not known.
 	EstimateWait(now time.Time, waiting WaitingRequest) (wait time.Duration, ok bool)
+	// RetryAfter returns the time after which a refused client is to return. random is
+	// from [0, 1) and spreads the clients over the time in which places become free.
+	RetryAfter(now time.Time, waiting WaitingRequest, random float64) time.Duration
 }
