Place requests near their deadline where they can end

A turn went to the replica with its prefix, or to a slow one that was to be probed, also if it could not end there within its time. The router now knows the remaining time and prefers servers whose expected time is within it; if there is none it chooses as before. A probe takes a request that cannot end at the slow server only if no other came for another probe interval.

--- a/interfaces.go
+++ b/interfaces.go
@@ -163,6 +163,8 @@
 	// nil if unknown.
 	HasIdleConnection func(netip.AddrPort) bool
 	Exclude           []netip.AddrPort // servers that this call has already tried
+	// RemainingTime is the time until the deadline of the call; zero if it has none.
+	RemainingTime time.Duration
 }
 
 // Choice is a routing decision with its reason.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -69,6 +69,7 @@
 		}
 		replica, err := candidate{}, zinniapond.ErrUnavailable
 		if !wait.isOver() {
+			need.RemainingTime = u.deadline.Sub(now)
 			replica, err = u.chooseReplica(ctx, p, need, waitUntil)
 		}
 		if ctx.Err() != nil {
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -136,15 +136,21 @@
 	meanLoad := float64(r.inFlight.Load()+1) / float64(len(*eligible))
 	loadLimit := math.Ceil(loadBoundRatio*meanLoad) + loadBoundSlack
 	// The first pass considers the servers within the load bound, the second
-	// all that are not ejected, and the third all servers.
-	for pass := range 3 {
+	// all that are not ejected, and the third all servers. The three passes before
+	// them consider only servers at which the call can end before its deadline.
+	for pass := range 6 {
+		if pass < 3 && need.RemainingTime <= 0 {
+			continue
+		}
 		best := r.selectFastest(need, candidates, random, func(o *candidate) bool {
 			switch {
 			case slices.Contains(need.Exclude, o.address) || !free(o.address):
 				return false
-			case pass == 0:
+			case pass < 3 && !r.endsInTime(need, o):
+				return false
+			case pass%3 == 0:
 				return !o.ejected && float64(o.state.inFlight+1) <= loadLimit
-			case pass == 1:
+			case pass%3 == 1:
 				return !o.ejected
 			}
 			return true
@@ -166,6 +172,11 @@
 	return zinniapond.Choice{}, false
 }
 
+// endsInTime reports whether a call is expected to end at a server before its deadline.
+func (r *Router) endsInTime(need zinniapond.PickInfo, o *candidate) bool {
+	return need.RemainingTime <= 0 || r.latency.expectedTime(need, o) <= need.RemainingTime
+}
+
 // hasUnreservedServer tells whether more servers are free than are reserved for
 // the first class: twice the square root of the number of its calls in flight,
 // as this number fluctuates by about as much.
@@ -188,6 +199,9 @@
 func (r *Router) pickProbe(now time.Time, need zinniapond.PickInfo, candidates []candidate, free func(netip.AddrPort) bool) (zinniapond.Choice, bool) {
 	for i := range candidates {
 		o := &candidates[i]
+		if !o.state.probeOverdue && !r.endsInTime(need, o) {
+			continue
+		}
 		if o.ejected && o.state.probeDue && !slices.Contains(need.Exclude, o.address) && free(o.address) {
 			o.claimProbe(now)
 			return zinniapond.Choice{Backend: o.address, CachedTokens: o.cachedTokens, Reason: "probe of a slow server"}, true
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -70,6 +70,7 @@
 	load            float64 // own requests in flight, with those in a recent load report
 	slowness        float64
 	probeDue        bool // nothing in flight and the probe interval is over
+	probeOverdue    bool // the probe has been due for another interval
 	cacheGeneration uint64
 }
 
@@ -91,6 +92,7 @@
 		g.load = max(g.load, float64(s.report.RunningCalls+s.report.WaitingCalls+len(s.inFlight)-s.inFlightAtReport))
 	}
 	g.probeDue = len(s.inFlight) == 0 && !now.Before(s.nextProbe)
+	g.probeOverdue = g.probeDue && !now.Before(s.nextProbe.Add(max(s.probeInterval, minProbeInterval)))
 	return g
 }
 
