Share the slowness of replicas among the fronts

Each of 50 to 70 fronts sees one or two requests at a replica, so that each has to find a slow one by itself. The routers now share the recent answers of replicas that may be slow, as two numbers beside the count of a load, and take over the slowness from three answers of all fronts together; hosts leave probes of a replica known to be slow to each other.

--- a/interfaces.go
+++ b/interfaces.go
@@ -196,6 +196,11 @@
 	WaitingCalls int            `json:"waiting"`
 	// Programs are the programs of which the server has KV cache.
 	Programs []ProgramID `json:"programs"`
+	// Answers is the number of recent answers that all hosts have measured, and Slowness
+	// their mean time as a multiple of the usual one. They are not part of a server's own
+	// report; Answers is zero if nothing is known.
+	Answers  int     `json:"-"`
+	Slowness float64 `json:"-"`
 }
 
 // CacheEvent reports that a server has added a prompt block to its cache or
@@ -223,6 +228,13 @@
 	EstimateDuration(need PickInfo) time.Duration
 }
 
+// SpeedMeter is a Router that measures the speed of servers.
+type SpeedMeter interface {
+	// RecentAnswers returns the number of recent answers of a server and the sum of their
+	// times as multiples of the usual one. It returns zero unless the server may be slow.
+	RecentAnswers(now time.Time, server netip.AddrPort) (answers int, slowness float64)
+}
+
 // TurnState is what is known of a turn when it is sent to a model server.
 type TurnState struct {
 	Priority int // of the route, 0 is the highest
--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -8,7 +8,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,7 +102,7 @@
 // relay sends the sums of the reports and the limits that they contain to the other
 // control hosts. It sends nothing while no host reports to this one.
 func (l *Loads) relay(ctx context.Context) {
-	sums := make(map[netip.AddrPort]int)
+	sums := make(map[netip.AddrPort]zinniapond.Load)
 	now := l.Clock()
 	reporting, _ := l.addReports(now, sums)
 	if reporting == 0 {
@@ -137,19 +139,19 @@
 	}
 	previous, _ := l.reports.Get(request.Sender)
 	l.reports.Set(request.Sender, report{now, 1, request.Loads})
-	sums := make(map[netip.AddrPort]int)
+	sums := make(map[netip.AddrPort]zinniapond.Load)
 	reply.Hosts, reply.ReportInterval = l.addReports(now, sums)
 	reply.Hosts += addValid(&l.relayed, now, validPauses*relayInterval, sums)
 	reply.Loads, reply.Limits = listLoads(sums), l.Limits.All(now)
 	reply.Blame = l.Blame.News(now, previous.received.Add(-newsOverlap))
-	l.entries.Store(int64(len(sums) + limitEntries*len(reply.Limits) + reply.Blame.Size()))
+	l.entries.Store(int64(len(sums) + countMeasured(reply.Loads) + limitEntries*len(reply.Limits) + reply.Blame.Size()))
 	return nil
 }
 
 // addReports adds up the reports that are still valid and removes the others. It
 // returns the number of reporting hosts and the pause between reports that bounds
 // their rate and the traffic of the replies.
-func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]int) (hosts int, pause time.Duration) {
+func (l *Loads) addReports(now time.Time, sums map[netip.AddrPort]zinniapond.Load) (hosts int, pause time.Duration) {
 	hostCount := 0
 	l.reports.Each(func(zinniapond.HostName, report) bool {
 		hostCount++
@@ -161,7 +163,7 @@
 
 // addValid adds the reports that are at most maxAge old to sums, removes the others,
 // and returns the number of hosts that the remaining ones are about.
-func addValid(reports *shard.Map[zinniapond.HostName, report], now time.Time, maxAge time.Duration, sums map[netip.AddrPort]int) int {
+func addValid(reports *shard.Map[zinniapond.HostName, report], now time.Time, maxAge time.Duration, sums map[netip.AddrPort]zinniapond.Load) int {
 	hosts := 0
 	var expired []zinniapond.HostName
 	reports.Each(func(host zinniapond.HostName, r report) bool {
@@ -171,7 +173,10 @@
 		}
 		hosts += r.hosts
 		for _, load := range r.loads {
-			sums[load.Replica] += load.Count
+			sum := sums[load.Replica]
+			sum.Replica, sum.Count = load.Replica, sum.Count+load.Count
+			sum.Answers, sum.Slowness = sum.Answers+load.Answers, sum.Slowness+load.Slowness
+			sums[load.Replica] = sum
 		}
 		return true
 	})
@@ -181,10 +186,18 @@
 	return hosts
 }
 
-func listLoads(sums map[netip.AddrPort]int) []zinniapond.Load {
-	loads := make([]zinniapond.Load, 0, len(sums))
-	for replica, count := range sums {
-		loads = append(loads, zinniapond.Load{Replica: replica, Count: count})
+func listLoads(sums map[netip.AddrPort]zinniapond.Load) []zinniapond.Load {
+	return slices.Collect(maps.Values(sums))
+}
+
+// countMeasured returns the number of replicas that may be slow. Their entries take up to
+// the space of two.
+func countMeasured(loads []zinniapond.Load) int {
+	count := 0
+	for _, l := range loads {
+		if l.Answers > 0 {
+			count++
+		}
 	}
-	return loads
+	return count
 }
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -105,37 +105,6 @@
 	p.router.AttemptFinished(now, replica, need, observation)
 }
 
-// localLoads returns the number of this host's requests at each replica.
-func (r *Runner) localLoads() []zinniapond.Load {
-	var loads []zinniapond.Load
-	r.pools.Each(func(_ zinniapond.PoolName, p *pool) bool {
-		p.inFlight.Each(func(a netip.AddrPort, n *atomic.Int64) bool {
-			if count := n.Load(); count > 0 {
-				loads = append(loads, zinniapond.Load{Replica: a, Count: int(count)})
-			}
-			return true
-		})
-		return true
-	})
-	return loads
-}
-
-// reportLoads passes the number of all hosts' running requests at each replica to the
-// routers.
-func (r *Runner) reportLoads(now time.Time, loads []zinniapond.Load) {
-	counts := make(map[netip.AddrPort]int, len(loads))
-	for _, l := range loads {
-		counts[l.Replica] = l.Count
-	}
-	r.pools.Each(func(_ zinniapond.PoolName, p *pool) bool {
-		for a := range *p.replicas.Load() {
-			p.router.UpdateLoad(now, zinniapond.LoadReport{Backend: a, TakenAt: now, RunningCalls: counts[a]})
-		}
-		p.offerReported(now, counts)
-		return true
-	})
-}
-
 // setHostCount sets the number of hosts that send requests to the replicas.
 func (r *Runner) setHostCount(count int) {
 	r.hostCount.Store(int64(count))
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -14,6 +14,8 @@
 	// server. At a half, two slow answers show that a server has become ten
 	// times slower.
 	slownessGain = 0.5
+	// maxSlowness bounds the slowness of one answer.
+	maxSlowness = 100
 	// failureSlowness is the slowness that a failed attempt counts as.
 	failureSlowness = 6
 	// minProbeInterval and maxProbeInterval bound the interval between probes
@@ -51,6 +53,7 @@
 	// zero if nothing was observed.
 	slowness      float64
 	observedAt    time.Time // time of the last observation of slowness
+	measured      measuredSpeed
 	nextProbe     time.Time // earliest time of the next probe while ejected
 	probeInterval time.Duration
 	report        zinniapond.LoadReport
@@ -91,7 +94,7 @@
 	if now.Sub(s.report.TakenAt) < maxReportAge {
 		g.load = max(g.load, float64(s.report.RunningCalls+s.report.WaitingCalls+len(s.inFlight)-s.inFlightAtReport))
 	}
-	g.probeDue = len(s.inFlight) == 0 && !now.Before(s.nextProbe)
+	g.probeDue = len(s.inFlight) == 0 && !now.Before(s.nextProbe) && (g.load < 1 || !now.Before(s.measured.slowUntil))
 	g.probeOverdue = g.probeDue && !now.Before(s.nextProbe.Add(max(s.probeInterval, minProbeInterval)))
 	return g
 }
@@ -130,11 +133,12 @@
 		s.slowness = 1
 	}
 	s.observedAt = now
-	s.slowness += slownessGain * (min(value, 100) - s.slowness)
+	s.measured.add(now, value)
+	s.slowness += slownessGain * (min(value, maxSlowness) - s.slowness)
 	if value < ejectionSlowness {
 		// The next probe may follow at once: a few good answers readmit the
 		// server.
-		s.probeInterval, s.nextProbe = 0, now
+		s.probeInterval, s.nextProbe, s.measured.isAdopted = 0, now, false
 		return
 	}
 	s.probeInterval = min(max(2*s.probeInterval, minProbeInterval), maxProbeInterval)
@@ -161,13 +165,14 @@
 	s.nextProbe = now.Add(max(s.probeInterval, minProbeInterval))
 }
 
-func (s *server) setReport(report zinniapond.LoadReport) {
+func (s *server) setReport(now time.Time, report zinniapond.LoadReport, jitter time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if report.TakenAt.After(s.report.TakenAt) {
 		s.report = report
 		s.report.Programs = nil
 		s.inFlightAtReport = len(s.inFlight)
+		s.adoptSlowness(now, report, jitter)
 	}
 }
 
--- a/loads.go
+++ b/loads.go
@@ -5,10 +5,18 @@
 	"time"
 )
 
+// SlownessUnit is the slowness of an answer that takes the usual time, in Load.
+const SlownessUnit = 8
+
 // Load is the number of requests at one replica.
 type Load struct {
 	Replica netip.AddrPort `cbor:"r"`
 	Count   int            `cbor:"c"`
+	// Answers is the number of answers of the replica in the last seconds, and Slowness
+	// the sum of their slowness in eighths of the usual time. Both are zero unless the
+	// replica may be slow.
+	Answers  int `cbor:"n,omitempty"`
+	Slowness int `cbor:"s,omitempty"`
 }
 
 // LoadsRequest reports how many requests one host has running at each replica.
