Continue streams elsewhere that will not end in time

A turn at a replica that had become slow or hung was run there until its client's time ended, although other replicas could have ended it. The times of complete streams now tell when a stream is late at its replica and in time at another one; it is then resumed there after its last event, if the route allows another run, no request waits for room, and the first run is known to have ended. A silent replica is left at the last instant at which another one can still end the turn.

A request is no longer refused at once for its expected wait while the sums of loads show room. go test -race ./internal/front/runner passes.

--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -29,6 +29,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/fair"
 	_ "zinniapond.example/zinniapond/internal/policy/fifo"
 	_ "zinniapond.example/zinniapond/internal/policy/least"
+	_ "zinniapond.example/zinniapond/internal/policy/leave"
 	_ "zinniapond.example/zinniapond/internal/policy/limit"
 	_ "zinniapond.example/zinniapond/internal/policy/place"
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -220,7 +220,10 @@
 		}
 		u.recordAttempt(replica, v, err)
 	}()
-	answer, err := u.Client.Send(ctx, start, zinniapond.ReplicaRequest{
+	sendCtx, departure := u.newDeparture(ctx, p, start)
+	u.departure = departure
+	defer func() { departure.end(u.Clock(), v == verdictDone) }()
+	answer, err := u.Client.Send(sendCtx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
 		NotRepeated: u.sentOnce(),
 		Priority:    u.urgency(start), LastEventID: u.resumeID(),
@@ -234,7 +237,7 @@
 		return verdictNotRun, err
 	case err != nil:
 		u.possibleRuns++
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 		observation = zinniapond.Observation{Failed: ctx.Err() == nil, Cancelled: ctx.Err() != nil}
@@ -278,7 +281,7 @@
 		observation.Usage = zinniapond.Usage{Prompt: u.request.PromptTokens, Cached: cached, Generated: u.stream.generated}
 	} else {
 		observation.Failed, observation.Cancelled = ctx.Err() == nil, ctx.Err() != nil
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 	}
--- a/internal/front/runner/await.go
+++ b/internal/front/runner/await.go
@@ -89,11 +89,9 @@
 // request is refused instead; it is nil if ctx is done.
 func (w *waitState) await(ctx context.Context, p *pool) error {
 	now := w.Clock()
-	if w.waiters.queue.Len() > 0 {
-		if expected, ok := w.waiters.queue.EstimateWait(now, w.state); ok && now.Add(expected).After(w.deadline) {
-			w.Stats.Add("front.wait.refused", 1)
-			return fmt.Errorf("expected wait of %s: %w", expected.Round(time.Millisecond), zinniapond.ErrOverload)
-		}
+	if expected, isHopeless := w.waiters.isHopeless(now, w.state); isHopeless {
+		w.Stats.Add("front.wait.refused", 1)
+		return fmt.Errorf("expected wait of %s: %w", expected.Round(time.Millisecond), zinniapond.ErrOverload)
 	}
 	w.isUnused = false
 	until := w.state.LeaveAt
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -52,7 +52,8 @@
 	possibleRuns int // number of attempts that may have run
 	answerBegun  bool
 	stream       stream
-	held         int64 // bytes of memory taken
+	departure    *departure // watches the current attempt
+	held         int64      // bytes of memory taken
 	digest       zinniapond.Digest
 	suspected    bool // a replica may have ended while the request was running there
 	// limitTime is the time for which the request has waited for permissions of
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -31,6 +31,7 @@
 		r := &Runner{Access: k.Settings.Access, MaxApplyTime: k.Settings.Platform.MaxApplyTime, DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
+		r.NewMigration = func() (zinniapond.Migration, error) { return kernel.New[zinniapond.Migration](k) }
 		r.NewWaitQueue = func() (zinniapond.WaitQueue, error) { return kernel.New[zinniapond.WaitQueue](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		return r, errors.Join(
@@ -61,6 +62,7 @@
 	Clock        func() time.Time
 	NewRouter    func() (zinniapond.Router, error)
 	NewWaitQueue func() (zinniapond.WaitQueue, error)
+	NewMigration func() (zinniapond.Migration, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -83,9 +85,11 @@
 
 // pool has the replicas of one service.
 type pool struct {
-	router   zinniapond.Router
-	waiters  *waiters
-	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
+	router  zinniapond.Router
+	waiters *waiters
+	// migration decides when streams leave replicas of the pool.
+	migration zinniapond.Migration
+	replicas  atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
 	doubts   doubts.Book
@@ -221,8 +225,12 @@
 	if err != nil {
 		return nil, err
 	}
+	migration, err := r.NewMigration()
+	if err != nil {
+		return nil, err
+	}
 	return r.pools.GetOrCreate(name, func() *pool {
-		p := &pool{router: router, waiters: newWaiters(queue, r.Clock)}
+		p := &pool{router: router, waiters: newWaiters(queue, r.Clock), migration: migration}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
 		return p
 	}), nil
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -67,6 +67,7 @@
 			if err := u.forwardEvents(&parser, buffer[:n]); err != nil {
 				return verdictFailed, err
 			}
+			u.departure.record(u.Clock())
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/internal/front/runner/waiting.go
+++ b/internal/front/runner/waiting.go
@@ -24,7 +24,10 @@
 	// taken, and maxRooms the number of such places. A request that found all replicas
 	// full may enter the queue only after that.
 	roomMemory = scanInterval
-	maxRooms   = 64
+	// roomSeenTime is the time for which no request is refused at once after replicas
+	// were known to have room. Loads are exchanged each 100 to 200 ms.
+	roomSeenTime = 3 * scanInterval
+	maxRooms     = 64
 	// wakeRatio is the number of requests that all hosts together wake for each place
 	// that the sums of loads show. Hosts have different numbers of waiting requests, and
 	// places must not stay empty.
@@ -49,6 +52,7 @@
 	wakes      map[uint64]chan wake
 	nextTicket uint64
 	rooms      []room
+	roomSeenAt time.Time // when the sums of loads or the list last showed room
 	refusals   map[netip.AddrPort]time.Time
 	scan       *time.Timer
 }
@@ -192,6 +196,26 @@
 	return list[:min(len(list), max(size-scanTries, 0))]
 }
 
+// offerSeen wakes waiting requests for room that the sums of loads or the list show.
+func (w *waiters) offerSeen(now time.Time, replica netip.AddrPort, places int) {
+	w.mu.Lock()
+	w.roomSeenAt = now
+	w.mu.Unlock()
+	w.offer(now, replica, places)
+}
+
+// isHopeless reports whether a request would wait for longer than it has time, and for how
+// long. It is false while replicas are known to have room or nothing waits.
+func (w *waiters) isHopeless(now time.Time, waiting zinniapond.WaitingRequest) (expected time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queue.Len() == 0 || now.Sub(w.roomSeenAt) < roomSeenTime {
+		return 0, false
+	}
+	expected, ok = w.queue.EstimateWait(now, waiting)
+	return expected, ok && now.Add(expected).After(waiting.Deadline)
+}
+
 // offerReported wakes requests for room that the sums over all hosts show. Each host
 // takes a part of it that corresponds to its part of the requests, because all hosts see
 // the same room.
@@ -210,7 +234,7 @@
 	share := min(wakeRatio*float64(own+1)/float64(max(int64(total), own)+1), 1)
 	for a, b := range replicas {
 		if free := b.Slots - counts[a]; free > 0 && !p.doubts.Has(now, b) {
-			p.waiters.offer(now, a, randomRound(float64(free)*share))
+			p.waiters.offerSeen(now, a, randomRound(float64(free)*share))
 		}
 	}
 }
@@ -220,7 +244,7 @@
 func (p *pool) offerListed(now time.Time, old, current map[netip.AddrPort]zinniapond.Backend, hosts int64) {
 	for a, b := range current {
 		if o, known := old[a]; !known || o.ID != b.ID {
-			p.waiters.offer(now, a, max(1, randomRound(float64(b.Slots)*min(wakeRatio/float64(max(hosts, 1)), 1))))
+			p.waiters.offerSeen(now, a, max(1, randomRound(float64(b.Slots)*min(wakeRatio/float64(max(hosts, 1)), 1))))
 		}
 	}
 }
--- a/internal/front/runner/waiting_test.go
+++ b/internal/front/runner/waiting_test.go
@@ -239,3 +239,37 @@
 		assert.Equal(t, time.Since(begin).Round(10*time.Millisecond), time.Second)
 	})
 }
+
+func TestRefusal(t *testing.T) {
+	// 100 places a second, and requests that have time for less than a second.
+	fill := func(t *testing.T) *slotPool {
+		t.Helper()
+		s := newSlotPool(t, 4, 5, 200*time.Millisecond)
+		for i := range 300 {
+			s.start(context.Background(), fmt.Sprint("/r/", i), 10*time.Second)
+		}
+		time.Sleep(time.Second)
+		return s
+	}
+	inBubble(t, "guards against a request that waits although it cannot be served in its time", func(t *testing.T) {
+		s := fill(t)
+		begin := time.Now()
+		to := <-s.start(t.Context(), "/r/last", time.Second)
+		assert.ErrorIs(t, to.refused, zinniapond.ErrOverload)
+		assert.True(t, time.Since(begin) < 10*time.Millisecond, "refused after %s", time.Since(begin))
+		time.Sleep(5 * time.Second)
+	})
+	inBubble(t, "guards against refusing a request that can be served in its time", func(t *testing.T) {
+		s := fill(t)
+		assertAnswered(t, s.start(t.Context(), "/r/patient", 10*time.Second), s.start(t.Context(), "/u/urgent", time.Second))
+		time.Sleep(5 * time.Second)
+	})
+	inBubble(t, "guards against refusing a request at once while replicas are known to have room", func(t *testing.T) {
+		s := fill(t)
+		s.reportLoads(time.Now(), nil)
+		begin := time.Now()
+		<-s.start(t.Context(), "/r/last", time.Second)
+		assert.True(t, time.Since(begin) > 10*time.Millisecond, "refused at once")
+		time.Sleep(5 * time.Second)
+	})
+}
