Wake requests when others arrive, and not for room where they end too late

With few waiting requests, places that other hosts have left were found with the next sums or scan only, after up to 100 ms. A request that enters the queue now wakes the first one if none was woken in the last 20 ms. Room at a slow replica was given to a request that could not end there in its time; it is now passed on to at most four others.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -72,6 +72,9 @@
 			need.RemainingTime = u.deadline.Sub(now)
 			replica, err = u.chooseReplica(ctx, p, need, waitUntil)
 		}
+		if err == nil && wait.declines(u.Clock(), replica.choice.ExpectedTime) {
+			err = zinniapond.ErrUnavailable
+		}
 		if ctx.Err() != nil {
 			return u.deadlineError(zinniapond.Join(lastErr, err))
 		}
--- a/internal/front/runner/await.go
+++ b/internal/front/runner/await.go
@@ -18,6 +18,10 @@
 	since   time.Time // when the current tries of replicas began
 	// only is the replica with room that the request was woken for; not valid for any.
 	only netip.AddrPort
+	// passes is the number of requests that have not used that room.
+	passes int
+	// isWoken is set once the request has been in the queue, unless it has run since.
+	isWoken bool
 	// isUnused is set until an attempt is made at that replica.
 	isUnused bool
 	// triesLeft is the number of replicas to try before waiting again; negative if it is
@@ -60,6 +64,22 @@
 // begin records that an attempt uses the room that the request was woken for.
 func (w *waitState) begin() { w.isUnused = false }
 
+// declines reports whether a request that was woken does not use the room that it has
+// found, as it would end too late there. Room that it was woken for is offered to the next
+// request.
+func (w *waitState) declines(now time.Time, expected time.Duration) bool {
+	if !w.isWoken || now.Add(expected).Before(w.deadline) {
+		return false
+	}
+	w.Stats.Add("front.wait.declined", 1)
+	w.triesLeft = 0
+	if w.isUnused {
+		w.isUnused = false
+		w.waiters.pass(now, wake{replica: w.only, passes: w.passes})
+	}
+	return true
+}
+
 // end passes room on that the request was woken for and has not used, such as after its
 // key was revoked.
 func (w *waitState) end() {
@@ -81,7 +101,7 @@
 	if w.triesLeft >= 0 {
 		excluded = nil
 	}
-	w.only, w.triesLeft = netip.AddrPort{}, -1
+	w.only, w.triesLeft, w.isWoken = netip.AddrPort{}, -1, false
 	return excluded
 }
 
@@ -121,7 +141,8 @@
 		w.Stats.Add("front.wait.expired", 1)
 		return fmt.Errorf("no replica had room within %s: %w", w.since.Sub(w.state.EnteredAt).Round(time.Millisecond), zinniapond.ErrOverload)
 	}
-	w.only, w.triesLeft = reason.replica, scanTries
+	w.isWoken = true
+	w.only, w.passes, w.triesLeft = reason.replica, reason.passes, scanTries
 	if w.only.IsValid() {
 		w.triesLeft, w.isUnused = 1, true
 	}
--- a/internal/front/runner/waiting.go
+++ b/internal/front/runner/waiting.go
@@ -20,6 +20,13 @@
 	// replicas that refused another one, as long as scanTries others are left.
 	scanTries     = 4
 	refusalMemory = 3 * scanInterval
+	// minScanPause is the time without a wake-up after which a request that enters the
+	// queue without tries causes one, so that room that other hosts have left is found
+	// before the next sums while few requests wait.
+	minScanPause = 20 * time.Millisecond
+	// maxPasses is the number of requests to which room at a slow replica is offered that
+	// would end too late there.
+	maxPasses = 4
 	// roomMemory is the time for which room is remembered that no waiting request has
 	// taken, and maxRooms the number of such places. A request that found all replicas
 	// full may enter the queue only after that.
@@ -55,12 +62,15 @@
 	roomSeenAt time.Time // when the sums of loads or the list last showed room
 	refusals   map[netip.AddrPort]time.Time
 	scan       *time.Timer
+	wokenAt    time.Time // when a request was last woken
 }
 
 // wake tells a waiting request why it leaves the queue.
 type wake struct {
 	// replica has room; not valid if no replica is known to have.
 	replica netip.AddrPort
+	// passes is the number of requests that have not used the room.
+	passes int
 	// isRemoved is set if the queue is too long.
 	isRemoved bool
 }
@@ -103,6 +113,17 @@
 	w.pruneRooms(now)
 }
 
+// pass offers room to the next request that the woken one does not use.
+func (w *waiters) pass(now time.Time, reason wake) {
+	reason.passes++
+	if reason.passes > maxPasses {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wakeNext(now, reason)
+}
+
 // pruneRooms removes places that were free too long ago. The caller holds the lock.
 func (w *waiters) pruneRooms(now time.Time) {
 	old := 0
@@ -119,6 +140,7 @@
 	if !ok {
 		return false
 	}
+	w.wokenAt = now
 	w.send(next.Ticket, reason)
 	return true
 }
@@ -132,6 +154,7 @@
 
 // enter adds a request to the queue. Room that became free after the given instant, at
 // which the request began to try replicas, is given to the first request at once.
+// A request that has tried no replica wakes the first one if none was woken lately.
 func (w *waiters) enter(now, since time.Time, waiting zinniapond.WaitingRequest) <-chan wake {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -148,6 +171,9 @@
 			break
 		}
 	}
+	if since.IsZero() && now.Sub(w.wokenAt) >= minScanPause {
+		w.wakeNext(now, wake{})
+	}
 	if w.scan == nil && len(w.wakes) > 0 {
 		w.scan = time.AfterFunc(scanInterval, w.onScan)
 	}
