--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -30,6 +30,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/fair"
 	_ "zinniapond.example/zinniapond/internal/policy/fifo"
 	_ "zinniapond.example/zinniapond/internal/policy/least"
+	_ "zinniapond.example/zinniapond/internal/policy/leave"
 	_ "zinniapond.example/zinniapond/internal/policy/limit"
 	_ "zinniapond.example/zinniapond/internal/policy/pace"
 	_ "zinniapond.example/zinniapond/internal/policy/place"
@@ -37,6 +38,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
 	_ "zinniapond.example/zinniapond/internal/policy/urgent"
+	_ "zinniapond.example/zinniapond/internal/policy/wait"
 
 	// Requests of an external platform: they run on the host that receives them,
 	// and turns and budgets are stored on the keepers' disks.
--- a/internal/front/ahead/relay.go
+++ b/internal/front/ahead/relay.go
@@ -43,6 +43,9 @@
 	// WriteUntil is when the answer is broken off if the client has not taken it, on
 	// the clock of the operating system.
 	WriteUntil time.Time
+	// OnSlow is called when a write counts as one to a slow client for the first time;
+	// may be nil.
+	OnSlow func()
 	// OnEnd is called if Source has ended while a write is waiting for the client; may
 	// be nil. The answer is not delivered yet, but the replica has done its part. err
 	// is io.EOF for a complete answer, and unread about the number of events of a
@@ -124,6 +127,9 @@
 		return // the write has ended as the timer fired
 	}
 	if r.unwatch == nil {
+		if r.OnSlow != nil {
+			r.OnSlow()
+		}
 		r.watch()
 	}
 	if !r.reading {
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -50,6 +50,9 @@
 	start := u.Clock()
 	waitUntil := start.Add(time.Duration(float64(u.deadline.Sub(start)) * maxWaitShare))
 	need := u.routingNeed()
+	wait := u.newWait(p, start, waitUntil)
+	defer wait.end()
+	need.Exclude = wait.excluded(start, p)
 	var lastErr error
 	for {
 		now := u.Clock()
@@ -64,7 +67,14 @@
 		if err := u.checkStanding(now, p); err != nil {
 			return u.overLimitError(zinniapond.Join(err, lastErr))
 		}
-		replica, err := u.chooseReplica(ctx, p, need, waitUntil)
+		replica, err := candidate{}, zinniapond.ErrUnavailable
+		if !wait.isOver() {
+			need.RemainingTime = u.deadline.Sub(now)
+			replica, err = u.chooseReplica(ctx, p, need, waitUntil)
+		}
+		if err == nil && wait.declines(u.Clock(), replica.choice.ExpectedTime) {
+			err = zinniapond.ErrUnavailable
+		}
 		if ctx.Err() != nil {
 			return u.deadlineError(zinniapond.Join(lastErr, err))
 		}
@@ -72,32 +82,31 @@
 			return u.overLimitError(zinniapond.Join(lastErr, err))
 		}
 		if err != nil {
-			// All replicas were tried. Those that were full may have capacity by
-			// now.
-			need.Exclude = nil
 			if now.After(waitUntil) || !u.repeatable() && u.possibleRuns > 0 {
-				return u.noReplicaError(lastErr)
+				return u.noReplicaError(wait.retryAfter(now), lastErr)
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(fullRetryDelay):
+			if err := wait.await(ctx, p); err != nil {
+				return u.noReplicaError(wait.retryAfter(u.Clock()), zinniapond.Join(lastErr, err))
 			}
+			need.Exclude = wait.excluded(u.Clock(), p)
 			continue
 		}
 		if err := u.obtainAllowance(ctx); err != nil {
 			return zinniapond.Join(err, lastErr)
 		}
 		var v verdict
+		wait.begin()
 		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
 			return nil
 		case verdictNotRun:
+			wait.recordRefusal(u.Clock(), replica.Address)
 			need.Exclude = append(need.Exclude, replica.Address)
 			u.Stats.Add("front.again", 1)
 		case verdictMayHaveRun:
-			need.Exclude = append(need.Exclude, replica.Address)
+			need.Exclude = append(wait.recordRun(need.Exclude), replica.Address)
 			if !u.repeatable() || u.possibleRuns >= max(u.route.MaxAttempts, 1) {
 				return u.outcomeUnknownError(lastErr)
 			}
@@ -130,11 +139,11 @@
 }
 
 // noReplicaError returns the error for a request that no replica has accepted.
-func (u *run) noReplicaError(last error) error {
+func (u *run) noReplicaError(retryAfter time.Duration, last error) error {
 	if u.possibleRuns > 0 {
 		return u.outcomeUnknownError(last)
 	}
-	return retryableError("choose replica", shortRetryAfter, zinniapond.Join(zinniapond.ErrOverload, last))
+	return retryableError("choose replica", retryAfter, zinniapond.Join(zinniapond.ErrOverload, last))
 }
 
 // outcomeUnknownError returns the error for a request that may have run.
@@ -212,10 +221,17 @@
 	u.relay = nil
 	finish := u.finishOnce(p, start, replica.Address, need, paced)
 	defer func() {
-		finish(u.Clock(), v, observation)
+		now := u.Clock()
+		finish(now, v, observation)
+		if v != verdictNotRun {
+			p.waiters.recordEnd(now, replica.Address)
+		}
 		u.recordAttempt(replica, v, err)
 	}()
-	readCtx, interrupt := context.WithCancel(ctx)
+	sendCtx, departure := u.newDeparture(ctx, p, start)
+	u.departure = departure
+	defer func() { departure.end(u.Clock(), v == verdictDone) }()
+	readCtx, interrupt := context.WithCancel(sendCtx)
 	defer interrupt()
 	answer, err := u.Client.Send(readCtx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
@@ -231,7 +247,7 @@
 		return verdictNotRun, err
 	case err != nil:
 		u.possibleRuns++
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 		observation = zinniapond.Observation{Failed: ctx.Err() == nil, Cancelled: ctx.Err() != nil}
@@ -280,7 +296,7 @@
 		observation.Usage = zinniapond.Usage{Prompt: u.request.PromptTokens, Cached: cached, Generated: u.stream.generated}
 	} else {
 		observation.Failed, observation.Cancelled = ctx.Err() == nil, ctx.Err() != nil
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 	}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -32,6 +32,8 @@
 		r := &Runner{Access: k.Settings.Access, MaxApplyTime: k.Settings.Platform.MaxApplyTime, DataCentre: k.Settings.DataCentre, Logger: k.Logger.Named("front"), Clock: k.Now}
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
+		r.NewMigration = func() (zinniapond.Migration, error) { return kernel.New[zinniapond.Migration](k) }
+		r.NewWaitQueue = func() (zinniapond.WaitQueue, error) { return kernel.New[zinniapond.WaitQueue](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		if err := r.findPace(k); err != nil {
 			return nil, err
@@ -61,12 +63,14 @@
 	// Pace bounds the requests at new replicas; nil if the settings do not name one.
 	Pace zinniapond.Pace
 	// Allowances keeps plans within their limits. It is not used if it is nil.
-	Allowances zinniapond.Allowances
-	Stats      *stats.Set[string]
-	Meter      *meter.Meter
-	Logger     hclog.Logger
-	Clock      func() time.Time
-	NewRouter  func() (zinniapond.Router, error)
+	Allowances   zinniapond.Allowances
+	Stats        *stats.Set[string]
+	Meter        *meter.Meter
+	Logger       hclog.Logger
+	Clock        func() time.Time
+	NewRouter    func() (zinniapond.Router, error)
+	NewWaitQueue func() (zinniapond.WaitQueue, error)
+	NewMigration func() (zinniapond.Migration, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -81,6 +85,7 @@
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
+	hostCount  atomic.Int64 // hosts that exchange loads
 	ended      ended.Checker
 	begun      begun.Book
 	// background counts the settlements that run after an answer.
@@ -89,9 +94,12 @@
 
 // pool has the replicas of one service.
 type pool struct {
-	router   zinniapond.Router
-	pace     zinniapond.Pace // nil if replicas are not bounded
-	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
+	router  zinniapond.Router
+	pace    zinniapond.Pace // nil if replicas are not bounded
+	waiters *waiters
+	// migration decides when streams leave replicas of the pool.
+	migration zinniapond.Migration
+	replicas  atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
 	doubts   doubts.Book
@@ -111,37 +119,6 @@
 	p.router.AttemptFinished(now, replica, need, observation)
 }
 
-// localLoads returns the number of this host's requests at each replica.
-func (r *Runner) localLoads() []zinniapond.Load {
-	var loads []zinniapond.Load
-	r.pools.Each(func(_ zinniapond.PoolName, p *pool) bool {
-		p.inFlight.Each(func(a netip.AddrPort, n *atomic.Int64) bool {
-			if count := n.Load(); count > 0 {
-				loads = append(loads, zinniapond.Load{Replica: a, Count: int(count)})
-			}
-			return true
-		})
-		return true
-	})
-	return r.reportAnswers(loads)
-}
-
-// reportLoads passes the number of all hosts' running requests at each replica to the
-// routers.
-func (r *Runner) reportLoads(now time.Time, loads []zinniapond.Load) {
-	r.setLoads(now, loads)
-	counts := make(map[netip.AddrPort]int, len(loads))
-	for _, l := range loads {
-		counts[l.Replica] = l.Count
-	}
-	r.pools.Each(func(_ zinniapond.PoolName, p *pool) bool {
-		for a := range *p.replicas.Load() {
-			p.router.UpdateLoad(now, zinniapond.LoadReport{Backend: a, TakenAt: now, RunningCalls: counts[a]})
-		}
-		return true
-	})
-}
-
 // updateInterval is the longest time between two updates. Each update also makes
 // the replica client close connections that were idle for too long.
 const updateInterval = time.Second
@@ -172,6 +149,7 @@
 
 // setHostCount sets the number of hosts that send requests to replicas.
 func (r *Runner) setHostCount(count int) {
+	r.hostCount.Store(int64(count))
 	r.Throttle.SetHostCount(count)
 	if r.Allowances != nil {
 		r.Allowances.SetHostCount(count)
@@ -238,12 +216,12 @@
 		if err != nil {
 			return err
 		}
-		p.update(now, list)
+		p.update(now, list, r.hostCount.Load())
 		r.setPaced(now, name, list)
 	}
 	r.pools.Each(func(name zinniapond.PoolName, p *pool) bool {
 		if _, ok := byPool[name]; !ok {
-			p.update(now, nil)
+			p.update(now, nil, 0)
 			r.setPaced(now, name, nil)
 		}
 		return true
@@ -261,22 +239,31 @@
 	if err != nil {
 		return nil, err
 	}
+	queue, err := r.NewWaitQueue()
+	if err != nil {
+		return nil, err
+	}
+	migration, err := r.NewMigration()
+	if err != nil {
+		return nil, err
+	}
 	return r.pools.GetOrCreate(name, func() *pool {
-		p := &pool{router: router, pace: r.Pace}
+		p := &pool{router: router, pace: r.Pace, waiters: newWaiters(queue, r.Clock), migration: migration}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
 		return p
 	}), nil
 }
 
 // update sets the replicas of the pool. Only live replicas get new requests.
-func (p *pool) update(now time.Time, list []zinniapond.Backend) {
+func (p *pool) update(now time.Time, list []zinniapond.Backend, hosts int64) {
 	live := slices.DeleteFunc(slices.Clone(list), func(b zinniapond.Backend) bool { return b.State != zinniapond.BackendLive })
 	replicas := make(map[netip.AddrPort]zinniapond.Backend, len(live))
 	for _, b := range live {
 		replicas[b.Address] = b
 	}
-	p.replicas.Store(&replicas)
+	old := p.replicas.Swap(&replicas)
 	p.router.Update(now, live)
+	p.offerListed(now, *old, replicas, hosts)
 	p.doubts.Prune(now)
 	var idle []netip.AddrPort
 	p.inFlight.Each(func(a netip.AddrPort, n *atomic.Int64) bool {
--- a/internal/front/runner/slow.go
+++ b/internal/front/runner/slow.go
@@ -26,6 +26,7 @@
 	return &ahead.Relay{
 		Responder: u.responder, Source: answer.Body, Reading: ctx, Interrupt: interrupt, Memory: u.Memory, Client: u.client,
 		WriteUntil: time.Now().Add(u.deadline.Sub(u.Clock()) + maxLateTime),
+		OnSlow:     u.departure.stay,
 		OnEnd: func(err error, unread int) {
 			u.Stats.Add("front.slow", 1)
 			onEnd(err, unread)
