Keep shared prefixes at the same servers of a data centre

All hosts of a data centre now choose the same half of its servers for a shared prefix by rendezvous hashing, and a server in another data centre has to be a third cheaper.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -166,8 +166,18 @@
 			n.PrefixHashes = append(n.PrefixHashes, hash.Sum64())
 		}
 	}
-	for _, part := range u.request.PromptParts {
+	for i, part := range u.request.PromptParts {
+		// The last part belongs to the conversation.
+		if i > 0 && i == len(u.request.PromptParts)-1 {
+			n.SharedHash = hash.Sum64()
+		}
 		add(part.ID, part.Tokens)
+		if n.SharedHash == 0 {
+			n.SharedTokens += part.Tokens
+		}
+	}
+	if n.SharedHash == 0 {
+		n.SharedTokens = 0
 	}
 	if len(u.request.PromptParts) == 0 && u.request.SessionID != "" && u.route.IsStream() {
 		add(u.scoped(string(u.request.Program)), prefixBlockTokens)
--- a/internal/policy/prefix/candidates.go
+++ b/internal/policy/prefix/candidates.go
@@ -25,10 +25,15 @@
 func (r *Router) gatherCandidates(now time.Time, need zinniapond.PickInfo, eligible []*server, free func(netip.AddrPort) bool, random uint64, candidates []candidate) []candidate {
 	var buffer [maxHolders]cacheHit
 	hits := r.cacheIndex().find(need, buffer[:0])
+	var homesBuffer [maxHomes]*server
+	homes := r.homes(need, len(eligible), homesBuffer[:0])
 	appendCandidate := func(s *server, h *cacheHit) {
 		o := candidate{server: s, state: s.snapshot(now)}
+		if slices.Contains(homes, s) {
+			o.cachedTokens = need.SharedTokens
+		}
 		if h != nil && h.cacheGeneration == o.state.cacheGeneration {
-			o.cachedTokens = h.cached
+			o.cachedTokens = max(o.cachedTokens, h.cached)
 		}
 		if s.address == need.PrefixBackend {
 			o.cachedTokens = max(o.cachedTokens, need.PrefixTokens)
@@ -49,6 +54,11 @@
 	if s, ok := r.servers.Get(need.PrefixBackend); ok && s.eligible.Load() && findHit(hits, need.PrefixBackend) == nil {
 		appendCandidate(s, nil)
 	}
+	for _, s := range homes {
+		if !containsCandidate(candidates, s) {
+			appendCandidate(s, nil)
+		}
+	}
 	count := uint64(len(eligible))
 	// Consecutive free servers from a random start are a sample without repetitions.
 	sampled := 0
@@ -58,13 +68,17 @@
 			continue
 		}
 		sampled++
-		if findHit(hits, s.address) == nil && s.address != need.PrefixBackend {
+		if !containsCandidate(candidates, s) {
 			appendCandidate(s, nil)
 		}
 	}
 	return candidates
 }
 
+func containsCandidate(candidates []candidate, s *server) bool {
+	return slices.ContainsFunc(candidates, func(o candidate) bool { return o.server == s })
+}
+
 func findHit(hits []cacheHit, server netip.AddrPort) *cacheHit {
 	for i := range hits {
 		if hits[i].server == server {
@@ -78,7 +92,7 @@
 // when more are slow, the cause is load, and ejecting them would overload the
 // others.
 func markEjected(candidates []candidate) {
-	var buffer [sampleSize + maxHolders + 1]float64
+	var buffer [maxCandidates]float64
 	sorted := buffer[:0]
 	for i := range candidates {
 		sorted = append(sorted, candidates[i].state.slowness)
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -52,6 +52,8 @@
 	sampleSize = 16
 	// maxHolders bounds the servers with a cached prefix that are compared.
 	maxHolders = 6
+	// maxCandidates is the usual number of servers that are compared.
+	maxCandidates = sampleSize + maxHolders + 1 + maxHomes
 )
 
 func init() {
@@ -68,6 +70,7 @@
 	Seed uint64
 
 	eligible            atomic.Pointer[[]*server]
+	byDataCentre        atomic.Pointer[map[zinniapond.DataCentre][]*server] // eligible servers
 	servers             shard.Map[netip.AddrPort, *server]
 	index               atomic.Pointer[cacheIndex]
 	latency             latencyModel
@@ -100,6 +103,7 @@
 		eligible = append(eligible, s)
 	}
 	r.eligible.Store(&eligible)
+	r.storeByDataCentre(eligible)
 	var removed []netip.AddrPort
 	r.servers.Each(func(a netip.AddrPort, s *server) bool {
 		if !present[a] {
@@ -122,7 +126,7 @@
 		return zinniapond.Choice{}, false
 	}
 	random := xxhash.Sum64String(string(need.Call)) ^ r.Seed + uint64(len(need.Exclude))*0x9e3779b97f4a7c15
-	var buffer [sampleSize + maxHolders + 1]candidate
+	var buffer [maxCandidates]candidate
 	candidates := r.gatherCandidates(now, need, *eligible, free, random, buffer[:0])
 	markEjected(candidates)
 	if need.Class > zinniapond.ClassInteractive && !r.hasUnreservedServer(candidates, free) {
@@ -212,7 +216,7 @@
 // Among near-equal candidates it takes the less loaded of two random ones, so
 // that hosts with the same view do not all choose the same server.
 func (r *Router) selectFastest(need zinniapond.PickInfo, candidates []candidate, random uint64, allowed func(*candidate) bool) *candidate {
-	var buffer [sampleSize + maxHolders + 1]*candidate
+	var buffer [maxCandidates]*candidate
 	eligible := buffer[:0]
 	shortest := math.Inf(1)
 	for i := range candidates {
@@ -222,7 +226,12 @@
 		}
 		o.score = o.relativeSlowness * r.latency.expectedCost(need, o.cachedTokens, o.state.load, o.state.slots)
 		if !r.latency.hasObservations() {
-			o.score = 1 + o.state.load // without observations: fewest in flight
+			// Without observations: fewest in flight, and twice as many count as equal
+			// where the whole prompt is cached.
+			o.score = (1 + o.state.load) * (2 - float64(o.cachedTokens)/float64(max(need.PromptTokens, 1)))
+		}
+		if need.SharedTokens > 0 && o.dataCentre != need.DataCentre {
+			o.score *= remoteRatio
 		}
 		eligible = append(eligible, o)
 		shortest = min(shortest, o.score)
@@ -231,6 +240,10 @@
 	if len(eligible) == 0 {
 		return nil
 	}
+	if need.SharedTokens > 0 {
+		// A conversation moves far more bytes than a new connection.
+		eligible = filterOrAll(eligible, func(o *candidate) bool { return o.dataCentre == need.DataCentre })
+	}
 	if need.HasIdleConnection != nil {
 		eligible = filterOrAll(eligible, func(o *candidate) bool { return need.HasIdleConnection(o.address) })
 	}
