--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -38,6 +38,11 @@
 	// nearEqualRatio is the ratio of expected times up to which candidates
 	// count as equal.
 	nearEqualRatio = 1.1
+	// lateViewRatio takes the place of nearEqualRatio in large pools. Dozens of hosts
+	// send several calls to each server between two exchanges of loads; if all took the
+	// servers with the least load at the last one, these would be overloaded until the
+	// next.
+	lateViewRatio = 1.5
 	// reserveDivisor divides the size of a pool to give the largest number of
 	// free servers that lower classes have to leave to the first class. Without
 	// a reserve, a short urgent call waits for the end of a long one.
@@ -236,7 +241,11 @@
 		eligible = append(eligible, o)
 		shortest = min(shortest, o.score)
 	}
-	eligible = slices.DeleteFunc(eligible, func(o *candidate) bool { return o.score > nearEqualRatio*shortest })
+	ratio := nearEqualRatio
+	if need.SharedTokens > 0 && len(candidates) > sampleSize {
+		ratio = lateViewRatio
+	}
+	eligible = slices.DeleteFunc(eligible, func(o *candidate) bool { return o.score > ratio*shortest })
 	if len(eligible) == 0 {
 		return nil
 	}
