--- a/internal/front/ahead/bench_test.go
+++ b/internal/front/ahead/bench_test.go
@@ -122,6 +122,52 @@
 	}
 }
 
+// BenchmarkSpacedEvents measures the time for one event from a replica to a client, both
+// with connections, if the replica sends the next event once the client has the last
+// one, so that no two events are written together.
+func BenchmarkSpacedEvents(b *testing.B) {
+	event := bytes.Repeat([]byte("x"), eventBytes)
+	connect := func(b *testing.B) (near, far net.Conn) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(b, err)
+		defer listener.Close()
+		near, err = net.Dial("tcp", listener.Addr().String())
+		assert.NoError(b, err)
+		far, err = listener.Accept()
+		assert.NoError(b, err)
+		b.Cleanup(func() { _, _ = near.Close(), far.Close() })
+		return near, far
+	}
+	run := func(name string, relay func(source io.Reader, responder zinniapond.Responder)) {
+		b.Run(name, func(b *testing.B) {
+			source, replica := connect(b)
+			responder, client := connect(b)
+			go func() {
+				defer replica.Close()
+				part := make([]byte, eventBytes)
+				for range b.N {
+					if _, err := replica.Write(event); err != nil {
+						return
+					}
+					if _, err := io.ReadFull(client, part); err != nil {
+						return
+					}
+				}
+			}()
+			b.ReportAllocs()
+			relay(source, &connResponder{conn: responder})
+		})
+	}
+	run("loop", func(source io.Reader, responder zinniapond.Responder) { copyEvents(source.Read, responder.Write) })
+	run("relay", func(source io.Reader, responder zinniapond.Responder) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &Relay{Responder: responder, Source: source, Reading: ctx, Interrupt: cancel, Memory: &quota.Quota{Bytes: 1 << 20}, Client: ctx, WriteUntil: time.Now().Add(time.Minute)}
+		copyEvents(r.Read, r.Write)
+		r.Close()
+	})
+	run("writer", func(source io.Reader, responder zinniapond.Responder) { copyWithWriter(source.Read, responder.Write) })
+}
+
 // BenchmarkAnswers measures the time for one answer of a few events, with what a relay
 // allocates.
 func BenchmarkAnswers(b *testing.B) {
