--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -238,6 +238,18 @@
 		}
 		assert.True(t, total >= 20 && total <= 20*2*initialBound, "%.1f hosts send at a time", float64(total)/20)
 	})
+	t.Run("guards against free places that only hosts without a suitable request may use", func(t *testing.T) {
+		total := 0
+		for i := range 20 {
+			now := start.Add(time.Duration(i) * drawInterval)
+			total += admitted(now, false, func(b *Book, replica zinniapond.Backend) {
+				for range 10 {
+					sumsAt(now, 0)(b, replica)
+				}
+			})
+		}
+		assert.True(t, total >= 20*2*initialBound && total <= 20*2*modelSlots, "%.1f hosts send at a time", float64(total)/20)
+	})
 	t.Run("guards against requests above the bound", func(t *testing.T) {
 		assert.Equal(t, admitted(start, false, sums(initialBound)), 0)
 	})
--- a/internal/policy/pace/server.go
+++ b/internal/policy/pace/server.go
@@ -47,22 +47,6 @@
 	// reportTime is the time for which answers are reported after the last one that
 	// counted, so that the other hosts come to the same bound.
 	reportTime = 3 * time.Second
-	// maxSumAge is the age from which a sum is not used. Sums come at intervals of 0.1
-	// to 0.5 s.
-	maxSumAge = time.Second
-	// drawInterval is the time for which the draw of the hosts that may use the free
-	// places holds. The sums have the requests that were sent in the interval before: an
-	// exchange takes place each 100 ms, and sums are relayed each 100 ms.
-	drawInterval = 400 * time.Millisecond
-)
-
-const (
-	// gainGrowth is the growth of the share of the hosts that may use a free place, for
-	// each sum that shows less than half of the bound in use: most hosts that may send a
-	// request have none that suits the replica. With maxGain, about every host of the
-	// largest deployments in use may use one free place.
-	gainGrowth = 1.5
-	maxGain    = 32
 )
 
 // tally counts answers.
@@ -202,159 +186,12 @@
 	return float64(s.pool.bounded.Load()+1) <= math.Max(1, maxTroubledShare*float64(s.pool.size.Load()))
 }
 
-// setSum applies a sum and returns the answers to other hosts since the last one.
-func (s *server) setSum(now time.Time, sum zinniapond.Load) (good, bad int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.load, s.loadAt, s.inFlightAtLoad = sum.Count, now, s.inFlight
-	switch {
-	case float64(s.load) > s.bound/2:
-		s.gain = max(s.gain/2, 1)
-	case now.Sub(s.badAt) >= cautiousTime: // a replica that fails at once is idle too
-		s.gain = min(s.gain*gainGrowth, maxGain)
-	}
-	// The sum has the answers that this host has reported, which are known already.
-	next := tally{max(sum.Good-s.reported.good, 0), max(sum.Bad-s.reported.bad, 0)}
-	good, bad = max(next.good-s.others.good, 0), max(next.bad-s.others.bad, 0)
-	s.others = next
-	return good, bad
-}
-
-// report returns the answers that this host has to report.
-func (s *server) report(now time.Time) tally {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.ownAt) >= reportTime && !s.isBounded.Load() {
-		s.own = tally{}
-	}
-	s.reported = s.own
-	return s.own
-}
-
-// recordAnswer counts an answer and returns whether it is good or bad for this host.
-func (s *server) recordAnswer(now time.Time, answer zinniapond.PaceAnswer) (good, bad int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	isBounded := s.isBounded.Load()
-	switch {
-	case answer.Failed, answer.Refused && isBounded:
-		bad = 1
-	case answer.Refused:
-		return 0, 0
-	default:
-		isGood, isSlow := s.pool.usual.judge(answer)
-		if !isBounded && !answer.Unfinished {
-			s.pool.usual.observe(answer)
-		}
-		// Other hosts may still need the answer after this one has seen enough.
-		if isGood && (isBounded || now.Sub(s.endedAt) < reportTime) && !answer.Unfinished {
-			good = 1
-		}
-		// A slow answer of a replica with many requests shows its load.
-		isBusy := !isBounded && s.knownLoad() > s.slots/2
-		if isSlow && !isBusy && now.Sub(s.listedAt) >= coldTime {
-			bad = 1
-		}
-	}
-	if bad > 0 && s.ownTrouble.add(now, 0) < maxOwnTrouble {
-		s.ownTrouble.add(now, 1)
-		s.own.bad, s.ownAt = s.own.bad+1, now
-	}
-	if good > 0 {
-		s.own.good, s.ownAt = s.own.good+1, now
-	}
-	return good, bad
-}
-
-// learn adapts the bound to answers. It reports whether the replica is to be bounded,
-// and a ramp-up that is over.
-func (s *server) learn(now time.Time, good, bad int) (troubled bool, e ended, isOver bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if bad > 0 {
-		s.badAt, s.gain = now, 1
-	}
-	recent := s.trouble.add(now, float64(bad))
-	if !s.isBounded.Load() {
-		return bad > 0 && recent >= troubleAnswers, e, false
-	}
-	s.answers.good += good
-	s.answers.bad += bad
-	s.bound = max(s.bound*math.Pow(shrinkFactor, float64(bad)), 1)
-	step := goodStep
-	if now.Sub(s.badAt) < cautiousTime {
-		step = cautiousStep
-	}
-	s.bound += min(step*float64(good), s.bound)
-	age := now.Sub(s.begunAt)
-	switch {
-	case s.bound >= s.slots:
-		e.reason = "good answers"
-	case age >= longestRamp && now.Sub(s.badAt) >= quietTime:
-		e.reason = "no bad answers"
-	default:
-		return false, e, false
-	}
-	s.stop()
-	s.endedAt = now
-	e.address, e.id, e.took, e.tally = s.address, s.id, age, s.answers
-	return false, e, true
-}
-
 func (s *server) currentBound() (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return int(s.bound), s.isBounded.Load()
 }
 
-// admits decides whether this host may send a request. The free places are shared out by
-// a draw: on average, the hosts together send as many requests in one interval as there
-// are free places.
-func (s *server) admits(now time.Time, hosts float64, noOther bool) bool {
-	if !s.isBounded.Load() {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	bound := math.Floor(s.bound)
-	if noOther && now.Sub(s.badAt) >= cautiousTime {
-		bound = s.slots
-	}
-	slot := s.slotAt(now)
-	chance := draw(s.phase, slot)
-	if now.Sub(s.loadAt) > maxSumAge {
-		return float64(s.inFlight) < math.Floor(bound/hosts+chance)
-	}
-	room := bound - s.knownLoad()
-	if room < 1 {
-		return false
-	}
-	sent := 0
-	if slot == s.slot {
-		sent = s.sentSlot
-	}
-	// A sudden burst sends no more than fill the slots.
-	return float64(sent) < math.Floor((min(s.gain*room, s.slots)+float64(sent))/hosts+chance)
-}
-
-// knownLoad is the last sum, with the requests of this host since then. The caller holds
-// the lock.
-func (s *server) knownLoad() float64 {
-	return float64(max(s.load+s.inFlight-s.inFlightAtLoad, s.inFlight))
-}
-
-// slotAt returns the number of the draw that holds at an instant. The hosts draw at
-// different times.
-func (s *server) slotAt(now time.Time) uint64 {
-	return (uint64(now.UnixNano()) + s.phase%uint64(drawInterval)) / uint64(drawInterval)
-}
-
-func (s *server) isFull(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.loadAt) <= maxSumAge && s.knownLoad() >= s.slots
-}
-
 func (s *server) recordStart(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
