--- a/internal/front/runner/pace_test.go
+++ b/internal/front/runner/pace_test.go
@@ -5,7 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+	_ "zinniapond.example/zinniapond/internal/policy/pace"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -126,4 +130,12 @@
 		assert.Equal(t, f.sums, sums)
 		assert.Equal(t, w.localLoads(), []zinniapond.Load{{Bad: 1}})
 	})
+	t.Run("guards against bounds where the settings name no pace", func(t *testing.T) {
+		for _, name := range []string{"", "default"} {
+			r := new(Runner)
+			k := &kernel.Kernel{Settings: &zinniapond.Settings{Plugins: map[string]string{"pace": name}}, Logger: hclog.NewNullLogger()}
+			assert.NoError(t, r.findPace(k))
+			assert.Equal(t, r.Pace != nil, name != "")
+		}
+	})
 }
