--- a/internal/front/quota/drive_test.go
+++ b/internal/front/quota/drive_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -148,6 +149,22 @@
 	return count, max(float64(count)-bound, 0)
 }
 
+// least returns the smallest share of the plan's rate that ran in a window between two
+// instants, to a tenth of a second.
+func (s *site) least(plan zinniapond.Plan, from, to time.Time, window time.Duration) float64 {
+	least := math.Inf(1)
+	for begin := from; !begin.Add(window).After(to); begin = begin.Add(100 * time.Millisecond) {
+		count := 0
+		for _, at := range s.runs[plan.Name] {
+			if !at.Before(begin) && at.Before(begin.Add(window)) {
+				count++
+			}
+		}
+		least = min(least, float64(count)/(float64(plan.RequestRate)*window.Seconds()))
+	}
+	return least
+}
+
 // needless returns the number of refusals beyond those of one bucket that sees the attempts
 // of all fronts at once. They are the price of the distribution.
 func (s *site) needless(plans ...zinniapond.Plan) int {
--- a/internal/front/quota/table_test.go
+++ b/internal/front/quota/table_test.go
@@ -69,6 +69,14 @@
 		controlBytes = max(controlBytes, c.bytes)
 	}
 	n := float64(len(s.fronts))
+	if !below {
+		// The least window is below the rate while the bucket refills for programs that were
+		// begun; the whole time is not.
+		least := s.least(plans[0], begin.Add(time.Second), begin.Add(10*time.Second), access.QuotaWindow)
+		whole := s.least(plans[0], begin, begin.Add(10*time.Second), 10*time.Second)
+		t.Logf("the plan above its limit ran %.2f of its rate in 10 s, %.2f in the least window", whole, least)
+		assert.True(t, whole >= 1, "only %.2f of the rate ran", whole)
+	}
 	t.Logf("requests/s %.0f, refused %d times (needlessly %d), for good %d of %d, above the bound %.0f, per front: messages/s %.1f (busiest %.1f), B/s %.0f; busiest control host: B/s %.0f; mean wait %s",
 		float64(s.asked)/span, s.refused, s.needless(plans...), s.lost, s.asked, over, float64(messages)/span/n, float64(busiest)/span, float64(frontBytes)/span/n, float64(controlBytes)/span, s.waited/time.Duration(max(s.asked, 1)))
 	assert.True(t, over == 0, "%.0f requests above the bound", over)
