Let requests of limited plans wait while no control host answers

Requests were refused with 429 after 0.15 s, and their callers had used up all tries before the control hosts were back. They now wait for half of their remaining time, at most 2 s. Two subtests of TestAcquire.

--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -112,6 +112,16 @@
 	return now.Add(ownValidity), true
 }
 
+// hasOwn reports whether takeOwn would succeed.
+func (b *balance) hasOwn(now time.Time, interval time.Duration) bool {
+	for _, p := range b.reserves {
+		if p.count > 0 && now.Before(p.expires) {
+			return true
+		}
+	}
+	return interval > 0 && !now.Before(b.nextOwn)
+}
+
 func earlier(x, y time.Time) time.Time {
 	if x.Before(y) {
 		return x
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -32,6 +32,11 @@
 const (
 	// waitTime is the longest time for which a request waits for tokens.
 	waitTime = 150 * time.Millisecond
+	// outageShare is the share of its remaining time for which a request waits for a control
+	// host that answers, and maxOutageWait the longest such wait. The client then has time
+	// left to try another host.
+	outageShare   = 0.5
+	maxOutageWait = 2 * time.Second
 	// outageRetryAfter is the least delay after which a client may retry while no control
 	// host answers.
 	outageRetryAfter = 200 * time.Millisecond
@@ -134,15 +139,23 @@
 }
 
 // await waits for the outcome of a request. After waitTime the request uses the tokens
-// that this host may grant by itself if no control host has answered, or is refused.
+// that this host may grant by itself if no control host has answered, or waits for one
+// that does. It is refused otherwise.
 func (c *Client) await(ctx context.Context, b *balance, w *waiter) (zinniapond.Permit, error) {
 	timer := time.NewTimer(w.until.Sub(c.Clock()))
 	defer timer.Stop()
-	select {
-	case o := <-w.result:
-		return c.permit(o)
-	case <-ctx.Done():
-	case <-timer.C:
+	for isExtended := false; ; isExtended = true {
+		select {
+		case o := <-w.result:
+			return c.permit(o)
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		wait := c.extend(ctx, b, w)
+		if isExtended || wait <= 0 {
+			break
+		}
+		timer.Reset(wait)
 	}
 	now := c.Clock()
 	b.mu.Lock()
@@ -163,6 +176,25 @@
 	return zinniapond.Permit{}, c.refuse(waitTime)
 }
 
+// extend lengthens the wait of a request for which no control host has answered, and
+// returns how much longer it waits. A plan below its limit would else be refused while the
+// control hosts are being replaced, which takes about a second.
+func (c *Client) extend(ctx context.Context, b *balance, w *waiter) time.Duration {
+	now := c.Clock()
+	deadline, ok := ctx.Deadline()
+	if !ok || ctx.Err() != nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w.answered || b.hasOwn(now, c.ownInterval(b.limit)) {
+		return 0
+	}
+	wait := min(time.Duration(float64(time.Until(deadline))*outageShare), maxOutageWait)
+	w.until = now.Add(wait)
+	return wait
+}
+
 func (c *Client) permit(o outcome) (zinniapond.Permit, error) {
 	if o.expires.IsZero() {
 		return zinniapond.Permit{}, c.refuse(o.wait)
--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -40,6 +40,13 @@
 	h.err = zinniapond.ErrUnavailable
 }
 
+// recover makes all further calls succeed.
+func (h *controlHost) recover() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.err = nil
+}
+
 // seen returns the requests that have arrived.
 func (h *controlHost) seen() []zinniapond.QuotaRequest {
 	h.mu.Lock()
@@ -217,6 +224,29 @@
 			assertRefused(t, err, 100*time.Millisecond, time.Second)
 		})
 	})
+	t.Run("guards against refusals while the control hosts are being replaced", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{Continuing: 1, Lifetime: 100 * time.Millisecond}, func(t *testing.T, h *controlHost) {
+			h.fail()
+			start := time.Now()
+			time.AfterFunc(time.Second, h.recover)
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, err := h.Acquire(ctx, start, plan, false)
+			assert.NoError(t, err)
+			assert.True(t, time.Since(start) < 1500*time.Millisecond, "allowed after %s", time.Since(start))
+		})
+	})
+	t.Run("guards against a wait without control hosts that leaves the client no time", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
+			h.fail()
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, err := h.Acquire(ctx, start, plan, false)
+			assertRefused(t, err, 100*time.Millisecond, time.Second)
+			assert.True(t, time.Since(start) < 1800*time.Millisecond, "refused after %s", time.Since(start))
+		})
+	})
 	t.Run("guards against more than this host's share without control hosts", func(t *testing.T) {
 		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
 			h.fail()
