--- a/internal/wire/auth/auth.go
+++ b/internal/wire/auth/auth.go
@@ -36,6 +36,10 @@
 	// silence timeout of package codec, so that a caller waits no longer for an
 	// unreachable host than for one that stops answering.
 	DefaultTimeout = 3 * time.Second
+	// connectTimeout bounds the connect of a dial. While a peer has no power its host drops
+	// the opening packet, and the system sends it again only after 1 s and 3 s. A new dial
+	// finds the peer within this time of its return.
+	connectTimeout = 500 * time.Millisecond
 )
 
 // Authenticator holds the credentials of one host and authenticates its
@@ -101,7 +105,7 @@
 func (g *Authenticator) Dial(ctx context.Context, peer netip.AddrPort, purpose string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
-	d := net.Dialer{LocalAddr: g.localAddr()}
+	d := net.Dialer{LocalAddr: g.localAddr(), Timeout: connectTimeout}
 	raw, err := d.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
 		return nil, wrapNotSent("connect", peer, err)
