--- a/internal/wire/codec/fault.go
+++ b/internal/wire/codec/fault.go
@@ -23,6 +23,7 @@
 	"unknown":     zinniapond.ErrOutcomeUnknown,
 	"budget":      zinniapond.ErrBudgetExhausted,
 	"overload":    zinniapond.ErrOverload,
+	"rate":        zinniapond.ErrRateLimited,
 	"stale":       zinniapond.ErrStaleConfig,
 	"not-owner":   zinniapond.ErrNotOwner,
 	"fenced":      zinniapond.ErrFenced,
@@ -35,6 +36,7 @@
 	"backend":     zinniapond.ErrBackendFailed,
 	"corrupt":     zinniapond.ErrCorrupt,
 	"unavailable": zinniapond.ErrUnavailable,
+	"warnings":    zinniapond.ErrWarnings,
 	"cap":         zinniapond.ErrCapExceeded,
 }
 
