Take only the first part of a prompt as shared

A less loaded server without the prefix was also preferred to one that has it; late sums now make only servers with the prefix look equal.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -167,17 +167,11 @@
 		}
 	}
 	for i, part := range u.request.PromptParts {
-		// The last part belongs to the conversation.
-		if i > 0 && i == len(u.request.PromptParts)-1 {
-			n.SharedHash = hash.Sum64()
+		// The last part belongs to the conversation, and others after the first may.
+		if i == 0 && len(u.request.PromptParts) > 1 {
+			n.SharedHash, n.SharedTokens = xxhash.Sum64String(part.ID), part.Tokens
 		}
 		add(part.ID, part.Tokens)
-		if n.SharedHash == 0 {
-			n.SharedTokens += part.Tokens
-		}
-	}
-	if n.SharedHash == 0 {
-		n.SharedTokens = 0
 	}
 	if len(u.request.PromptParts) == 0 && u.request.SessionID != "" && u.route.IsStream() {
 		add(u.scoped(string(u.request.Program)), prefixBlockTokens)
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -241,11 +241,19 @@
 		eligible = append(eligible, o)
 		shortest = min(shortest, o.score)
 	}
-	ratio := nearEqualRatio
-	if need.SharedTokens > 0 && len(candidates) > sampleSize {
-		ratio = lateViewRatio
+	cached := zinniapond.Tokens(0)
+	for _, o := range eligible {
+		if o.score == shortest {
+			cached = max(cached, o.cachedTokens)
+		}
 	}
-	eligible = slices.DeleteFunc(eligible, func(o *candidate) bool { return o.score > ratio*shortest })
+	isLateView := need.SharedTokens > 0 && len(candidates) > sampleSize
+	eligible = slices.DeleteFunc(eligible, func(o *candidate) bool {
+		if isLateView && o.cachedTokens >= cached {
+			return o.score > lateViewRatio*shortest
+		}
+		return o.score > nearEqualRatio*shortest
+	})
 	if len(eligible) == 0 {
 		return nil
 	}
