Bound the ramp-up in its test by the stated target

The limits of 3.5 s, 4.5 s and a half followed measured figures. They are now 3 s for a replica that answers well, one more second for one that was repaired, and a third of the failures.

--- a/internal/policy/pace/ramp_test.go
+++ b/internal/policy/pace/ramp_test.go
@@ -39,8 +39,13 @@
 	}
 }
 
-// The limits leave room to the worst of six seeds: 2.96 and 3.71 s until a new or repaired
-// replica is not held back, 0.73 of its share in the 5 s that follow.
+const (
+	// maxRampUp is the time within which a replica that answers well is to be in full use.
+	// A repaired one has up to another second, in which it is found to work again.
+	maxRampUp = 3 * time.Second
+	maxRepair = maxRampUp + time.Second
+)
+
 func TestRampUp(t *testing.T) {
 	t.Run("guards against flooding a replica that has started with a cold cache", func(t *testing.T) {
 		compare(t, func(m *model) result {
@@ -55,7 +60,7 @@
 		}, func(t *testing.T, with, without result) {
 			assert.True(t, with.refused == 0, "%d requests refused", with.refused)
 			assert.True(t, with.first95 < without.first95/2, "times to the first byte are %s", with.first95)
-			assert.True(t, with.allowed <= 3500*time.Millisecond, "the replica is held back for %s", with.allowed)
+			assert.True(t, with.allowed <= maxRampUp, "the replica is held back for %s", with.allowed)
 			assert.True(t, with.part >= 0.5, "the replica has %.2f of its share", with.part)
 		})
 	})
@@ -69,7 +74,7 @@
 			m.run(10 * time.Second)
 			return m.result()
 		}, func(t *testing.T, with, without result) {
-			assert.True(t, with.failed < without.failed/2, "%d requests failed", with.failed)
+			assert.True(t, with.failed < without.failed/3, "%d requests failed", with.failed)
 		})
 	})
 	t.Run("guards against a replica that works again and is left idle", func(t *testing.T) {
@@ -83,8 +88,8 @@
 			seen.allowed, seen.part = allowed, part
 			return seen
 		}, func(t *testing.T, with, without result) {
-			assert.True(t, with.allFailed < without.allFailed/2, "%d requests failed", with.allFailed)
-			assert.True(t, with.allowed <= 4500*time.Millisecond, "the replica is held back for %s", with.allowed)
+			assert.True(t, with.allFailed < without.allFailed/3, "%d requests failed", with.allFailed)
+			assert.True(t, with.allowed <= maxRepair, "the replica is held back for %s", with.allowed)
 			assert.True(t, with.part >= 0.5, "the replica has %.2f of its share", with.part)
 		})
 	})
