Take all local servers to have the shared prefix

Calls are now spread over all servers of the data centre; what remains is that conversations stay in it.

A dial is repeated after 0.25 s in place of 0.5 s.

--- a/interfaces.go
+++ b/interfaces.go
@@ -159,9 +159,8 @@
 	// PrefixTokens the size of that prefix. PrefixBackend is not valid if unknown.
 	PrefixBackend netip.AddrPort
 	PrefixTokens  Tokens
-	// SharedHash identifies the beginning of the prompt that other conversations have
-	// too, and SharedTokens is its size; zero if there is none.
-	SharedHash   uint64
+	// SharedTokens is the size of the beginning of the prompt that other conversations
+	// have too; zero if there is none.
 	SharedTokens Tokens
 	// HasIdleConnection reports whether there is an idle connection to a server;
 	// nil if unknown.
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -169,7 +169,7 @@
 	for i, part := range u.request.PromptParts {
 		// The last part belongs to the conversation, and others after the first may.
 		if i == 0 && len(u.request.PromptParts) > 1 {
-			n.SharedHash, n.SharedTokens = xxhash.Sum64String(part.ID), part.Tokens
+			n.SharedTokens = part.Tokens
 		}
 		add(part.ID, part.Tokens)
 	}
--- a/internal/policy/prefix/candidates.go
+++ b/internal/policy/prefix/candidates.go
@@ -25,11 +25,10 @@
 func (r *Router) gatherCandidates(now time.Time, need zinniapond.PickInfo, eligible []*server, free func(netip.AddrPort) bool, random uint64, candidates []candidate) []candidate {
 	var buffer [maxHolders]cacheHit
 	hits := r.cacheIndex().find(need, buffer[:0])
-	var homesBuffer [maxHomes]*server
-	homes := r.homes(need, len(eligible), homesBuffer[:0])
+	local := r.localServers(need, len(eligible))
 	appendCandidate := func(s *server, h *cacheHit) {
 		o := candidate{server: s, state: s.snapshot(now)}
-		if slices.Contains(homes, s) {
+		if len(local) > 0 && s.dataCentre == need.DataCentre {
 			o.cachedTokens = need.SharedTokens
 		}
 		if h != nil && h.cacheGeneration == o.state.cacheGeneration {
@@ -54,24 +53,22 @@
 	if s, ok := r.servers.Get(need.PrefixBackend); ok && s.eligible.Load() && findHit(hits, need.PrefixBackend) == nil {
 		appendCandidate(s, nil)
 	}
-	for _, s := range homes {
-		if !containsCandidate(candidates, s) {
-			appendCandidate(s, nil)
-		}
-	}
-	count := uint64(len(eligible))
-	// Consecutive free servers from a random start are a sample without repetitions.
-	sampled := 0
-	for i := uint64(0); i < count && sampled < sampleSize; i++ {
-		s := eligible[(random+i)%count]
-		if !free(s.address) {
-			continue
-		}
-		sampled++
-		if !containsCandidate(candidates, s) {
-			appendCandidate(s, nil)
+	sample := func(servers []*server, size int) {
+		// Consecutive free servers from a random start are a sample without repetitions.
+		count := uint64(len(servers))
+		for i := uint64(0); i < count && size > 0; i++ {
+			s := servers[(random+i)%count]
+			if !free(s.address) {
+				continue
+			}
+			size--
+			if !containsCandidate(candidates, s) {
+				appendCandidate(s, nil)
+			}
 		}
 	}
+	sample(local, localSampleSize)
+	sample(eligible, sampleSize-min(len(local), localSampleSize))
 	return candidates
 }
 
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -58,7 +58,7 @@
 	// maxHolders bounds the servers with a cached prefix that are compared.
 	maxHolders = 6
 	// maxCandidates is the usual number of servers that are compared.
-	maxCandidates = sampleSize + maxHolders + 1 + maxHomes
+	maxCandidates = sampleSize + maxHolders + 1
 )
 
 func init() {
@@ -247,7 +247,7 @@
 			cached = max(cached, o.cachedTokens)
 		}
 	}
-	isLateView := need.SharedTokens > 0 && len(candidates) > sampleSize
+	isLateView := len(r.localServers(need, len(*r.eligible.Load()))) > 0
 	eligible = slices.DeleteFunc(eligible, func(o *candidate) bool {
 		if isLateView && o.cachedTokens >= cached {
 			return o.score > lateViewRatio*shortest
--- a/internal/wire/auth/auth.go
+++ b/internal/wire/auth/auth.go
@@ -39,7 +39,7 @@
 	// connectTimeout bounds the connect of a dial. While a peer has no power its host drops
 	// the opening packet, and the system sends it again only after 1 s and 3 s. A new dial
 	// finds the peer within this time of its return.
-	connectTimeout = 500 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
 )
 
 // Authenticator holds the credentials of one host and authenticates its
