--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/front/parts"
 )
 
 const (
@@ -168,7 +169,7 @@
 	}
 	for i, part := range u.request.PromptParts {
 		// The last part belongs to the conversation, and others after the first may.
-		if i == 0 && len(u.request.PromptParts) > 1 {
+		if i == 0 && len(u.request.PromptParts) > 1 && u.fitsCaches(part) {
 			n.SharedTokens = part.Tokens
 		}
 		add(part.ID, part.Tokens)
@@ -183,6 +184,16 @@
 	return n
 }
 
+// fitsCaches reports whether each replica of the pool can keep all shared parts of prompts
+// in its cache.
+func (u *run) fitsCaches(shared zinniapond.PromptPart) bool {
+	if u.service == nil || u.service.Engine == nil {
+		return false
+	}
+	parts := u.parts.GetOrCreate(u.poolName, func() *parts.Book { return new(parts.Book) })
+	return parts.Fits(u.Clock(), shared, u.service.Engine.KVCapacity)
+}
+
 // candidate is a replica that was picked for a request, with the reasons for the choice.
 type candidate struct {
 	zinniapond.Backend
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -23,6 +23,7 @@
 	"zinniapond.example/zinniapond/internal/front/begun"
 	"zinniapond.example/zinniapond/internal/front/doubts"
 	"zinniapond.example/zinniapond/internal/front/ended"
+	"zinniapond.example/zinniapond/internal/front/parts"
 	"zinniapond.example/zinniapond/internal/front/report"
 	"zinniapond.example/zinniapond/internal/routes/table"
 )
@@ -88,6 +89,7 @@
 	hostCount  atomic.Int64 // hosts that exchange loads
 	ended      ended.Checker
 	begun      begun.Book
+	parts      shard.Map[zinniapond.PoolName, *parts.Book] // shared parts of prompts
 	// background counts the settlements that run after an answer.
 	background sync.WaitGroup
 }
