Offer a replica's place once a slow client's answer is read

The attempt counted as ended for the router and the pace when its answer was read to its end, but its place was offered to the waiting requests, and counted as freed, only after the client had taken everything, up to 10 s after the deadline. Requests waited although the replica had room. Both now happen together. The new test was not woken within 400 ms before.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -225,11 +225,7 @@
 	u.relay = nil
 	finish := u.finishOnce(p, start, replica.Address, need, paced)
 	defer func() {
-		now := u.Clock()
-		finish(now, v, observation)
-		if v != verdictNotRun {
-			p.waiters.recordEnd(now, replica.Address)
-		}
+		finish(u.Clock(), v, observation)
 		u.recordAttempt(replica, v, err)
 	}()
 	sendCtx, departure := u.newDeparture(ctx, p, start)
--- a/internal/front/runner/slow.go
+++ b/internal/front/runner/slow.go
@@ -35,8 +35,9 @@
 	}
 }
 
-// finishOnce returns a function that records the end of an attempt at its first call. The
-// time for which its answer was not read does not count as the replica's.
+// finishOnce returns a function that records the end of an attempt at its first call, and
+// offers the place that the attempt leaves. The time for which its answer was not read does
+// not count as the replica's.
 func (u *run) finishOnce(p *pool, start time.Time, replica netip.AddrPort, need zinniapond.PickInfo, paced *pacedAttempt) func(now time.Time, v verdict, observation zinniapond.Observation) {
 	finished := false
 	return func(now time.Time, v verdict, observation zinniapond.Observation) {
@@ -50,6 +51,9 @@
 		}
 		p.recordFinish(now, replica, need, observation)
 		paced.end(now, v, observation)
+		if v != verdictNotRun {
+			p.waiters.recordEnd(now, replica)
+		}
 	}
 }
 
--- a/internal/front/runner/slow_test.go
+++ b/internal/front/runner/slow_test.go
@@ -82,6 +82,24 @@
 			assertNothingHeld(t, w)
 		}
 	})
+	t.Run("guards against a request that waits for a place which is free while a slow client reads", func(t *testing.T) {
+		w, to := newSlowRunner(t, kept, &partsBody{parts: parts, err: io.EOF}), newSlowClient()
+		p, ok := w.pools.Get("pool")
+		assert.True(t, ok, "no pool")
+		wait := w.start(t.Context(), patient, to)
+		assert.Eventually(t, 600*time.Millisecond, "the request runs", func() bool { return len(w.localLoads()) == 1 })
+		now := time.Now()
+		woken := p.waiters.enter(now, now, zinniapond.WaitingRequest{Ticket: 1000, EnteredAt: now, LeaveAt: now.Add(time.Minute)})
+		p.waiters.scan.Stop()
+		select {
+		case reason := <-woken:
+			assert.True(t, reason.replica.IsValid(), "woken without a place")
+		case <-time.After(400 * time.Millisecond):
+			t.Error("the place is not offered")
+		}
+		close(to.release)
+		wait()
+	})
 	t.Run("guards against a large answer that the replica aborts because it remains unread", func(t *testing.T) {
 		large := strings.Repeat("x", 4<<10)
 		body := &partsBody{err: io.EOF}
