Learn no usual times of replicas from streams of slow clients

Early migration measures the time between events when the client has taken them. The complete stream of a slow client thus raised the usual times of the pool, and streams at slow replicas stayed there until no other replica could end them in time. Such streams are now left out.

--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -28,6 +28,7 @@
 	timer    *time.Timer
 	isOver   bool
 	hasLeft  bool
+	isSlow   bool // the client is slow
 }
 
 // newDeparture begins to watch an attempt. The attempt uses the returned context. The
@@ -89,15 +90,15 @@
 	}
 }
 
-// stay keeps the stream at its replica. Its events are recorded once the client has taken
-// them, so that a slow client looks like a slow replica.
+// stay keeps the stream at its replica, and its times from being learned. Its events are
+// recorded once the client has taken them, so that a slow client looks like a slow replica.
 func (d *departure) stay() {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.isOver = true
+	d.isOver, d.isSlow = true, true
 }
 
 // end ends the watch. isDone is set if the attempt has completed the stream.
@@ -112,7 +113,7 @@
 	}
 	d.isOver = true
 	d.cancel(nil)
-	if isDone && d.isFirst {
+	if isDone && d.isFirst && !d.isSlow {
 		d.pool.migration.ObserveEnd(now, d.progress)
 	}
 }
--- a/internal/front/runner/slow_test.go
+++ b/internal/front/runner/slow_test.go
@@ -194,3 +194,39 @@
 		})
 	}
 }
+
+// endCounter counts the streams whose times are learned.
+type endCounter struct {
+	zinniapond.Migration
+	ends int
+}
+
+func (c *endCounter) ObserveEnd(now time.Time, progress zinniapond.StreamProgress) {
+	c.ends++
+	c.Migration.ObserveEnd(now, progress)
+}
+
+func TestSlowUsualTimes(t *testing.T) {
+	parts, whole := numbered(1, 20)
+	// assertLearned fails unless the times of a number of streams are learned from one whose
+	// client takes nothing for some time.
+	assertLearned := func(t *testing.T, pause time.Duration, want int) {
+		t.Helper()
+		w, to := newSlowRunner(t, zinniapond.Route{Kind: zinniapond.RequestStream, MaxAttempts: 2, Resumable: true}, &partsBody{parts: parts, err: io.EOF}), newSlowClient()
+		p, ok := w.pools.Get("pool")
+		assert.True(t, ok, "no pool")
+		c := &endCounter{Migration: p.migration}
+		p.migration = c
+		release := time.AfterFunc(pause, func() { close(to.release) })
+		defer release.Stop()
+		w.start(t.Context(), zinniapond.Request{MaxGenerated: 200, ClientTimeout: time.Second}, to)()
+		assert.Equal(t, to.body.String(), whole)
+		assert.Equal(t, c.ends, want)
+	}
+	t.Run("guards against usual times of replicas that include the pauses of slow clients", func(t *testing.T) {
+		assertLearned(t, 200*time.Millisecond, 0)
+	})
+	t.Run("guards against times of replicas that are not learned", func(t *testing.T) {
+		assertLearned(t, 0, 1)
+	})
+}
