Check the key again after a wait for a permission or a token

A request for limited replicas waits for a permission for up to half of its time, and one of a limited plan for a token, after its key was checked. A key that was revoked in that time was used for the attempt. It is now checked directly before each attempt. The new test's request was sent before.

--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -130,6 +130,15 @@
 		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
 		assert.Equal(t, len(w.sent), 1)
 	})
+	t.Run("guards against sending a request whose key was revoked while it waited for the permission of a replica", func(t *testing.T) {
+		w := newKeyedRunner(t, safe, whole)
+		w.Throttle = &fakeThrottle{limited: map[string]bool{"a": true, "b": true, "c": true}, grant: func(b zinniapond.Backend, maxWait time.Duration) (zinniapond.Permit, error) {
+			w.setPlans(planWithKeys("red", redKey))
+			return grantNow(b, maxWait)
+		}}
+		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrInvalidKey)
+		assert.Equal(t, len(w.sent), 0)
+	})
 	t.Run("guards against a final refusal after an attempt that may have run", func(t *testing.T) {
 		var w *testRunner
 		w = newKeyedRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -94,6 +94,10 @@
 		if err := u.obtainAllowance(ctx); err != nil {
 			return zinniapond.Join(err, lastErr)
 		}
+		// The key may have been revoked while the request waited for a permission or token.
+		if err := u.authorise(u.Clock()); err != nil {
+			return u.overLimitError(zinniapond.Join(err, lastErr))
+		}
 		var v verdict
 		wait.begin()
 		begun := u.Clock()
