Refuse requests during which keys are introduced

A request that arrived under a configuration without plans and was tried again under one with plans went on as a request of the key's plan: its turns and digest had been looked up without a plan, and its fields, which the replica gets, included the key. A request without a key got 401, although it was sent before keys were needed. Both are now answered with 503 if they have not run. The second test got 401, and in the first the key was sent to a replica before.

--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -82,6 +82,10 @@
 func (u *run) authorise(now time.Time) error {
 	confirmedAt := u.Directory.ConfirmedAt()
 	t := u.currentTable()
+	if u.withoutKeys && t.Routing().HasPlans {
+		// The identifiers of the request have no plan, and its fields include the key.
+		return retryableError("check key", shortRetryAfter, fmt.Errorf("keys have been introduced: %w", zinniapond.ErrStaleConfig))
+	}
 	plan, err := u.checkKey(now, t, u.route, u.request.KeyHash, confirmedAt)
 	if err != nil {
 		return err
@@ -90,7 +94,8 @@
 		// The identifiers of the request were taken as those of the other plan.
 		return retryableError("check key", shortRetryAfter, fmt.Errorf("key has moved to another plan: %w", zinniapond.ErrStaleConfig))
 	}
-	if u.plan == nil && !t.Routing().HasPlans && len(u.request.Credentials) > 0 {
+	if !t.Routing().HasPlans {
+		u.withoutKeys = true
 		u.request.Fields = append(u.request.Fields, u.request.Credentials...)
 		u.request.Credentials = nil
 	}
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -139,6 +139,23 @@
 		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrInvalidKey)
 		assert.Equal(t, len(w.sent), 0)
 	})
+	t.Run("guards against identifiers without a plan, and a key that leaves the host, if keys are introduced while a request waits", func(t *testing.T) {
+		var w *testRunner
+		w = newTestRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			w.setPlans(planWithKeys("blue", blueKey))
+			return refusesRequest(s)
+		}, whole)
+		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
+		assert.Equal(t, len(w.sent), 1)
+	})
+	t.Run("guards against a final refusal of a request without a key if keys are introduced while it waits", func(t *testing.T) {
+		var w *testRunner
+		w = newTestRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			w.setPlans(planWithKeys("blue", blueKey))
+			return refusesRequest(s)
+		}, whole)
+		assert.ErrorIs(t, w.forward(zinniapond.Request{}).refused, zinniapond.ErrStaleConfig)
+	})
 	t.Run("guards against a final refusal after an attempt that may have run", func(t *testing.T) {
 		var w *testRunner
 		w = newKeyedRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -41,6 +41,7 @@
 	client       context.Context  // done when the client has gone
 	relay        *ahead.Relay     // of the answer to the current attempt
 	plan         *zinniapond.Plan // of the client; nil if the route needs no key
+	withoutKeys  bool             // the configuration has had no plans
 	route        *zinniapond.Route
 	service      *zinniapond.Service
 	poolName     zinniapond.PoolName
