Ask again for a replica's permission that expires during a wait for a token

A request for a limited replica obtained the permission first and then, if its token had expired meanwhile, another token, which takes up to 2 s while control hosts are replaced. The new test asked for one permission in place of two.

--- a/internal/front/runner/allowance_test.go
+++ b/internal/front/runner/allowance_test.go
@@ -17,6 +17,8 @@
 	acquired int
 	returned int
 	begins   []bool
+	// onAcquire is called with the number of each permit; may be nil.
+	onAcquire func(number int)
 }
 
 func (f *fakeAllowances) Acquire(_ context.Context, now time.Time, _ *zinniapond.Plan, begins bool) (zinniapond.Permit, error) {
@@ -25,6 +27,9 @@
 		return zinniapond.Permit{}, &zinniapond.Error{Step: "check request limit", RetryAfter: time.Second, Err: zinniapond.ErrRateLimited}
 	}
 	f.acquired++
+	if f.onAcquire != nil {
+		f.onAcquire(f.acquired)
+	}
 	if f.acquired <= f.expired {
 		return zinniapond.Permit{ExpiresAt: now.Add(-time.Millisecond)}, nil
 	}
@@ -121,6 +126,30 @@
 		assert.Equal(t, f.acquired, 2)
 		assertUsed(t, f, 1)
 	})
+	t.Run("guards against sending with a replica's permission that has expired while the request waited for a token", func(t *testing.T) {
+		w, f := newAllowed(t, 1, 5, safe, answersWith(200, "x", false, nil))
+		skew := time.Duration(0)
+		w.Clock = func() time.Time { return time.Now().Add(skew) }
+		f.onAcquire = func(number int) {
+			if number == 2 {
+				skew += 2 * time.Second
+			}
+		}
+		throttle := &fakeThrottle{limited: map[string]bool{"a": true, "b": true, "c": true}}
+		throttle.grant = func(zinniapond.Backend, time.Duration) (zinniapond.Permit, error) {
+			if len(throttle.asked) == 1 {
+				skew += 2 * time.Minute // the token expires
+			}
+			return zinniapond.Permit{SendAt: w.Clock(), ExpiresAt: w.Clock().Add(time.Second)}, nil
+		}
+		w.Throttle = throttle
+		w.view.Routing.Routes[0].Timeout = time.Hour
+		q := request
+		q.ClientTimeout = time.Hour
+		assert.Equal(t, w.forward(q).status, 200)
+		assert.Equal(t, len(throttle.asked), 2)
+		assertUsed(t, f, 1)
+	})
 	t.Run("guards against requests of a running program that count as beginning one", func(t *testing.T) {
 		w, f := newAllowed(t, 1, 9, stream, answersWith(200, "data: x\n\n", true, nil))
 		first, next, resumed := request, request, request
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -98,9 +98,12 @@
 		if err := u.authorise(u.Clock()); err != nil {
 			return u.overLimitError(zinniapond.Join(err, lastErr))
 		}
+		begun := u.Clock()
+		if !replica.permitUntil.IsZero() && begun.After(replica.permitUntil) {
+			continue // it has expired while the request waited for a token
+		}
 		var v verdict
 		wait.begin()
-		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
@@ -191,6 +194,8 @@
 type candidate struct {
 	zinniapond.Backend
 	choice zinniapond.Choice
+	// permitUntil is when the permission of the replica expires; zero if it needs none.
+	permitUntil time.Time
 }
 
 // pickReplica picks a live replica for which allowed returns true. A doubtful one is
@@ -213,7 +218,7 @@
 		return candidate{}, false
 	}
 	b, ok := replicas[choice.Backend]
-	return candidate{b, choice}, ok
+	return candidate{Backend: b, choice: choice}, ok
 }
 
 // attempt sends the request to one replica and relays its answer to the client.
--- a/internal/front/runner/choose.go
+++ b/internal/front/runner/choose.go
@@ -53,7 +53,9 @@
 	})
 	if ok {
 		if _, limited := u.Throttle.Limited(now, c.Backend); limited {
-			if err := u.obtainPermit(ctx, p, c.Backend, u.acceptedWait(need, c.Backend)); err == nil {
+			validUntil, err := u.obtainPermit(ctx, p, c.Backend, u.acceptedWait(need, c.Backend))
+			if err == nil {
+				c.permitUntil = validUntil
 				return c, nil
 			}
 			// One refused permission is enough: a request does not ask for all
@@ -92,26 +94,27 @@
 	return 0
 }
 
-// obtainPermit obtains the permission of a replica and waits until it may be used.
-func (u *run) obtainPermit(ctx context.Context, p *pool, replica zinniapond.Backend, maxWait time.Duration) error {
+// obtainPermit obtains the permission of a replica and waits until it may be used. It
+// returns when the permission expires; zero if the replica needs none.
+func (u *run) obtainPermit(ctx context.Context, p *pool, replica zinniapond.Backend, maxWait time.Duration) (validUntil time.Time, err error) {
 	permit, err := u.Throttle.Acquire(ctx, u.Clock(), replica, maxWait)
 	if err != nil || permit.SendAt.IsZero() {
-		return err
+		return time.Time{}, err
 	}
 	start := u.Clock()
 	err = sleepUntil(ctx, start, permit.SendAt)
 	now := u.Clock()
 	u.limitTime += now.Sub(start)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	if _, live := (*p.replicas.Load())[replica.Address]; !live {
-		return fmt.Errorf("replica %s began to leave: %w", replica.ID, zinniapond.ErrUnavailable)
+		return time.Time{}, fmt.Errorf("replica %s began to leave: %w", replica.ID, zinniapond.ErrUnavailable)
 	}
 	if now.After(permit.ExpiresAt) {
-		return fmt.Errorf("permission of replica %s has expired: %w", replica.ID, zinniapond.ErrUnavailable)
+		return time.Time{}, fmt.Errorf("permission of replica %s has expired: %w", replica.ID, zinniapond.ErrUnavailable)
 	}
-	return nil
+	return permit.ExpiresAt, nil
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -138,8 +141,8 @@
 		if asked < maxPermitRequests {
 			maxWait = min(maxWait, max(wait, 0)+earlyPermit)
 		}
-		if err := u.obtainPermit(ctx, p, replica, maxWait); err == nil {
-			return candidate{Backend: replica}, nil
+		if validUntil, err := u.obtainPermit(ctx, p, replica, maxWait); err == nil {
+			return candidate{Backend: replica, permitUntil: validUntil}, nil
 		}
 	}
 }
