Count no failure of disks or clients as one of the replica

An attempt whose stream was complete counted as failed at the router and the pace if disks did not store its turn or the client did not take the end, and it started a check of whether the replica had ended. While disks are without power all replicas thus looked as if they failed. An answer that was read to its end now counts as one. The new test observed a failure before.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -231,7 +231,7 @@
 	p.recordStart(start, replica.Address, need)
 	paced := u.beginPaced(p, start, replica, cached)
 	observation := zinniapond.Observation{Cancelled: true}
-	u.relay = nil
+	u.relay, u.answerRead = nil, false
 	finish := u.finishOnce(p, start, replica.Address, need, paced)
 	defer func() {
 		finish(u.Clock(), v, observation)
@@ -299,7 +299,7 @@
 	} else {
 		v, err = u.relayAnswer(ctx, answer)
 	}
-	if v == verdictDone {
+	if u.answerRead {
 		u.Blame.RecordFinish(u.Clock(), u.digest)
 		observation.Cancelled = false
 		observation.Usage = zinniapond.Usage{Prompt: u.request.PromptTokens, Cached: cached, Generated: u.stream.generated}
@@ -355,7 +355,7 @@
 	if ctx.Err() != nil {
 		return verdictMayHaveRun, ctx.Err()
 	}
-	u.answerBegun = true
+	u.answerRead, u.answerBegun = true, true
 	if err := u.responder.Begin(answer.Status, answer.Fields, int64(len(head))); err != nil {
 		return verdictFailed, err
 	}
@@ -387,6 +387,7 @@
 		n, err := u.relay.Read(buffer)
 		head = buffer[:n]
 		if errors.Is(err, io.EOF) {
+			u.answerRead = true
 			if err := u.relay.Write(head); err != nil {
 				return verdictFailed, err
 			}
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -56,6 +56,7 @@
 	attempted    []attemptRecord
 	possibleRuns int // number of attempts that may have run
 	answerBegun  bool
+	answerRead   bool // the answer to the current attempt was read to its end
 	stream       stream
 	departure    *departure // watches the current attempt
 	held         int64      // bytes of memory taken
--- /dev/null
+++ b/internal/front/runner/observed_test.go
@@ -0,0 +1,39 @@
+package runner
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/test/assert"
+)
+
+// answerOf returns what the router observes of an attempt that is answered with a whole
+// stream.
+func answerOf(t *testing.T, change func(w *testRunner)) (zinniapond.Observation, *testRunner) {
+	t.Helper()
+	w := newTestRunner(t, zinniapond.Route{Kind: zinniapond.RequestStream, MaxAttempts: 1, Retained: true, Retention: time.Minute}, answersWith(200, wholeText, true, nil))
+	p, ok := w.pools.Get("pool")
+	assert.True(t, ok, "no pool")
+	router := &observingRouter{p.router, make(chan zinniapond.Observation, 1)}
+	p.router = router
+	change(w)
+	w.forward(zinniapond.Request{Program: "p", TokenBudget: 100, MaxGenerated: 10})
+	return <-router.seen, w
+}
+
+func TestObservedFailures(t *testing.T) {
+	t.Run("guards against a replica that counts as failed because disks do not store its turn", func(t *testing.T) {
+		got, w := answerOf(t, func(w *testRunner) {
+			w.turns.keepErr = zinniapond.ErrNoQuorum
+			w.gone = map[netip.AddrPort]bool{w.list[0].Address: true, w.list[1].Address: true, w.list[2].Address: true}
+		})
+		assert.True(t, !got.Failed && !got.Cancelled, "observed as %+v", got)
+		assert.Equal(t, w.Stats.Value("front.ended"), 0)
+	})
+	t.Run("guards against a replica whose stream breaks off and that counts as working", func(t *testing.T) {
+		got, _ := answerOf(t, func(w *testRunner) { w.replies[0] = answersWith(200, wholeText, true, errBroken) })
+		assert.True(t, got.Failed, "observed as %+v", got)
+	})
+}
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -154,6 +154,7 @@
 	if u.stream.skipUntil != "" {
 		return verdictFailed, fmt.Errorf("stream ends before event %s of the client: %w", u.stream.skipUntil, zinniapond.ErrBackendFailed)
 	}
+	u.answerRead = true
 	if u.storesTurn() && u.stream.status < 300 {
 		turn := zinniapond.Turn{
 			ID: zinniapond.TurnID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), Input: u.request.Body,
