Count no lack of memory at a host as a failure of the replica

A stream that this host stopped reading because its memory was in use counted as a failure of the replica, at the router and in the answers that the pace reports to all hosts, and started a check of whether the replica had ended. It now counts as cancelled. The new test observed a failure before.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -304,8 +304,10 @@
 		observation.Cancelled = false
 		observation.Usage = zinniapond.Usage{Prompt: u.request.PromptTokens, Cached: cached, Generated: u.stream.generated}
 	} else {
-		observation.Failed, observation.Cancelled = ctx.Err() == nil, ctx.Err() != nil
-		if ctx.Err() == nil && !departure.left() {
+		// Without memory this host stops reading.
+		isFailed := ctx.Err() == nil && !errors.Is(err, zinniapond.ErrOverload)
+		observation.Failed, observation.Cancelled = isFailed, !isFailed
+		if isFailed && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 	}
--- a/internal/front/runner/observed_test.go
+++ b/internal/front/runner/observed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/quota"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
 
@@ -32,6 +33,11 @@
 		assert.True(t, !got.Failed && !got.Cancelled, "observed as %+v", got)
 		assert.Equal(t, w.Stats.Value("front.ended"), 0)
 	})
+	t.Run("guards against a replica that counts as failed because this host lacks memory", func(t *testing.T) {
+		got, w := answerOf(t, func(w *testRunner) { w.Memory = &quota.Quota{Bytes: 1} })
+		assert.Equal(t, w.Stats.Value("front.memory"), 1)
+		assert.True(t, !got.Failed && got.Cancelled, "observed as %+v", got)
+	})
 	t.Run("guards against a replica whose stream breaks off and that counts as working", func(t *testing.T) {
 		got, _ := answerOf(t, func(w *testRunner) { w.replies[0] = answersWith(200, wholeText, true, errBroken) })
 		assert.True(t, got.Failed, "observed as %+v", got)
