Count no pause of a slow client in a cancelled call's time

The router took the time until a call was cancelled as a lower bound of the server's latency, also for an answer that was not read because the buffer of its client was full. Its duration, which leaves such pauses out, is now used. The slowness of the server rose to 5.5 in the new test before.

--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -4,6 +4,7 @@
 package prefix
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -311,8 +312,9 @@
 	}
 	switch {
 	case observation.Cancelled:
-		// The time until the cancellation is a lower bound of the latency.
-		if slowdown := float64(now.Sub(f.started)) / max(f.expectedMaxNanos, 1); slowdown > ejectionSlowness {
+		// The time until the cancellation is a lower bound of the latency. The duration is
+		// shorter if the client of the answer did not read.
+		if slowdown := float64(cmp.Or(observation.Duration, now.Sub(f.started))) / max(f.expectedMaxNanos, 1); slowdown > ejectionSlowness {
 			s.observeSlowness(now, slowdown)
 		} else {
 			s.postponeProbe(now)
