Scope the ids of calls in flight by plan

The router identifies calls in flight at a server by the id that the client chose. Equal ids of two plans were taken for one call, so that the end of one removed the other. The id now has the plan's prefix, as other identifiers have. The new test saw the same id for both plans before.

--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -177,6 +177,14 @@
 		kept := w.turns.kept
 		assert.True(t, kept[0].ID != kept[1].ID && kept[0].Program != kept[1].Program, "both stored turn %s", kept[0].ID)
 	})
+	t.Run("guards against requests of two plans with equal ids that are taken for one in flight at a replica", func(t *testing.T) {
+		w := newKeyedRunner(t, safe, whole)
+		call := func(plan zinniapond.PlanName) zinniapond.CallID {
+			u := &run{Runner: w.Runner, request: &zinniapond.Request{ID: "id"}, route: &w.view.Routing.Routes[0], plan: &zinniapond.Plan{Name: plan}}
+			return u.routingNeed().Call
+		}
+		assert.True(t, call("blue") != call("red"), "both are call %s", call("red"))
+	})
 	t.Run("guards against a request that is blamed for the same one of another plan", func(t *testing.T) {
 		q := withKey(blueKey)
 		blue := &run{request: &q, plan: &zinniapond.Plan{Name: "blue"}}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -161,7 +161,7 @@
 // routingNeed describes the request to the router.
 func (u *run) routingNeed() zinniapond.PickInfo {
 	n := zinniapond.PickInfo{
-		Call: zinniapond.CallID(u.request.ID), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
+		Call: zinniapond.CallID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
 		PromptTokens: u.request.PromptTokens, MaxGenerated: u.request.MaxGenerated, PrefixBackend: u.home.Replica, PrefixTokens: min(u.home.Tokens, u.request.PromptTokens),
 		HasIdleConnection: func(a netip.AddrPort) bool { return u.Client.HasIdleConnection(u.Clock(), a, u.sentOnce()) },
 	}
