Check permits again once the connection to a replica is made

The token of a plan and the permission of a limited replica were checked before the connection was made, which takes up to 1 s if packets are lost, and any time if the process is suspended meanwhile; tokens are valid for 0.1 to 2 s. They are now not sent, and obtain new permits; the connection is kept for the next request.

--- a/errors.go
+++ b/errors.go
@@ -34,6 +34,7 @@
 	ErrBackendFailed   = errors.New("backend server failed")
 	ErrCorrupt         = errors.New("corrupt record")
 	ErrNotSent         = errors.New("no byte reached the peer")
+	ErrPermitExpired   = errors.New("permit has expired")
 	ErrUnavailable     = errors.New("no backend server available")
 	ErrWarnings        = errors.New("configuration has warnings")
 )
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -156,6 +156,12 @@
 // connection is closed if ctx ends before the answer is read. The caller closes the
 // answer's body. id is the id of the request; it may be empty if IDField is.
 func (p *Pool) Do(ctx context.Context, now func() time.Time, to netip.AddrPort, method, id string, nonRepeatable bool, request []byte) (*http.Response, error) {
+	return p.DoUntil(ctx, now, time.Time{}, to, method, id, nonRepeatable, request)
+}
+
+// DoUntil is like Do, but sends nothing from the instant until on. The connection may take
+// as long as dialTimeout. The error then wraps ErrPermitExpired and ErrNotSent.
+func (p *Pool) DoUntil(ctx context.Context, now func() time.Time, until time.Time, to netip.AddrPort, method, id string, nonRepeatable bool, request []byte) (*http.Response, error) {
 	l, err := p.acquire(ctx, now(), to, id, nonRepeatable)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -163,6 +169,13 @@
 		}
 		return nil, zinniapond.Wrap("connect", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err))
 	}
+	if at := now(); !until.IsZero() && !at.Before(until) {
+		if l.reusableUntil.IsZero() { // a new connection
+			l.idleSince, l.reusableUntil = at, at.Add(defaultIdleTimeout)
+		}
+		l.replica.put(l)
+		return nil, zinniapond.Wrap("send request", to, fmt.Errorf("%w: %w", zinniapond.ErrNotSent, zinniapond.ErrPermitExpired))
+	}
 	b := &body{connection: l, id: id, now: now, ctx: ctx, writeDone: make(chan struct{})}
 	l.written.Store(false)
 	b.stopCancellation = context.AfterFunc(ctx, func() { _ = l.abort() })
--- a/internal/front/runner/allowance.go
+++ b/internal/front/runner/allowance.go
@@ -70,3 +70,13 @@
 func (u *run) scopedProgram() zinniapond.ProgramID {
 	return zinniapond.ProgramID(u.scoped(string(u.request.Program)))
 }
+
+// permitsUntil returns the instant at which the first permit of the request expires; zero
+// if it needs none. The connection to the replica may take as long as the permit lasts.
+func (u *run) permitsUntil(replica candidate) time.Time {
+	until := replica.permitUntil
+	if u.allowance.held && (until.IsZero() || u.allowance.permit.ExpiresAt.Before(until)) {
+		until = u.allowance.permit.ExpiresAt
+	}
+	return until
+}
--- a/internal/front/runner/allowance_test.go
+++ b/internal/front/runner/allowance_test.go
@@ -150,6 +150,27 @@
 		assert.Equal(t, len(throttle.asked), 2)
 		assertUsed(t, f, 1)
 	})
+	t.Run("guards against sending with a token that expires while the request connects to a replica", func(t *testing.T) {
+		connectsLate := func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			return nil, zinniapond.Join(zinniapond.ErrNotSent, zinniapond.ErrPermitExpired)
+		}
+		w, f := newAllowed(t, 1, 5, safe, connectsLate, answersWith(200, "x", false, nil))
+		p, ok := w.pools.Get("pool")
+		assert.True(t, ok, "no pool")
+		router := &observingRouter{p.router, make(chan zinniapond.Observation, 2)}
+		p.router = router
+		assert.Equal(t, w.forward(request).status, 200)
+		for _, s := range w.sent {
+			assert.True(t, time.Until(s.SendUntil) > 30*time.Second && time.Until(s.SendUntil) <= time.Minute, "to be sent until %s", s.SendUntil)
+		}
+		assertUsed(t, f, 1)
+		assert.True(t, !(<-router.seen).Failed, "the replica counts as failed")
+	})
+	t.Run("guards against requests without a limit that are not sent", func(t *testing.T) {
+		w, _ := newAllowed(t, 0, 0, safe, answersWith(200, "x", false, nil))
+		w.forward(request)
+		assert.True(t, w.sent[0].SendUntil.IsZero(), "to be sent until %s", w.sent[0].SendUntil)
+	})
 	t.Run("guards against requests of a running program that count as beginning one", func(t *testing.T) {
 		w, f := newAllowed(t, 1, 9, stream, answersWith(200, "data: x\n\n", true, nil))
 		first, next, resumed := request, request, request
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -102,6 +102,7 @@
 		if !replica.permitUntil.IsZero() && begun.After(replica.permitUntil) {
 			continue // it has expired while the request waited for a token
 		}
+		u.sendUntil = u.permitsUntil(replica)
 		var v verdict
 		wait.begin()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
@@ -244,10 +245,12 @@
 	defer interrupt()
 	answer, err := u.Client.Send(readCtx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
-		NotRepeated: u.sentOnce(),
-		Priority:    u.urgency(start), LastEventID: u.resumeID(),
+		SendUntil: u.sendUntil, NotRepeated: u.sentOnce(),
+		Priority: u.urgency(start), LastEventID: u.resumeID(),
 	})
 	switch {
+	case errors.Is(err, zinniapond.ErrPermitExpired):
+		return verdictNotRun, err
 	case errors.Is(err, zinniapond.ErrNotSent):
 		observation = zinniapond.Observation{Failed: true}
 		if errors.Is(err, zinniapond.ErrUnavailable) {
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -58,6 +58,7 @@
 	answerBegun  bool
 	answerRead   bool // the answer to the current attempt was read to its end
 	stream       stream
+	sendUntil    time.Time  // when the permits of the current attempt expire
 	departure    *departure // watches the current attempt
 	held         int64      // bytes of memory taken
 	digest       zinniapond.Digest
--- a/internal/wire/codec/fault.go
+++ b/internal/wire/codec/fault.go
@@ -36,6 +36,7 @@
 	"backend":     zinniapond.ErrBackendFailed,
 	"corrupt":     zinniapond.ErrCorrupt,
 	"unavailable": zinniapond.ErrUnavailable,
+	"permit":      zinniapond.ErrPermitExpired,
 	"warnings":    zinniapond.ErrWarnings,
 	"cap":         zinniapond.ErrCapExceeded,
 }
--- a/request.go
+++ b/request.go
@@ -109,6 +109,9 @@
 	Body []byte
 	// Deadline is the instant at which the replica is to stop.
 	Deadline time.Time
+	// SendUntil is the instant after which the request must not be sent, as its permits
+	// have expired; zero if it needs none.
+	SendUntil time.Time
 	// NotRepeated is set if neither the scheduler nor the client repeats the
 	// request. It is then sent on a new or recently used connection only, as
 	// replicas may close idle connections without notice.
