Separate the identifiers of public routes from those of plans

A client of a public route that sent the identifier of a plan's turn in the form in which it is stored, with the hash of the plan's name, which others may know, got the turn, as identifiers without a plan were taken unchanged. On public routes of a configuration with plans they now begin with a dot. The new test read the plan's turn before.

--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -99,7 +99,7 @@
 		u.request.Fields = append(u.request.Fields, u.request.Credentials...)
 		u.request.Credentials = nil
 	}
-	u.plan = plan
+	u.plan, u.isPublic = plan, u.isPublic || t.Routing().HasPlans && plan == nil
 	return nil
 }
 
@@ -112,9 +112,15 @@
 }
 
 // scoped returns an identifier that a client has chosen in a form that differs from
-// those of all other plans. It returns it unchanged if the route needs no key.
+// those of all other plans. It returns it unchanged if the configuration has no plans.
 func (u *run) scoped(id string) string {
-	if u.plan == nil || id == "" {
+	switch {
+	case id == "":
+		return id
+	case u.isPublic:
+		// Unchanged, it could be the identifier of a plan. Those do not begin with a dot.
+		return "." + id
+	case u.plan == nil:
 		return id
 	}
 	sum := sha256.Sum256([]byte(u.plan.Name))
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -177,6 +177,16 @@
 		kept := w.turns.kept
 		assert.True(t, kept[0].ID != kept[1].ID && kept[0].Program != kept[1].Program, "both stored turn %s", kept[0].ID)
 	})
+	t.Run("guards against a client without a key that names the turn of a plan", func(t *testing.T) {
+		public := turn
+		public.Public = true
+		w := newKeyedRunner(t, public, stream)
+		blue := (&run{plan: &zinniapond.Plan{Name: "blue"}}).scoped("t")
+		w.turns.chain = []zinniapond.Turn{{ID: zinniapond.TurnID(blue), Program: "p", Input: []byte("in")}}
+		w.forward(zinniapond.Request{Program: "p", PreviousTurn: zinniapond.TurnID(blue)})
+		assert.Equal(t, len(w.turns.asked), 1)
+		assert.True(t, w.turns.asked[0] != zinniapond.TurnID(blue), "the plan's turn is read")
+	})
 	t.Run("guards against requests of two plans with equal ids that are taken for one in flight at a replica", func(t *testing.T) {
 		w := newKeyedRunner(t, safe, whole)
 		call := func(plan zinniapond.PlanName) zinniapond.CallID {
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -42,6 +42,7 @@
 	relay        *ahead.Relay     // of the answer to the current attempt
 	plan         *zinniapond.Plan // of the client; nil if the route needs no key
 	withoutKeys  bool             // the configuration has had no plans
+	isPublic     bool             // the configuration has plans, but the route needs no key
 	route        *zinniapond.Route
 	service      *zinniapond.Service
 	poolName     zinniapond.PoolName
