Forget the shared slowness of a server that has started again

A server's slowness of its former lifetime was dropped when the list showed a new id, but not what was kept for sharing it: this host still reported the answers of the one before for 2 s, and a single slow answer at any host confirmed the slowness for up to 12 s.

--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -113,6 +113,7 @@
 	if b.ID != s.id {
 		s.id, s.cacheGeneration = b.ID, xxhash.Sum64String(b.ID)
 		s.slowness, s.nextProbe, s.probeInterval, s.eventSequence = 0, time.Time{}, 0, 0
+		s.measured = measuredSpeed{}
 	}
 }
 
