Log the first rejected key after a quiet minute

Rejected keys were only counted, so that an operator saw neither when rejections begin nor for which route. A host now logs one line if it has rejected none for a minute; the line does not have the key. The new test saw no line before.

--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -14,6 +14,8 @@
 	// staleRetryAfter is the delay after which a client may retry at another host when
 	// this one cannot confirm its configuration.
 	staleRetryAfter = 20 * time.Millisecond
+	// rejectionPause is the time without a rejected key after which the next one is logged.
+	rejectionPause = time.Minute
 	// scopeBytes is the size of the part of a hash that distinguishes the identifiers
 	// of plans from each other.
 	scopeBytes = 12
@@ -63,6 +65,9 @@
 		return nil, retryableError("check key", staleRetryAfter, fmt.Errorf("unknown key: %w", zinniapond.ErrStaleConfig))
 	}
 	r.Stats.Add("front.unauthorised", 1)
+	if last := r.rejectedAt.Swap(now.UnixNano()); now.Sub(time.Unix(0, last)) >= rejectionPause {
+		r.Logger.Info("key rejected", "route", route.Name, "present", keyHash != [32]byte{}, "version", t.Routing().Version)
+	}
 	return nil, fmt.Errorf("check key in version %d: %w", t.Routing().Version, zinniapond.ErrInvalidKey)
 }
 
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -1,10 +1,14 @@
 package runner
 
 import (
+	"bytes"
 	"crypto/sha256"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
@@ -202,3 +206,31 @@
 		assert.True(t, digest(&q, blue.scoped("pool")) != digest(&q, red.scoped("pool")), "equal digests")
 	})
 }
+
+func TestRejectedKeys(t *testing.T) {
+	var lines bytes.Buffer
+	w := newKeyedRunner(t, zinniapond.Route{Kind: zinniapond.RequestSafe}, answersWith(200, "answer", false, nil))
+	w.Logger = hclog.New(&hclog.LoggerOptions{Output: &lines})
+	now := time.Now()
+	reject := func(t *testing.T, at time.Time, key string) {
+		t.Helper()
+		q := withKey(key)
+		q.Host, q.Path = "h", "/r/x"
+		assert.ErrorIs(t, w.Authenticate(at, q), zinniapond.ErrInvalidKey)
+	}
+	count := func() int { return strings.Count(lines.String(), "key rejected") }
+	t.Run("guards against a line for each rejected key", func(t *testing.T) {
+		for i := range 100 {
+			reject(t, now.Add(time.Duration(i)*time.Second/100), "wrong-key")
+		}
+		assert.Equal(t, count(), 1)
+	})
+	t.Run("guards against rejections that are not noticed after a quiet time", func(t *testing.T) {
+		w.confirmedAge = -2 * rejectionPause
+		reject(t, now.Add(2*rejectionPause), "wrong-key")
+		assert.Equal(t, count(), 2)
+	})
+	t.Run("guards against a key in the log", func(t *testing.T) {
+		assert.True(t, !strings.Contains(lines.String(), "wrong-key"), "logged %s", lines.String())
+	})
+}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -81,6 +81,7 @@
 	tableMu sync.Mutex // held while a new table is made
 	// leaseExpired is set while keys cannot be checked.
 	leaseExpired atomic.Bool
+	rejectedAt   atomic.Int64 // time of the last rejected key, in nanoseconds
 	once         sync.Once
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
