Leave pauses of slow clients out of the time of calls in flight

A call in flight for longer than expected shows a slow server, at this host and, from three of them on, at all hosts. That time included the pauses in which this host did not read the answer, because the buffer of its client was full or the host had no spare memory. The relay now tells the router when it stops and goes on.

--- a/interfaces.go
+++ b/interfaces.go
@@ -238,6 +238,13 @@
 	RecentAnswers(now time.Time, server netip.AddrPort) (answers int, slowness float64)
 }
 
+// PauseRecorder is a Router that measures calls in flight.
+type PauseRecorder interface {
+	// RecordPause records that the answer to a call is not read for now, as its client does
+	// not take it, or that it is read again.
+	RecordPause(now time.Time, server netip.AddrPort, call CallID, isPaused bool)
+}
+
 // TurnState is what is known of a turn when it is sent to a model server.
 type TurnState struct {
 	Priority int // of the route, 0 is the highest
--- a/internal/front/ahead/relay.go
+++ b/internal/front/ahead/relay.go
@@ -46,6 +46,9 @@
 	// OnSlow is called when a write counts as one to a slow client for the first time;
 	// may be nil.
 	OnSlow func()
+	// OnPause is called when reading stops as a bound of the buffer is reached, and when it
+	// goes on; may be nil.
+	OnPause func(isPaused bool)
 	// OnEnd is called if Source has ended while a write is waiting for the client; may
 	// be nil. The answer is not delivered yet, but the replica has done its part. err
 	// is io.EOF for a complete answer, and unread about the number of events of a
@@ -151,6 +154,7 @@
 			// The client has to take the running write first.
 			if r.pausedAt.IsZero() {
 				r.pausedAt = time.Now()
+				r.recordPause(true)
 			}
 			break
 		}
@@ -171,6 +175,13 @@
 	if !r.pausedAt.IsZero() {
 		r.paused += time.Since(r.pausedAt)
 		r.pausedAt = time.Time{}
+		r.recordPause(false)
+	}
+}
+
+func (r *Relay) recordPause(isPaused bool) {
+	if r.OnPause != nil {
+		r.OnPause(isPaused)
 	}
 }
 
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -293,7 +293,7 @@
 		observation = zinniapond.Observation{Failed: true}
 		return verdictMayHaveRun, fmt.Errorf("replica %s: status %d in place of the rest of a stream: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
-	u.relay = u.newRelay(readCtx, answer, interrupt, func(err error, unread int) {
+	u.relay = u.newRelay(readCtx, p, need.Call, answer, interrupt, func(err error, unread int) {
 		finish(u.Clock(), verdictDone, u.observeEnd(ctx, err, observation.TimeToFirstByte, cached, unread))
 	})
 	defer u.relay.Close()
--- a/internal/front/runner/observed_test.go
+++ b/internal/front/runner/observed_test.go
@@ -1,7 +1,11 @@
 package runner
 
 import (
+	"io"
 	"net/netip"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -43,3 +47,44 @@
 		assert.True(t, got.Failed, "observed as %+v", got)
 	})
 }
+
+// pauseRouter notes the pauses of calls in flight.
+type pauseRouter struct {
+	zinniapond.Router
+	mu     sync.Mutex
+	pauses []bool
+}
+
+func (r *pauseRouter) RecordPause(_ time.Time, replica netip.AddrPort, call zinniapond.CallID, isPaused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if replica.IsValid() && call == "id" {
+		r.pauses = append(r.pauses, isPaused)
+	}
+}
+
+func (r *pauseRouter) all() []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.pauses)
+}
+
+func TestPauses(t *testing.T) {
+	t.Run("guards against a replica that counts as slow while a client does not read what fills the buffer", func(t *testing.T) {
+		body := &partsBody{err: io.EOF}
+		for range 100 {
+			body.parts = append(body.parts, "data: "+strings.Repeat("x", 4000)+"\n\n")
+		}
+		w, to := newSlowRunner(t, zinniapond.Route{Kind: zinniapond.RequestStream}, body), newSlowClient()
+		p, ok := w.pools.Get("pool")
+		assert.True(t, ok, "no pool")
+		router := &pauseRouter{Router: p.router}
+		p.router = router
+		wait := w.start(t.Context(), zinniapond.Request{ClientTimeout: time.Second}, to)
+		assert.Eventually(t, 800*time.Millisecond, "the pause is recorded", func() bool { return slices.Equal(router.all(), []bool{true}) })
+		close(to.release)
+		wait()
+		assert.True(t, to.ended, "the stream is broken off")
+		assert.True(t, len(router.all())%2 == 0, "pauses %v", router.all())
+	})
+}
--- a/internal/front/runner/slow.go
+++ b/internal/front/runner/slow.go
@@ -20,13 +20,19 @@
 	minKeepTime = time.Second
 )
 
-// newRelay returns the relay of an answer. onEnd is called if the answer was read to its
+// newRelay returns the relay of an answer to a call at a replica. onEnd is called if the answer was read to its
 // end while the client is slow; the connection to the replica is then free.
-func (u *run) newRelay(ctx context.Context, answer *zinniapond.ReplicaAnswer, interrupt func(), onEnd func(err error, unread int)) *ahead.Relay {
+func (u *run) newRelay(ctx context.Context, p *pool, call zinniapond.CallID, answer *zinniapond.ReplicaAnswer, interrupt func(), onEnd func(err error, unread int)) *ahead.Relay {
+	pauses, _ := p.router.(zinniapond.PauseRecorder)
 	return &ahead.Relay{
 		Responder: u.responder, Source: answer.Body, Reading: ctx, Interrupt: interrupt, Memory: u.Memory, Client: u.client,
 		WriteUntil: time.Now().Add(u.deadline.Sub(u.Clock()) + maxLateTime),
 		OnSlow:     u.departure.stay,
+		OnPause: func(isPaused bool) {
+			if pauses != nil {
+				pauses.RecordPause(u.Clock(), u.replica, call, isPaused)
+			}
+		},
 		OnEnd: func(err error, unread int) {
 			u.Stats.Add("front.slow", 1)
 			onEnd(err, unread)
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -38,7 +38,8 @@
 type request struct {
 	call             zinniapond.CallID
 	started          time.Time
-	expectedMaxNanos float64 // longest expected duration, in nanoseconds
+	expectedMaxNanos float64   // longest expected duration, in nanoseconds
+	pausedAt         time.Time // zero while the answer is read
 }
 
 // server is the state of one backend server.
@@ -90,7 +91,7 @@
 	for _, f := range s.inFlight {
 		// A request in flight for longer than expected shows slowness before
 		// its answer arrives.
-		if slowdown := float64(now.Sub(f.started)) / max(f.expectedMaxNanos, 1); slowdown > g.slowness {
+		if slowdown := float64(f.elapsed(now)) / max(f.expectedMaxNanos, 1); slowdown > g.slowness {
 			g.slowness = slowdown
 		}
 	}
--- a/internal/policy/prefix/shared.go
+++ b/internal/policy/prefix/shared.go
@@ -68,7 +68,7 @@
 	defer s.mu.Unlock()
 	for _, f := range s.inFlight {
 		// A request in flight for longer than expected counts as an answer.
-		if slowdown := float64(now.Sub(f.started)) / max(f.expectedMaxNanos, 1); f.expectedMaxNanos > 0 && slowdown >= equalSlowness {
+		if slowdown := float64(f.elapsed(now)) / max(f.expectedMaxNanos, 1); f.expectedMaxNanos > 0 && slowdown >= equalSlowness {
 			s.measured.suspectedUntil = now.Add(suspicionTime)
 			answers, slowness = answers+1, slowness+min(slowdown, maxSlowness)
 		}
