Go on with a shared check of a replica after a request has ended

Requests that break off at one replica share the check of whether it has ended. The check ended with the first of these requests, so that the others took the replica for a running one: their streams waited for reports of a replica that had ended, and its end was not counted against the request that had caused it. The new test found the replica not ended before.

--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -41,7 +41,8 @@
 		return true
 	}
 	result, _, _ := c.checks.Do(replica.Address.String()+"/"+replica.ID, func() (any, error) {
-		callCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+		// Other requests share the check, so that it does not end with this one.
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 		defer cancel()
 		return c.Client.HasEnded(callCtx, replica.Address), nil
 	})
--- a/internal/front/ended/ended_test.go
+++ b/internal/front/ended/ended_test.go
@@ -19,10 +19,14 @@
 	checks atomic.Int64
 }
 
-func (c *client) HasEnded(context.Context, netip.AddrPort) bool {
+func (c *client) HasEnded(ctx context.Context, _ netip.AddrPort) bool {
 	c.checks.Add(1)
-	time.Sleep(20 * time.Millisecond)
-	return c.ended
+	select {
+	case <-time.After(20 * time.Millisecond):
+		return c.ended
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func TestHas(t *testing.T) {
@@ -49,6 +53,18 @@
 		assert.True(t, !c.Has(t.Context(), now, next), "ended")
 		assert.True(t, !c.Has(t.Context(), now.Add(validity), replica), "ended for ever")
 	})
+	t.Run("guards against an end that is missed because another request that shares the check ends", func(t *testing.T) {
+		k := &client{ended: true}
+		c := &Checker{Client: k}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { c.Has(ctx, now, replica) })
+		assert.Eventually(t, time.Second, "the check runs", func() bool { return k.checks.Load() == 1 })
+		group.Go(func() { assert.True(t, c.Has(t.Context(), now, replica), "not ended") })
+		time.Sleep(5 * time.Millisecond)
+		cancel()
+		group.Wait()
+	})
 	t.Run("guards against ends that are kept without bound", func(t *testing.T) {
 		c := &Checker{Client: &client{ended: true}}
 		c.Has(t.Context(), now, replica)
