--- a/internal/front/runner/need_test.go
+++ b/internal/front/runner/need_test.go
@@ -15,7 +15,6 @@
 		return u.routingNeed()
 	}
 	t.Run("guards against parts of one conversation that are taken for shared ones", func(t *testing.T) {
-
 		later := need(zinniapond.PromptPart{ID: "a", Tokens: 12_600}, zinniapond.PromptPart{ID: "b", Tokens: 1_680}, zinniapond.PromptPart{ID: "c", Tokens: 900})
 		assert.Equal(t, later.SharedTokens, zinniapond.Tokens(12_600))
 	})
