--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -14,6 +14,8 @@
 	// staleRetryAfter is the delay after which a client may retry at another host when
 	// this one cannot confirm its configuration.
 	staleRetryAfter = 20 * time.Millisecond
+	// rejectionPause is the time without a rejected key after which the next one is logged.
+	rejectionPause = time.Minute
 	// scopeBytes is the size of the part of a hash that distinguishes the identifiers
 	// of plans from each other.
 	scopeBytes = 12
@@ -63,6 +65,9 @@
 		return nil, retryableError("check key", staleRetryAfter, fmt.Errorf("unknown key: %w", zinniapond.ErrStaleConfig))
 	}
 	r.Stats.Add("front.unauthorised", 1)
+	if last := r.rejectedAt.Swap(now.UnixNano()); now.Sub(time.Unix(0, last)) >= rejectionPause {
+		r.Logger.Info("key rejected", "route", route.Name, "present", keyHash != [32]byte{}, "version", t.Routing().Version)
+	}
 	return nil, fmt.Errorf("check key in version %d: %w", t.Routing().Version, zinniapond.ErrInvalidKey)
 }
 
@@ -82,6 +87,10 @@
 func (u *run) authorise(now time.Time) error {
 	confirmedAt := u.Directory.ConfirmedAt()
 	t := u.currentTable()
+	if u.withoutKeys && t.Routing().HasPlans {
+		// The identifiers of the request have no plan, and its fields include the key.
+		return retryableError("check key", shortRetryAfter, fmt.Errorf("keys have been introduced: %w", zinniapond.ErrStaleConfig))
+	}
 	plan, err := u.checkKey(now, t, u.route, u.request.KeyHash, confirmedAt)
 	if err != nil {
 		return err
@@ -90,11 +99,12 @@
 		// The identifiers of the request were taken as those of the other plan.
 		return retryableError("check key", shortRetryAfter, fmt.Errorf("key has moved to another plan: %w", zinniapond.ErrStaleConfig))
 	}
-	if u.plan == nil && !t.Routing().HasPlans && len(u.request.Credentials) > 0 {
+	if !t.Routing().HasPlans {
+		u.withoutKeys = true
 		u.request.Fields = append(u.request.Fields, u.request.Credentials...)
 		u.request.Credentials = nil
 	}
-	u.plan = plan
+	u.plan, u.isPublic = plan, u.isPublic || t.Routing().HasPlans && plan == nil
 	return nil
 }
 
@@ -107,9 +117,15 @@
 }
 
 // scoped returns an identifier that a client has chosen in a form that differs from
-// those of all other plans. It returns it unchanged if the route needs no key.
+// those of all other plans. It returns it unchanged if the configuration has no plans.
 func (u *run) scoped(id string) string {
-	if u.plan == nil || id == "" {
+	switch {
+	case id == "":
+		return id
+	case u.isPublic:
+		// Unchanged, it could be the identifier of a plan. Those do not begin with a dot.
+		return "." + id
+	case u.plan == nil:
 		return id
 	}
 	sum := sha256.Sum256([]byte(u.plan.Name))
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -1,10 +1,14 @@
 package runner
 
 import (
+	"bytes"
 	"crypto/sha256"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
@@ -130,6 +134,32 @@
 		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
 		assert.Equal(t, len(w.sent), 1)
 	})
+	t.Run("guards against sending a request whose key was revoked while it waited for the permission of a replica", func(t *testing.T) {
+		w := newKeyedRunner(t, safe, whole)
+		w.Throttle = &fakeThrottle{limited: map[string]bool{"a": true, "b": true, "c": true}, grant: func(b zinniapond.Backend, maxWait time.Duration) (zinniapond.Permit, error) {
+			w.setPlans(planWithKeys("red", redKey))
+			return grantNow(b, maxWait)
+		}}
+		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrInvalidKey)
+		assert.Equal(t, len(w.sent), 0)
+	})
+	t.Run("guards against identifiers without a plan, and a key that leaves the host, if keys are introduced while a request waits", func(t *testing.T) {
+		var w *testRunner
+		w = newTestRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			w.setPlans(planWithKeys("blue", blueKey))
+			return refusesRequest(s)
+		}, whole)
+		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
+		assert.Equal(t, len(w.sent), 1)
+	})
+	t.Run("guards against a final refusal of a request without a key if keys are introduced while it waits", func(t *testing.T) {
+		var w *testRunner
+		w = newTestRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			w.setPlans(planWithKeys("blue", blueKey))
+			return refusesRequest(s)
+		}, whole)
+		assert.ErrorIs(t, w.forward(zinniapond.Request{}).refused, zinniapond.ErrStaleConfig)
+	})
 	t.Run("guards against a final refusal after an attempt that may have run", func(t *testing.T) {
 		var w *testRunner
 		w = newKeyedRunner(t, safe, func(s zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
@@ -151,6 +181,24 @@
 		kept := w.turns.kept
 		assert.True(t, kept[0].ID != kept[1].ID && kept[0].Program != kept[1].Program, "both stored turn %s", kept[0].ID)
 	})
+	t.Run("guards against a client without a key that names the turn of a plan", func(t *testing.T) {
+		public := turn
+		public.Public = true
+		w := newKeyedRunner(t, public, stream)
+		blue := (&run{plan: &zinniapond.Plan{Name: "blue"}}).scoped("t")
+		w.turns.chain = []zinniapond.Turn{{ID: zinniapond.TurnID(blue), Program: "p", Input: []byte("in")}}
+		w.forward(zinniapond.Request{Program: "p", PreviousTurn: zinniapond.TurnID(blue)})
+		assert.Equal(t, len(w.turns.asked), 1)
+		assert.True(t, w.turns.asked[0] != zinniapond.TurnID(blue), "the plan's turn is read")
+	})
+	t.Run("guards against requests of two plans with equal ids that are taken for one in flight at a replica", func(t *testing.T) {
+		w := newKeyedRunner(t, safe, whole)
+		call := func(plan zinniapond.PlanName) zinniapond.CallID {
+			u := &run{Runner: w.Runner, request: &zinniapond.Request{ID: "id"}, route: &w.view.Routing.Routes[0], plan: &zinniapond.Plan{Name: plan}}
+			return u.routingNeed().Call
+		}
+		assert.True(t, call("blue") != call("red"), "both are call %s", call("red"))
+	})
 	t.Run("guards against a request that is blamed for the same one of another plan", func(t *testing.T) {
 		q := withKey(blueKey)
 		blue := &run{request: &q, plan: &zinniapond.Plan{Name: "blue"}}
@@ -158,3 +206,31 @@
 		assert.True(t, digest(&q, blue.scoped("pool")) != digest(&q, red.scoped("pool")), "equal digests")
 	})
 }
+
+func TestRejectedKeys(t *testing.T) {
+	var lines bytes.Buffer
+	w := newKeyedRunner(t, zinniapond.Route{Kind: zinniapond.RequestSafe}, answersWith(200, "answer", false, nil))
+	w.Logger = hclog.New(&hclog.LoggerOptions{Output: &lines})
+	now := time.Now()
+	reject := func(t *testing.T, at time.Time, key string) {
+		t.Helper()
+		q := withKey(key)
+		q.Host, q.Path = "h", "/r/x"
+		assert.ErrorIs(t, w.Authenticate(at, q), zinniapond.ErrInvalidKey)
+	}
+	count := func() int { return strings.Count(lines.String(), "key rejected") }
+	t.Run("guards against a line for each rejected key", func(t *testing.T) {
+		for i := range 100 {
+			reject(t, now.Add(time.Duration(i)*time.Second/100), "wrong-key")
+		}
+		assert.Equal(t, count(), 1)
+	})
+	t.Run("guards against rejections that are not noticed after a quiet time", func(t *testing.T) {
+		w.confirmedAge = -2 * rejectionPause
+		reject(t, now.Add(2*rejectionPause), "wrong-key")
+		assert.Equal(t, count(), 2)
+	})
+	t.Run("guards against a key in the log", func(t *testing.T) {
+		assert.True(t, !strings.Contains(lines.String(), "wrong-key"), "logged %s", lines.String())
+	})
+}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -95,9 +95,17 @@
 		if err := u.obtainAllowance(ctx); err != nil {
 			return zinniapond.Join(err, lastErr)
 		}
+		// The key may have been revoked while the request waited for a permission or token.
+		if err := u.authorise(u.Clock()); err != nil {
+			return u.overLimitError(zinniapond.Join(err, lastErr))
+		}
+		begun := u.Clock()
+		if !replica.permitUntil.IsZero() && begun.After(replica.permitUntil) {
+			continue // it has expired while the request waited for a token
+		}
+		u.sendUntil = u.permitsUntil(replica)
 		var v verdict
 		wait.begin()
-		begun := u.Clock()
 		v, lastErr = u.attempt(ctx, p, replica.Backend, replica.choice.CachedTokens, need)
 		switch v {
 		case verdictDone:
@@ -155,7 +163,7 @@
 // routingNeed describes the request to the router.
 func (u *run) routingNeed() zinniapond.PickInfo {
 	n := zinniapond.PickInfo{
-		Call: zinniapond.CallID(u.request.ID), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
+		Call: zinniapond.CallID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
 		PromptTokens: u.request.PromptTokens, MaxGenerated: u.request.MaxGenerated, PrefixBackend: u.home.Replica, PrefixTokens: min(u.home.Tokens, u.request.PromptTokens),
 		HasIdleConnection: func(a netip.AddrPort) bool { return u.Client.HasIdleConnection(u.Clock(), a, u.sentOnce()) },
 	}
@@ -198,6 +206,8 @@
 type candidate struct {
 	zinniapond.Backend
 	choice zinniapond.Choice
+	// permitUntil is when the permission of the replica expires; zero if it needs none.
+	permitUntil time.Time
 }
 
 // pickReplica picks a live replica for which allowed returns true. A doubtful one is
@@ -220,7 +230,7 @@
 		return candidate{}, false
 	}
 	b, ok := replicas[choice.Backend]
-	return candidate{b, choice}, ok
+	return candidate{Backend: b, choice: choice}, ok
 }
 
 // attempt sends the request to one replica and relays its answer to the client.
@@ -233,14 +243,10 @@
 	p.recordStart(start, replica.Address, need)
 	paced := u.beginPaced(p, start, replica, cached)
 	observation := zinniapond.Observation{Cancelled: true}
-	u.relay = nil
+	u.relay, u.answerRead = nil, false
 	finish := u.finishOnce(p, start, replica.Address, need, paced)
 	defer func() {
-		now := u.Clock()
-		finish(now, v, observation)
-		if v != verdictNotRun {
-			p.waiters.recordEnd(now, replica.Address)
-		}
+		finish(u.Clock(), v, observation)
 		u.recordAttempt(replica, v, err)
 	}()
 	sendCtx, departure := u.newDeparture(ctx, p, start)
@@ -250,10 +256,12 @@
 	defer interrupt()
 	answer, err := u.Client.Send(readCtx, start, zinniapond.ReplicaRequest{
 		Request: u.request, Replica: replica, Plan: u.planName(), Body: u.body, Deadline: u.deadline,
-		NotRepeated: u.sentOnce(),
-		Priority:    u.urgency(start), LastEventID: u.resumeID(),
+		SendUntil: u.sendUntil, NotRepeated: u.sentOnce(),
+		Priority: u.urgency(start), LastEventID: u.resumeID(),
 	})
 	switch {
+	case errors.Is(err, zinniapond.ErrPermitExpired):
+		return verdictNotRun, err
 	case errors.Is(err, zinniapond.ErrNotSent):
 		observation = zinniapond.Observation{Failed: true}
 		if errors.Is(err, zinniapond.ErrUnavailable) {
@@ -296,7 +304,7 @@
 		observation = zinniapond.Observation{Failed: true}
 		return verdictMayHaveRun, fmt.Errorf("replica %s: status %d in place of the rest of a stream: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
 	}
-	u.relay = u.newRelay(readCtx, answer, interrupt, func(err error, unread int) {
+	u.relay = u.newRelay(readCtx, p, need.Call, answer, interrupt, func(err error, unread int) {
 		finish(u.Clock(), verdictDone, u.observeEnd(ctx, err, observation.TimeToFirstByte, cached, unread))
 	})
 	defer u.relay.Close()
@@ -305,13 +313,15 @@
 	} else {
 		v, err = u.relayAnswer(ctx, answer)
 	}
-	if v == verdictDone {
+	if u.answerRead {
 		u.Blame.RecordFinish(u.Clock(), u.digest)
 		observation.Cancelled = false
 		observation.Usage = zinniapond.Usage{Prompt: u.request.PromptTokens, Cached: cached, Generated: u.stream.generated}
 	} else {
-		observation.Failed, observation.Cancelled = ctx.Err() == nil, ctx.Err() != nil
-		if ctx.Err() == nil && !departure.left() {
+		// Without memory this host stops reading.
+		isFailed := ctx.Err() == nil && !errors.Is(err, zinniapond.ErrOverload)
+		observation.Failed, observation.Cancelled = isFailed, !isFailed
+		if isFailed && !departure.left() {
 			u.checkEnded(p, replica)
 		}
 	}
@@ -361,7 +371,7 @@
 	if ctx.Err() != nil {
 		return verdictMayHaveRun, ctx.Err()
 	}
-	u.answerBegun = true
+	u.answerRead, u.answerBegun = true, true
 	if err := u.responder.Begin(answer.Status, answer.Fields, int64(len(head))); err != nil {
 		return verdictFailed, err
 	}
@@ -393,6 +403,7 @@
 		n, err := u.relay.Read(buffer)
 		head = buffer[:n]
 		if errors.Is(err, io.EOF) {
+			u.answerRead = true
 			if err := u.relay.Write(head); err != nil {
 				return verdictFailed, err
 			}
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -41,6 +41,8 @@
 	client       context.Context  // done when the client has gone
 	relay        *ahead.Relay     // of the answer to the current attempt
 	plan         *zinniapond.Plan // of the client; nil if the route needs no key
+	withoutKeys  bool             // the configuration has had no plans
+	isPublic     bool             // the configuration has plans, but the route needs no key
 	route        *zinniapond.Route
 	service      *zinniapond.Service
 	poolName     zinniapond.PoolName
@@ -55,7 +57,9 @@
 	attempted    []attemptRecord
 	possibleRuns int // number of attempts that may have run
 	answerBegun  bool
+	answerRead   bool // the answer to the current attempt was read to its end
 	stream       stream
+	sendUntil    time.Time  // when the permits of the current attempt expire
 	departure    *departure // watches the current attempt
 	held         int64      // bytes of memory taken
 	digest       zinniapond.Digest
