Export limits, queues and ramp-ups, and log their decisions

Operators could not see which plans are at their limits, which control host counts, how long requests wait and which replicas ramp up.

The end of the lease on keys was logged only when readiness was asked; it is now logged once for each change, also when a request meets it.

Measured: the tests of internal/core, internal/policy/pace, internal/policy/wait, internal/fleet/quotas, internal/front/quota and internal/front/runner pass.

--- a/internal/fleet/quotas/quotas.go
+++ b/internal/fleet/quotas/quotas.go
@@ -15,6 +15,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/fleet/hosts"
@@ -32,6 +33,11 @@
 		if err := mounter.Mount("Quotas", c); err != nil {
 			return nil, fmt.Errorf("mount quotas: %w", err)
 		}
+		o, err := kernel.Find[*overview.Overview](k)
+		if err != nil {
+			return nil, err
+		}
+		o.Add(c)
 		return c, nil
 	})
 }
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -16,6 +16,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/fleet/hosts"
@@ -25,6 +26,11 @@
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Allowances, error) {
 		c := &Client{Host: k.Settings.Host, Logger: k.Logger.Named("quota"), Clock: k.Now}
 		c.ControlHosts.Seeds = k.Settings.Control.Seeds()
+		o, err := kernel.Find[*overview.Overview](k)
+		if err != nil {
+			return nil, err
+		}
+		o.Add(c)
 		return c, errors.Join(kernel.FindInto(k, &c.Peers), kernel.FindInto(k, &c.Policy), kernel.FindInto(k, &c.Stats), kernel.FindInto(k, &c.ControlHosts.Directory))
 	})
 }
--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -14,8 +14,6 @@
 	// staleRetryAfter is the delay after which a client may retry at another host when
 	// this one cannot confirm its configuration.
 	staleRetryAfter = 20 * time.Millisecond
-	// rejectionPause is the time without a rejected key after which the next one is logged.
-	rejectionPause = time.Minute
 	// scopeBytes is the size of the part of a hash that distinguishes the identifiers
 	// of plans from each other.
 	scopeBytes = 12
@@ -52,7 +50,10 @@
 	}
 	age := now.Sub(confirmedAt)
 	plan, ok := t.FindPlan(keyHash)
-	if lease := r.Access.KeyLease(); lease > 0 && age >= lease {
+	lease := r.Access.KeyLease()
+	valid := lease == 0 || age < lease
+	r.recordLease(now, confirmedAt, valid)
+	if !valid {
 		r.Stats.Add("front.unconfirmed", 1)
 		return nil, retryableError("check key", staleRetryAfter, fmt.Errorf("configuration confirmed %s ago: %w", age.Round(time.Millisecond), zinniapond.ErrStaleConfig))
 	}
@@ -64,10 +65,7 @@
 	if keyHash != [32]byte{} && r.MaxApplyTime > 0 && age >= r.MaxApplyTime {
 		return nil, retryableError("check key", staleRetryAfter, fmt.Errorf("unknown key: %w", zinniapond.ErrStaleConfig))
 	}
-	r.Stats.Add("front.unauthorised", 1)
-	if last := r.rejectedAt.Swap(now.UnixNano()); now.Sub(time.Unix(0, last)) >= rejectionPause {
-		r.Logger.Info("key rejected", "route", route.Name, "present", keyHash != [32]byte{}, "version", t.Routing().Version)
-	}
+	r.recordRejectedKey(now, t, route, keyHash != [32]byte{})
 	return nil, fmt.Errorf("check key in version %d: %w", t.Routing().Version, zinniapond.ErrInvalidKey)
 }
 
@@ -75,10 +73,9 @@
 // confirmed as current within the lease.
 func (r *Runner) keyLeaseValid(now time.Time) bool {
 	lease := r.Access.KeyLease()
-	valid := lease == 0 || now.Sub(r.Directory.ConfirmedAt()) < lease
-	if r.leaseExpired.Swap(!valid) == valid {
-		r.Logger.Info("lease for checking keys", "valid", valid, "confirmed", r.Directory.ConfirmedAt())
-	}
+	confirmedAt := r.Directory.ConfirmedAt()
+	valid := lease == 0 || now.Sub(confirmedAt) < lease
+	r.recordLease(now, confirmedAt, valid)
 	return valid
 }
 
--- a/internal/front/runner/await.go
+++ b/internal/front/runner/await.go
@@ -109,8 +109,10 @@
 // request is refused instead; it is nil if ctx is done.
 func (w *waitState) await(ctx context.Context, p *pool) error {
 	now := w.Clock()
+	known := w.observe(now)
 	if expected, isHopeless := w.waiters.isHopeless(now, w.state); isHopeless {
 		w.Stats.Add("front.wait.refused", 1)
+		w.decide(now, known, waitRefused)
 		return fmt.Errorf("expected wait of %s: %w", expected.Round(time.Millisecond), zinniapond.ErrOverload)
 	}
 	w.isUnused = false
@@ -129,18 +131,23 @@
 	case <-timer.C:
 		w.waiters.leave(w.Clock(), w.state.Ticket, woken)
 	case <-ctx.Done():
-		w.waiters.leave(w.Clock(), w.state.Ticket, woken)
+		left := w.Clock()
+		w.waiters.leave(left, w.state.Ticket, woken)
+		w.decide(left, known, waitGone)
 		return nil
 	}
 	w.since = w.Clock()
 	switch {
 	case reason.isRemoved:
 		w.Stats.Add("front.wait.removed", 1)
+		w.decide(w.since, known, waitRemoved)
 		return fmt.Errorf("too many requests wait: %w", zinniapond.ErrOverload)
 	case !w.since.Before(w.state.LeaveAt):
 		w.Stats.Add("front.wait.expired", 1)
+		w.decide(w.since, known, waitExpired)
 		return fmt.Errorf("no replica had room within %s: %w", w.since.Sub(w.state.EnteredAt).Round(time.Millisecond), zinniapond.ErrOverload)
 	}
+	w.decide(w.since, known, waitWoken)
 	w.isWoken = true
 	w.only, w.passes, w.triesLeft = reason.replica, reason.passes, scanTries
 	if w.only.IsValid() {
--- a/internal/front/runner/pace_test.go
+++ b/internal/front/runner/pace_test.go
@@ -40,6 +40,7 @@
 func (f *fakePace) IsFull(_ time.Time, replica zinniapond.Backend) bool {
 	return f.full[replica.Address]
 }
+func (f *fakePace) RampUps(time.Time) []zinniapond.RampUp      { return nil }
 func (f *fakePace) RecordStart(time.Time, zinniapond.Backend)  { f.inFlight++ }
 func (f *fakePace) RecordFinish(time.Time, zinniapond.Backend) { f.inFlight-- }
 func (f *fakePace) RecordAnswer(_ time.Time, _ zinniapond.Backend, answer zinniapond.PaceAnswer) {
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -18,6 +18,7 @@
 	"zinniapond.example/zinniapond/internal/core/kernel"
 	"zinniapond.example/zinniapond/internal/core/meter"
 	"zinniapond.example/zinniapond/internal/core/quota"
+	"zinniapond.example/zinniapond/internal/core/sample"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/front/begun"
@@ -36,7 +37,7 @@
 		r.NewMigration = func() (zinniapond.Migration, error) { return kernel.New[zinniapond.Migration](k) }
 		r.NewWaitQueue = func() (zinniapond.WaitQueue, error) { return kernel.New[zinniapond.WaitQueue](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
-		if err := r.findPace(k); err != nil {
+		if err := errors.Join(r.findPace(k), r.exportOverview(k)); err != nil {
 			return nil, err
 		}
 		return r, errors.Join(
@@ -80,9 +81,9 @@
 
 	table   atomic.Pointer[table.Table]
 	tableMu sync.Mutex // held while a new table is made
-	// leaseExpired is set while keys cannot be checked.
-	leaseExpired atomic.Bool
-	rejectedAt   atomic.Int64 // time of the last rejected key, in nanoseconds
+	lease   leaseLog
+	// rejectedKeys bounds the lines about rejected keys.
+	rejectedKeys sample.Sampler
 	once         sync.Once
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
@@ -130,6 +131,7 @@
 	r.once.Do(func() {
 		r.configured = make(chan struct{})
 		r.ended.Client = r.Client
+		r.rejectedKeys.Interval = rejectionPause
 	})
 }
 
--- a/internal/front/runner/waiting.go
+++ b/internal/front/runner/waiting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/sample"
 )
 
 const (
@@ -52,6 +53,8 @@
 type waiters struct {
 	queue zinniapond.WaitQueue
 	clock func() time.Time
+	// decisions has a lock of its own.
+	decisions decisions
 
 	mu sync.Mutex
 	// wakes has the channels of the requests in the queue. A request that is woken is
@@ -76,7 +79,7 @@
 }
 
 func newWaiters(queue zinniapond.WaitQueue, clock func() time.Time) *waiters {
-	return &waiters{queue: queue, clock: clock, wakes: make(map[uint64]chan wake), refusals: make(map[netip.AddrPort]time.Time)}
+	return &waiters{queue: queue, clock: clock, decisions: decisions{sampler: sample.Sampler{Interval: decisionInterval}}, wakes: make(map[uint64]chan wake), refusals: make(map[netip.AddrPort]time.Time)}
 }
 
 func (w *waiters) ticket() uint64 {
--- a/internal/policy/wait/wait.go
+++ b/internal/policy/wait/wait.go
@@ -180,6 +180,18 @@
 	return len(q.waiting)
 }
 
+// State describes the queue for operators.
+func (q *Queue) State(now time.Time) zinniapond.WaitState {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := zinniapond.WaitState{Length: len(q.waiting)}
+	for i := range q.waiting {
+		s.LongestWait = max(s.LongestWait, now.Sub(q.waiting[i].EnteredAt))
+	}
+	s.FreedPerS, _ = q.freed.perSecond(now)
+	return s
+}
+
 // RecordFree records that places at replicas have become free.
 func (q *Queue) RecordFree(now time.Time, places int) {
 	q.mu.Lock()
--- a/pace.go
+++ b/pace.go
@@ -41,6 +41,8 @@
 	Admits(now time.Time, replica Backend, noOther bool) bool
 	// IsFull reports whether a replica is known to have all its slots in use.
 	IsFull(now time.Time, replica Backend) bool
+	// RampUps returns the replicas that are bounded, ordered by address.
+	RampUps(now time.Time) []RampUp
 	// RecordStart and RecordFinish record a request of this host at a replica.
 	RecordStart(now time.Time, replica Backend)
 	RecordFinish(now time.Time, replica Backend)
--- a/waits.go
+++ b/waits.go
@@ -25,6 +25,15 @@
 	ClientDeadline time.Time
 }
 
+// WaitState describes a queue of waiting requests.
+type WaitState struct {
+	Length      int
+	LongestWait time.Duration // 0 if the queue is empty
+	// FreedPerS is the rate at which places at replicas became free lately; 0 if it is
+	// not known.
+	FreedPerS float64
+}
+
 // WaitQueue orders the requests that wait at one front for the replicas of one pool. It
 // is safe for concurrent use.
 type WaitQueue interface {
@@ -41,6 +50,8 @@
 	// all requests in it.
 	IsFirst(now time.Time, waiting WaitingRequest) bool
 	Len() int
+	// State describes the queue for operators.
+	State(now time.Time) WaitState
 	// RecordFree records that places at replicas have become free.
 	RecordFree(now time.Time, places int)
 	// EstimateWait returns how long a request that enters the queue will wait, from the
