--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -83,9 +83,10 @@
 }
 
 // writeSettings writes the settings files of hosts. The script command is: cluster
-// [-drain TIME] [-extra TEXT] [-body BYTES] [-taps] HOST... For each host it sets
+// [-drain TIME] [-extra TEXT] [-body BYTES] [-taps] [-metrics] HOST... For each host it sets
 // the variables NAME_CALLERS, NAME_OPERATORS, NAME_PEERS and NAME_STREAMS. Every
 // host has all roles. TEXT is added to each file after the section security. With
+// -metrics, NAME_METRICS is set too. With
 // -taps, the hosts connect to each other through proxies, for the command isolate.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
 	flags := flag.NewFlagSet("cluster", flag.ContinueOnError)
@@ -93,6 +94,7 @@
 	extra := flags.String("extra", "", "")
 	maxBodyBytes := flags.Int("body", 8<<20, "")
 	withProxies := flags.Bool("taps", false, "")
+	withMetrics := flags.Bool("metrics", false, "")
 	ts.Check(flags.Parse(args))
 	hosts := flags.Args()
 	ports := reservePorts(ts, 4*len(hosts))
@@ -118,6 +120,11 @@
 			text += fmt.Sprintf("%s = %s\n", name, ports[4*i+n])
 			ts.Setenv(strings.ToUpper(h+"_"+name), ports[4*i+n])
 		}
+		if *withMetrics {
+			address := reservePorts(ts, 1)[0]
+			text += fmt.Sprintf("metrics = %s\n", address)
+			ts.Setenv(strings.ToUpper(h+"_metrics"), address)
+		}
 		if *withProxies {
 			text += fmt.Sprintf("announce-peers = %s\nannounce-streams = %s\n", announced[4*i+2], announced[4*i+3])
 		}
--- a/internal/configcmd/apply/apply.go
+++ b/internal/configcmd/apply/apply.go
@@ -35,6 +35,9 @@
 	Usage  string              `json:"usage"`
 }
 
+// Validate reports a missing address as a usage error.
+func (o *Options) Validate() error { return o.CheckAddress() }
+
 // Run sends the lists to a host and writes the accepted version into the folder.
 func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
 	c, err := o.readChange()
--- a/internal/configcmd/show/show.go
+++ b/internal/configcmd/show/show.go
@@ -20,6 +20,9 @@
 	Folder          string `type:"path" help:"Write plans.ini, usage.ini and the version into this folder, for config apply."`
 }
 
+// Validate reports a missing address as a usage error.
+func (o *Options) Validate() error { return o.CheckAddress() }
+
 // Run prints the lists or writes them into a folder.
 func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
 	var l zinniapond.Lists
--- a/internal/core/remote/remote.go
+++ b/internal/core/remote/remote.go
@@ -23,7 +23,7 @@
 // Operator holds the options that all commands for operators share, and sends
 // their requests.
 type Operator struct {
-	Address   netip.AddrPort `required:"" env:"ZINNIAPOND_ADDRESS" placeholder:"IP:PORT" help:"Operators' address of any host."`
+	Address   netip.AddrPort `env:"ZINNIAPOND_ADDRESS" placeholder:"IP:PORT" help:"Operators' address of any host."`
 	Key       string         `env:"ZINNIAPOND_KEY" help:"Operators' key. Other users of this machine can see it; prefer the variable or --key-file."`
 	KeyFile   string         `type:"path" env:"ZINNIAPOND_KEY_FILE" help:"File with the operators' key."`
 	Authority string         `type:"path" env:"ZINNIAPOND_AUTHORITY" help:"Certificate of the authority that has signed the host's; turns TLS on."`
@@ -32,6 +32,16 @@
 	Open bool `kong:"-"`
 }
 
+// CheckAddress returns the usage error for a missing address, for the method Validate of
+// commands. Kong does not require the option, because node status may have an address of
+// another kind in its place.
+func (o *Operator) CheckAddress() error {
+	if !o.Address.IsValid() {
+		return errors.New("missing flags: --address=IP:PORT")
+	}
+	return nil
+}
+
 // maxAnswerBytes is the maximum size of an answer: both lists for 21,000 plans
 // take about 20 MB.
 const maxAnswerBytes = 128 << 20
--- a/internal/nodecmd/drain/drain.go
+++ b/internal/nodecmd/drain/drain.go
@@ -26,6 +26,9 @@
 // interface has no notification of changes.
 const pollInterval = 250 * time.Millisecond
 
+// Validate reports a missing address as a usage error.
+func (o *Options) Validate() error { return o.CheckAddress() }
+
 // Run drains the host and, with --wait, waits until it owns no shard.
 func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
 	text, err := o.Do(ctx, f, "drain host "+string(o.Host), http.MethodPost, "/v1/hosts/"+url.PathEscape(string(o.Host))+"/drain", nil, nil)
--- a/internal/nodecmd/status/status.go
+++ b/internal/nodecmd/status/status.go
@@ -1,5 +1,5 @@
 // Package status implements the command that shows hosts, shards and degradations
-// of service.
+// of service, or what one host exports at its metrics address.
 package status
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -21,7 +22,8 @@
 // Options are the options of `node status`.
 type Options struct {
 	remote.Operator `embed:""`
-	Check           bool `help:"Fail if a host lags or cannot be reached, a shard has no owner, or service has degraded."`
+	Metrics         netip.AddrPort `placeholder:"IP:PORT" help:"Metrics address of a front or control host, to show its configuration, limits, queues and ramp-ups. Needs no key; --address is not used."`
+	Check           bool           `help:"Fail if a host lags or cannot be reached, a shard has no owner, or service has degraded; with --metrics, if the host cannot check keys."`
 }
 
 // report contains the parts of the answer to GET /v1/status that are printed.
@@ -49,9 +51,20 @@
 	Degradations []zinniapond.Degradation `json:"declines"`
 }
 
-// Run prints the state of the cluster as known to one host. With --check, it
-// returns an error that lists the problems.
+// Validate reports options without any address as a usage error.
+func (o *Options) Validate() error {
+	if !o.Metrics.IsValid() && !o.Address.IsValid() {
+		return errors.New("missing flags: --address=IP:PORT or --metrics=IP:PORT")
+	}
+	return nil
+}
+
+// Run prints the state of the cluster as known to one host, or the overview of one
+// host. With --check, it returns an error that lists the problems.
 func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
+	if o.Metrics.IsValid() {
+		return o.runOverview(ctx, f)
+	}
 	var r report
 	text, err := o.Do(ctx, f, "read status", http.MethodGet, "/v1/status", nil, &r)
 	if err != nil {
--- a/internal/programcmd/view/view.go
+++ b/internal/programcmd/view/view.go
@@ -20,6 +20,9 @@
 	Program         zinniapond.ProgramID `arg:"" help:"Id of the program."`
 }
 
+// Validate reports a missing address as a usage error.
+func (o *Options) Validate() error { return o.CheckAddress() }
+
 // Run prints the program with all its calls.
 func (o *Options) Run(ctx context.Context, f *inject.Factory) error {
 	var h zinniapond.History
