Test that a front shows why callers are refused

A front showed a plan at its limit only until the next reply that granted tokens; it now does so for 5 s after the last one that refused some.

--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -46,6 +46,7 @@
 	used     time.Time // time of the last request
 	// refusedUntil is the end of the time in which requests are refused without a message.
 	refusedUntil [kinds]time.Time
+	refusedAt    time.Time // time of the last reply that has refused requests
 	// nextOwn is the time of the next request that no control host counts.
 	nextOwn time.Time
 }
@@ -167,6 +168,7 @@
 		b.refusedUntil[k] = time.Time{}
 		if wait > waitTime {
 			b.refusedUntil[k] = now.Add(min(wait, maxRefusalAge))
+			b.refusedAt = now
 		}
 	}
 	b.serve(now)
--- a/internal/front/quota/overview.go
+++ b/internal/front/quota/overview.go
@@ -35,12 +35,10 @@
 	o.Limits.Counter = c.counter
 }
 
-// isAtLimit reports whether the last reply about the plan has refused requests, and was
-// received a short time ago.
+// isAtLimit reports whether a reply has refused requests of the plan a short time ago.
+// Replies to a plan at its limit grant and refuse in turn.
 func (b *balance) isAtLimit(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.ContainsFunc(b.refusedUntil[:], func(until time.Time) bool {
-		return !until.IsZero() && now.Sub(until) < atLimitTime
-	})
+	return !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < atLimitTime
 }
--- a/internal/front/quota/overview_test.go
+++ b/internal/front/quota/overview_test.go
@@ -33,6 +33,17 @@
 			assertAtLimit(t, h)
 		})
 	})
+	t.Run("guards against a plan that is shown in turn at and below its limit", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{Lifetime: time.Second, BeginWait: time.Second, OtherWait: time.Second}, func(t *testing.T, h *controlHost) {
+			_, err := h.acquire(plan, false)
+			assert.ErrorIs(t, err, zinniapond.ErrRateLimited)
+			time.Sleep(time.Second)
+			h.grant = zinniapond.QuotaGrant{Lifetime: time.Second, Continuing: 5}
+			_, err = h.acquire(plan, false)
+			assert.NoError(t, err)
+			assertAtLimit(t, h, "p")
+		})
+	})
 	t.Run("guards against a plan at its limit although all its requests are served", func(t *testing.T) {
 		withHost(t, zinniapond.QuotaGrant{Lifetime: time.Second, Continuing: 5}, func(t *testing.T, h *controlHost) {
 			_, err := h.acquire(plan, false)
--- a/internal/front/runner/overview.go
+++ b/internal/front/runner/overview.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -135,6 +136,6 @@
 		expected = known.expected.Round(time.Millisecond).String()
 	}
 	w.Logger.Info("queue decision", "pool", w.poolName, "id", w.request.ID, "outcome", string(outcome), "waiting", known.state.Length,
-		"freed-per-s", known.state.FreedPerS, "expected", expected, "left", w.deadline.Sub(known.at).Round(time.Millisecond),
+		"freed-per-s", fmt.Sprintf("%.1f", known.state.FreedPerS), "expected", expected, "left", w.deadline.Sub(known.at).Round(time.Millisecond),
 		"waited", now.Sub(known.at).Round(time.Millisecond), "begins", w.state.Begins, "others", others)
 }
