--- a/internal/routes/table/plans_test.go
+++ b/internal/routes/table/plans_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -65,13 +66,40 @@
 	})
 }
 
-func BenchmarkFindPlan(b *testing.B) {
+// manyPlans returns a configuration of 21,000 plans with three keys each.
+func manyPlans() *zinniapond.Routing {
 	r := routing(route("r", "h", "/"))
 	for i := range 21_000 {
 		r.Plans = append(r.Plans, plan(zinniapond.PlanName(fmt.Sprint("plan ", i)), fmt.Sprint("a", i), fmt.Sprint("b", i), fmt.Sprint("c", i)))
 	}
-	table, hash := New(r), sha256.Sum256([]byte("b7000"))
+	return r
+}
+
+func BenchmarkFindPlan(b *testing.B) {
+	table, hash := New(manyPlans()), sha256.Sum256([]byte("b7000"))
 	for b.Loop() {
 		table.FindPlan(hash)
 	}
 }
+
+// BenchmarkPlanMemory measures the time in which the tables of a new configuration are
+// made, and the memory that plans and tables keep.
+func BenchmarkPlanMemory(b *testing.B) {
+	inUse := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	before := inUse()
+	r := manyPlans()
+	withPlans := inUse()
+	var table *Table
+	for b.Loop() {
+		table = New(r)
+	}
+	b.ReportMetric((withPlans-before)/1e6, "MB-plans")
+	b.ReportMetric((inUse()-withPlans)/1e6, "MB-index")
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(r)
+}
