Look at the queue only for decisions whose line is due

Each request that enters a queue took two passes over it for a line that is written once a second. The state is now read only if a line is due when the request enters.

Measured: the tests of internal/core/sample, and TestAccessLog, TestQueueOverview and TestWaiting of internal/front/runner, five times and once with the race detector, pass.

--- a/internal/core/sample/sample.go
+++ b/internal/core/sample/sample.go
@@ -16,12 +16,32 @@
 	skipped int
 }
 
+// IsDue reports whether Take would let an event through, so that the caller can leave out
+// work for events that are not.
+func (s *Sampler) IsDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDue(now)
+}
+
+// isDue is IsDue for a caller that holds the lock.
+func (s *Sampler) isDue(now time.Time) bool {
+	return s.passed.IsZero() || now.Sub(s.passed) >= s.Interval
+}
+
+// Skip counts an event that the caller does not want to be let through.
+func (s *Sampler) Skip() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skipped++
+}
+
 // Take reports whether an event is let through, and how many were not since the last one
 // that was.
 func (s *Sampler) Take(now time.Time) (skipped int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.passed.IsZero() && now.Sub(s.passed) < s.Interval {
+	if !s.isDue(now) {
 		s.skipped++
 		return 0, false
 	}
--- a/internal/core/sample/sample_test.go
+++ b/internal/core/sample/sample_test.go
@@ -23,4 +23,13 @@
 		assertTaken(t, s, time.Second, 2, true)
 		assertTaken(t, s, 3*time.Second, 0, true)
 	})
+	t.Run("guards against work for an event that is not let through, and against not counting it", func(t *testing.T) {
+		s := &Sampler{Interval: time.Second}
+		assert.True(t, s.IsDue(start), "the first event is not due")
+		assertTaken(t, s, 0, 0, true)
+		assert.True(t, !s.IsDue(start.Add(999*time.Millisecond)), "an event is due too early")
+		s.Skip()
+		assert.True(t, s.IsDue(start.Add(time.Second)), "an event is not due")
+		assertTaken(t, s, time.Second, 1, true)
+	})
 }
--- a/internal/front/runner/overview.go
+++ b/internal/front/runner/overview.go
@@ -105,6 +105,8 @@
 
 // waitKnown is what was known when a request entered the queue.
 type waitKnown struct {
+	// observed is false if no line was due then. The state costs a pass over the queue.
+	observed bool
 	state    zinniapond.WaitState
 	expected time.Duration
 	ok       bool // the expected wait is known
@@ -113,7 +115,10 @@
 
 // observe returns what is known about the wait of a request.
 func (w *waitState) observe(now time.Time) waitKnown {
-	known := waitKnown{state: w.waiters.queue.State(now), at: now}
+	if !w.waiters.decisions.sampler.IsDue(now) {
+		return waitKnown{}
+	}
+	known := waitKnown{observed: true, state: w.waiters.queue.State(now), at: now}
 	known.expected, known.ok = w.waiters.queue.EstimateWait(now, w.state)
 	return known
 }
@@ -127,6 +132,10 @@
 	case waitExpired:
 		d.expired.Add(1)
 	}
+	if !known.observed {
+		d.sampler.Skip()
+		return
+	}
 	others, ok := d.sampler.Take(now)
 	if !ok {
 		return
