--- a/internal/front/runner/overview_test.go
+++ b/internal/front/runner/overview_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -59,22 +60,35 @@
 func TestAccessLog(t *testing.T) {
 	safe := zinniapond.Route{Kind: zinniapond.RequestSafe, MaxAttempts: 2}
 	whole := answersWith(200, "answer", false, nil)
-	t.Run("guards against a lease whose end and return only readiness shows, and against a line for each request", func(t *testing.T) {
+	// assertChanges asserts that each change of the lease is logged once if it is checked
+	// several times in the given way.
+	assertChanges := func(t *testing.T, check func(*testRunner)) {
+		t.Helper()
 		w := newKeyedRunner(t, safe, whole)
 		log := w.recordLog()
-		assertLines := func(valid string, want int) {
-			t.Helper()
+		for _, step := range []struct {
+			age  time.Duration
+			want string
+		}{{0, ""}, {4600 * time.Millisecond, "valid=false"}, {0, "valid=false valid=true"}} {
+			w.confirmedAge = step.age
 			for range 3 {
-				w.forward(withKey(blueKey))
-				w.Ready()
+				check(w)
 			}
-			assert.Equal(t, len(log.lines("lease for checking keys: valid="+valid)), want)
+			var got []string
+			for _, line := range log.lines("lease for checking keys") {
+				got = append(got, regexp.MustCompile("valid=(true|false)").FindString(line))
+			}
+			assert.Equal(t, strings.Join(got, " "), step.want)
 		}
-		assertLines("true", 0)
-		w.confirmedAge = 4600 * time.Millisecond
-		assertLines("false", 1)
-		w.confirmedAge = 0
-		assertLines("true", 1)
+	}
+	t.Run("guards against a lease whose end and return only readiness shows", func(t *testing.T) {
+		assertChanges(t, func(w *testRunner) { w.forward(withKey(blueKey)) })
+	})
+	t.Run("guards against readiness that does not show them, and a second line for requests", func(t *testing.T) {
+		assertChanges(t, func(w *testRunner) {
+			w.Ready()
+			w.forward(withKey(blueKey))
+		})
 	})
 	t.Run("guards against lines of checks that began before the lease changed", func(t *testing.T) {
 		w := newKeyedRunner(t, safe, whole)
