Take the sharing of slowness among the fronts out again

All fronts left the same replicas at once, also those that were slower for a moment only. Each front goes by its own measurements again.

--- a/interfaces.go
+++ b/interfaces.go
@@ -199,11 +199,6 @@
 	WaitingCalls int            `json:"waiting"`
 	// Programs are the programs of which the server has KV cache.
 	Programs []ProgramID `json:"programs"`
-	// Answers is the number of recent answers that all hosts have measured, and Slowness
-	// their mean time as a multiple of the usual one. They are not part of a server's own
-	// report; Answers is zero if nothing is known.
-	Answers  int     `json:"-"`
-	Slowness float64 `json:"-"`
 }
 
 // CacheEvent reports that a server has added a prompt block to its cache or
@@ -231,13 +226,6 @@
 	EstimateDuration(need PickInfo) time.Duration
 }
 
-// SpeedMeter is a Router that measures the speed of servers.
-type SpeedMeter interface {
-	// RecentAnswers returns the number of recent answers of a server and the sum of their
-	// times as multiples of the usual one. It returns zero unless the server may be slow.
-	RecentAnswers(now time.Time, server netip.AddrPort) (answers int, slowness float64)
-}
-
 // PauseRecorder is a Router that measures calls in flight.
 type PauseRecorder interface {
 	// RecordPause records that the answer to a call is not read for now, as its client does
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -333,9 +333,9 @@
 
 // UpdateLoad stores a load report, which for a few seconds adds to the known
 // load of its server.
-func (r *Router) UpdateLoad(now time.Time, report zinniapond.LoadReport) {
+func (r *Router) UpdateLoad(_ time.Time, report zinniapond.LoadReport) {
 	if s, ok := r.servers.Get(report.Backend); ok {
-		s.setReport(now, report, r.probeJitter(report.Backend))
+		s.setReport(report)
 	}
 }
 
--- a/internal/policy/prefix/server.go
+++ b/internal/policy/prefix/server.go
@@ -57,7 +57,6 @@
 	// zero if nothing was observed.
 	slowness      float64
 	observedAt    time.Time // time of the last observation of slowness
-	measured      measuredSpeed
 	nextProbe     time.Time // earliest time of the next probe while ejected
 	probeInterval time.Duration
 	report        zinniapond.LoadReport
@@ -98,7 +97,7 @@
 	if now.Sub(s.report.TakenAt) < maxReportAge {
 		g.load = max(g.load, float64(s.report.RunningCalls+s.report.WaitingCalls+len(s.inFlight)-s.inFlightAtReport))
 	}
-	g.probeDue = len(s.inFlight) == 0 && !now.Before(s.nextProbe) && (g.load < 1 || !now.Before(s.measured.slowUntil))
+	g.probeDue = len(s.inFlight) == 0 && !now.Before(s.nextProbe)
 	g.probeOverdue = g.probeDue && !now.Before(s.nextProbe.Add(max(s.probeInterval, minProbeInterval)))
 	return g
 }
@@ -114,7 +113,6 @@
 	if b.ID != s.id {
 		s.id, s.cacheGeneration = b.ID, xxhash.Sum64String(b.ID)
 		s.slowness, s.nextProbe, s.probeInterval, s.eventSequence = 0, time.Time{}, 0, 0
-		s.measured = measuredSpeed{}
 	}
 }
 
@@ -146,12 +144,11 @@
 		s.slowness = 1
 	}
 	s.observedAt = now
-	s.measured.add(now, value)
 	s.slowness += slownessGain * (min(value, maxSlowness) - s.slowness)
 	if value < ejectionSlowness {
 		// The next probe may follow at once: a few good answers readmit the
 		// server.
-		s.probeInterval, s.nextProbe, s.measured.isAdopted = 0, now, false
+		s.probeInterval, s.nextProbe = 0, now
 		return
 	}
 	s.probeInterval = min(max(2*s.probeInterval, minProbeInterval), maxProbeInterval)
@@ -178,14 +175,13 @@
 	s.nextProbe = now.Add(max(s.probeInterval, minProbeInterval))
 }
 
-func (s *server) setReport(now time.Time, report zinniapond.LoadReport, jitter time.Duration) {
+func (s *server) setReport(report zinniapond.LoadReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if report.TakenAt.After(s.report.TakenAt) {
 		s.report = report
 		s.report.Programs = nil
 		s.inFlightAtReport = len(s.inFlight)
-		s.adoptSlowness(now, report, jitter)
 	}
 }
 
--- a/loads.go
+++ b/loads.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// SlownessUnit is the slowness of an answer that takes the usual time, in Load.
-const SlownessUnit = 8
-
 // Load is the number of requests at one replica.
 type Load struct {
 	Replica netip.AddrPort `cbor:"r"`
@@ -16,11 +13,6 @@
 	// for a replica that is not bounded by its Pace and has not failed lately.
 	Good int `cbor:"g,omitempty"`
 	Bad  int `cbor:"b,omitempty"`
-	// Answers is the number of answers of the replica in the last seconds, and Slowness
-	// the sum of their slowness in eighths of the usual time. Both are zero unless the
-	// replica may be slow.
-	Answers  int `cbor:"n,omitempty"`
-	Slowness int `cbor:"s,omitempty"`
 }
 
 // Add adds the counts of another host's load of the same replica.
@@ -28,12 +20,10 @@
 	l.Count += o.Count
 	l.Good += o.Good
 	l.Bad += o.Bad
-	l.Answers += o.Answers
-	l.Slowness += o.Slowness
 }
 
 // HasAnswers reports whether the load has counts of answers.
-func (l Load) HasAnswers() bool { return l.Good != 0 || l.Bad != 0 || l.Answers != 0 }
+func (l Load) HasAnswers() bool { return l.Good != 0 || l.Bad != 0 }
 
 // LoadsRequest reports how many requests one host has running at each replica.
 type LoadsRequest struct {
