Count half of the slack as part of each plan's burst

Half of the slack was held for fronts without control hosts, where it made no whole request for most plans; it is now part of the burst. TestLimit adds up all parts of the rule.

--- a/internal/fleet/quotas/quotas.go
+++ b/internal/fleet/quotas/quotas.go
@@ -109,7 +109,7 @@
 		table = &limitTable{version: routing.Version, plans: make(map[zinniapond.PlanName]zinniapond.PlanLimit, len(routing.Plans))}
 		for i := range routing.Plans {
 			p := &routing.Plans[i]
-			table.plans[p.Name] = zinniapond.PlanLimit{Rate: p.RequestRate, Burst: p.RequestBurst}
+			table.plans[p.Name] = c.Policy.Limit(p)
 		}
 		c.limits.Store(table)
 	}
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -106,7 +106,7 @@
 		}
 		b.mu.Lock()
 	})
-	b.setLimit(c.Policy, zinniapond.PlanLimit{Rate: plan.RequestRate, Burst: plan.RequestBurst})
+	b.setLimit(c.Policy, c.Policy.Limit(plan))
 	return b
 }
 
--- a/internal/policy/allow/allow.go
+++ b/internal/policy/allow/allow.go
@@ -33,6 +33,17 @@
 
 var _ zinniapond.AllowancePolicy = Policy{}
 
+// Limit adds half of the slack to the burst of a plan. The smallest plans may begin hardly
+// a program with their burst: one of a rate of 6 and a burst of 6 would be refused half of
+// the programs that its rate allows, as they come in bursts of many requests.
+func (p Policy) Limit(plan *zinniapond.Plan) zinniapond.PlanLimit {
+	limit := zinniapond.PlanLimit{Rate: plan.RequestRate, Burst: plan.RequestBurst}
+	if limit.Rate > 0 {
+		limit.Burst += p.Access.QuotaSlack / 2
+	}
+	return limit
+}
+
 // excess returns half of the requests above the limit that are accepted in a window.
 func (p Policy) excess(limit zinniapond.PlanLimit) float64 {
 	return p.Access.QuotaOverage / 2 * (float64(limit.Rate)*p.Access.QuotaWindow.Seconds() + float64(limit.Burst))
@@ -48,14 +59,14 @@
 	return time.Duration(min(max(lifetime, minLifetime.Seconds()), maxLifetime.Seconds()) * float64(time.Second))
 }
 
-// OwnInterval divides the other half of the accepted excess and half of the slack by the
-// number of hosts. The other half of the slack is left for requests that reach a replica
+// OwnInterval divides the other half of the accepted excess by the number of hosts. The
+// half of the slack that is not part of the burst is left for requests that reach a replica
 // after their token has expired, as the process was suspended while it sent them.
 func (p Policy) OwnInterval(limit zinniapond.PlanLimit, hosts int) time.Duration {
 	if hosts <= 0 {
 		return 0
 	}
-	tokens := int((p.excess(limit) + float64(p.Access.QuotaSlack)/2) / float64(hosts))
+	tokens := int(p.excess(limit) / float64(hosts))
 	if tokens == 0 {
 		return 0
 	}
--- a/internal/policy/allow/allow_test.go
+++ b/internal/policy/allow/allow_test.go
@@ -266,3 +266,26 @@
 		assert.Equal(t, policy.OwnInterval(zinniapond.PlanLimit{Rate: 60, Burst: 100}, 0), 0)
 	})
 }
+
+// TestLimit adds up what a window may contain at most: a bucket with the tokens that were
+// granted before the window, and the share of all hosts without a control host.
+func TestLimit(t *testing.T) {
+	t.Run("guards against parts of the accepted excess that are given away twice", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			plan := &zinniapond.Plan{RequestRate: zinniapond.RequestRate(rapid.Float64Range(1, 700).Draw(t, "rate")), RequestBurst: rapid.IntRange(1, 700).Draw(t, "burst")}
+			hosts := rapid.IntRange(1, 400).Draw(t, "hosts")
+			window := policy.Access.QuotaWindow
+			limit := policy.Limit(plan)
+			counted := float64(limit.Burst) + float64(limit.Rate)*(window+policy.Lifetime(limit)).Seconds()
+			own := 0
+			if interval := policy.OwnInterval(limit, hosts); interval > 0 {
+				own = hosts * (int((window+shareLatency)/interval) + 1)
+			}
+			allowed := (float64(plan.RequestRate)*window.Seconds()+float64(plan.RequestBurst))*(1+policy.Access.QuotaOverage) + float64(policy.Access.QuotaSlack)
+			assert.True(t, counted+float64(own) <= allowed, "%f and %d of %f requests", counted, own, allowed)
+		})
+	})
+	t.Run("guards against a limit for plans without one", func(t *testing.T) {
+		assert.Equal(t, policy.Limit(&zinniapond.Plan{RequestBurst: 5}).Rate, 0)
+	})
+}
--- a/quotas.go
+++ b/quotas.go
@@ -28,6 +28,8 @@
 
 // AllowancePolicy decides how many requests of a plan are allowed.
 type AllowancePolicy interface {
+	// Limit returns the limit that is counted for a plan.
+	Limit(plan *Plan) PlanLimit
 	// Lifetime returns the time for which a token of a plan with the limit is valid.
 	Lifetime(limit PlanLimit) time.Duration
 	// NewBucket returns the bucket of a plan for which no token was granted since the
