--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -27,6 +27,9 @@
 	// avoidTime is the time for which the control host that counts is not asked directly
 	// after a failure.
 	avoidTime = 3 * time.Second
+	// nextTime is the shortest time of a timer. With the race detector, Go 1.26 crashes now
+	// and then if a select in a bubble of package synctest finds a timer that is due.
+	nextTime = time.Nanosecond
 	// sweepInterval is the interval at which unused tokens are collected and idle plans
 	// are forgotten.
 	sweepInterval = 500 * time.Millisecond
@@ -80,7 +83,7 @@
 // Run sends messages until ctx is done.
 func (c *Client) Run(ctx context.Context) error {
 	c.initialise()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(nextTime)
 	defer timer.Stop()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -97,7 +100,7 @@
 		switch wait, ok := c.takeDue(c.Clock()); {
 		case ok && wait == 0:
 			c.exchange(ctx)
-			timer.Reset(0)
+			timer.Reset(nextTime)
 		case ok:
 			timer.Reset(wait)
 		}
