Deliver an answer that was read whole as the deadline passes

relayAnswer dropped it, and the client got status 502. It is now dropped only if the client has gone. TestLateAnswer fails without the change.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -368,8 +368,9 @@
 	if noMemory || answer.Length > int64(len(head)) || answer.Length < 0 && len(head) == maxBufferedBytes {
 		return u.relayLargeAnswer(answer, head)
 	}
-	if ctx.Err() != nil {
-		return verdictMayHaveRun, ctx.Err()
+	// An answer that was read whole is delivered, also after the deadline.
+	if u.client.Err() != nil {
+		return verdictMayHaveRun, u.client.Err()
 	}
 	u.answerRead, u.answerBegun = true, true
 	if err := u.responder.Begin(answer.Status, answer.Fields, int64(len(head))); err != nil {
