--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -4,36 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net/netip"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"zinniapond.example/zinniapond"
-	"zinniapond.example/zinniapond/internal/front/parts"
 )
 
-const (
-	// prefixBlockTokens is the size of the blocks into which a prompt is divided to
-	// find replicas that have a prefix of the prompt in their cache.
-	prefixBlockTokens = 1024
-	// maxPrefixBlocks bounds the blocks of a prompt. Longer prompts share the replicas
-	// of their beginning.
-	maxPrefixBlocks = 1024
-	// maxBufferedBytes is the size up to which an answer is read completely before
-	// its status is sent to the client. If such an answer breaks off, the request
-	// can still be refused or sent again.
-	maxBufferedBytes = 1 << 20
-	// maxAnswerBytes bounds an answer without a length. A faulty replica may send
-	// bytes until its connection is closed.
-	maxAnswerBytes = 64 << 20
-	// refusalDoubt is the time for which a replica that refused a request and closed
-	// the connection is tried last. A replica that leaves does so, and the list shows
-	// it within this time; a full one may do so too and has capacity again soon.
-	refusalDoubt = time.Second
-)
+// refusalDoubt is the time for which a replica that refused a request and closed the
+// connection is tried last. A replica that leaves does so, and the list shows it within
+// this time; a full one may do so too and has capacity again soon.
+const refusalDoubt = time.Second
 
 // verdict is the result of an attempt; it determines whether another replica is
 // tried.
@@ -160,79 +139,6 @@
 	return zinniapond.Join(zinniapond.ErrOutcomeUnknown, last)
 }
 
-// routingNeed describes the request to the router.
-func (u *run) routingNeed() zinniapond.PickInfo {
-	n := zinniapond.PickInfo{
-		Call: zinniapond.CallID(u.scoped(string(u.request.ID))), Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), DataCentre: u.DataCentre,
-		PromptTokens: u.request.PromptTokens, MaxGenerated: u.request.MaxGenerated, PrefixBackend: u.home.Replica, PrefixTokens: min(u.home.Tokens, u.request.PromptTokens),
-		HasIdleConnection: func(a netip.AddrPort) bool { return u.Client.HasIdleConnection(u.Clock(), a, u.sentOnce()) },
-	}
-	hash := xxhash.New()
-	add := func(name string, tokens zinniapond.Tokens) {
-		_, _ = hash.WriteString(name) // never fails
-		for at := zinniapond.Tokens(0); at < tokens && len(n.PrefixHashes) < maxPrefixBlocks; at += prefixBlockTokens {
-			_, _ = hash.WriteString(strconv.Itoa(int(at)) + "/")
-			n.PrefixHashes = append(n.PrefixHashes, hash.Sum64())
-		}
-	}
-	for i, part := range u.request.PromptParts {
-		// The last part belongs to the conversation, and others after the first may.
-		if i == 0 && len(u.request.PromptParts) > 1 && u.fitsCaches(part) {
-			n.SharedTokens = part.Tokens
-		}
-		add(part.ID, part.Tokens)
-	}
-	if len(u.request.PromptParts) == 0 && u.request.SessionID != "" && u.route.IsStream() {
-		add(u.scoped(string(u.request.Program)), prefixBlockTokens)
-		add(u.request.SessionID, prefixBlockTokens)
-	}
-	if len(u.request.PromptParts) == 0 && u.request.AffinityKey != "" {
-		add(u.scoped(u.request.AffinityKey), prefixBlockTokens)
-	}
-	return n
-}
-
-// fitsCaches reports whether each replica of the pool can keep all shared parts of prompts
-// in its cache.
-func (u *run) fitsCaches(shared zinniapond.PromptPart) bool {
-	if u.service == nil || u.service.Engine == nil {
-		return false
-	}
-	parts := u.parts.GetOrCreate(u.poolName, func() *parts.Book { return new(parts.Book) })
-	return parts.Fits(u.Clock(), shared, u.service.Engine.KVCapacity)
-}
-
-// candidate is a replica that was picked for a request, with the reasons for the choice.
-type candidate struct {
-	zinniapond.Backend
-	choice zinniapond.Choice
-	// permitUntil is when the permission of the replica expires; zero if it needs none.
-	permitUntil time.Time
-}
-
-// pickReplica picks a live replica for which allowed returns true. A doubtful one is
-// picked only if there is no other.
-func (p *pool) pickReplica(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
-	c, ok := p.pickPaced(now, need, func(b zinniapond.Backend) bool { return allowed(b) && !p.doubts.Has(now, b) })
-	if !ok {
-		c, ok = p.pickAllowed(now, need, allowed)
-	}
-	return c, ok
-}
-
-func (p *pool) pickAllowed(now time.Time, need zinniapond.PickInfo, allowed func(zinniapond.Backend) bool) (candidate, bool) {
-	replicas := *p.replicas.Load()
-	choice, ok := p.router.Pick(now, need, func(a netip.AddrPort) bool {
-		b, live := replicas[a]
-		return live && allowed(b)
-	})
-	if !ok {
-		return candidate{}, false
-	}
-	b, ok := replicas[choice.Backend]
-	return candidate{Backend: b, choice: choice}, ok
-}
-
 // attempt sends the request to one replica and relays its answer to the client.
 func (u *run) attempt(ctx context.Context, p *pool, replica zinniapond.Backend, cached zinniapond.Tokens, need zinniapond.PickInfo) (v verdict, err error) {
 	start := u.Clock()
@@ -311,7 +217,7 @@
 	if answer.IsStream {
 		v, err = u.relayStream(ctx, answer, &observation, start)
 	} else {
-		v, err = u.relayAnswer(ctx, answer)
+		v, err = u.relayAnswer(answer)
 	}
 	if u.answerRead {
 		u.Blame.RecordFinish(u.Clock(), u.digest)
@@ -356,65 +262,3 @@
 	}
 	return u.Urgency.Rank(now, turn)
 }
-
-// relayAnswer relays an answer that is not a stream.
-func (u *run) relayAnswer(ctx context.Context, answer *zinniapond.ReplicaAnswer) (verdict, error) {
-	head, taken, err := u.Memory.ReadAll(io.LimitReader(u.relay, maxBufferedBytes), min(answer.Length, maxBufferedBytes))
-	u.held += taken
-	noMemory := errors.Is(err, zinniapond.ErrOverload)
-	if err != nil && !noMemory {
-		return verdictMayHaveRun, fmt.Errorf("read answer: %w", err)
-	}
-	if noMemory || answer.Length > int64(len(head)) || answer.Length < 0 && len(head) == maxBufferedBytes {
-		return u.relayLargeAnswer(answer, head)
-	}
-	// An answer that was read whole is delivered, also after the deadline.
-	if u.client.Err() != nil {
-		return verdictMayHaveRun, u.client.Err()
-	}
-	u.answerRead, u.answerBegun = true, true
-	if err := u.responder.Begin(answer.Status, answer.Fields, int64(len(head))); err != nil {
-		return verdictFailed, err
-	}
-	if err := u.relay.Write(head); err != nil {
-		return verdictFailed, err
-	}
-	if err := u.responder.End(); err != nil {
-		return verdictFailed, err
-	}
-	return verdictDone, nil
-}
-
-// relayLargeAnswer relays an answer that is too large to be buffered; head is the
-// part of the body that was read.
-func (u *run) relayLargeAnswer(answer *zinniapond.ReplicaAnswer, head []byte) (verdict, error) {
-	u.answerBegun = true
-	if err := u.responder.Begin(answer.Status, answer.Fields, answer.Length); err != nil {
-		return verdictFailed, err
-	}
-	buffer := make([]byte, 32<<10)
-	relayed := int64(0)
-	for {
-		if relayed += int64(len(head)); answer.Length < 0 && relayed > maxAnswerBytes {
-			return verdictFailed, fmt.Errorf("answer of more than %d bytes: %w", maxAnswerBytes, zinniapond.ErrBackendFailed)
-		}
-		if err := u.relay.Write(head); err != nil {
-			return verdictFailed, err
-		}
-		n, err := u.relay.Read(buffer)
-		head = buffer[:n]
-		if errors.Is(err, io.EOF) {
-			u.answerRead = true
-			if err := u.relay.Write(head); err != nil {
-				return verdictFailed, err
-			}
-			if err := u.responder.End(); err != nil {
-				return verdictFailed, err
-			}
-			return verdictDone, nil
-		}
-		if err != nil {
-			return verdictFailed, fmt.Errorf("read answer: %w", err)
-		}
-	}
-}
