--- a/internal/front/ahead/relay.go
+++ b/internal/front/ahead/relay.go
@@ -17,9 +17,9 @@
 	"zinniapond.example/zinniapond/internal/core/quota"
 )
 
-// slowDelay is the default of Relay.SlowDelay, the time after which a write counts as one to a slow client. Replicas
-// wait for seconds, and a host that is out of processor time pauses for up to 100 ms, in
-// which nothing is gained by a second goroutine.
+// slowDelay is the default of Relay.SlowDelay. Replicas wait for seconds, and a host that
+// is out of processor time pauses for up to 100 ms, in which nothing is gained by a second
+// goroutine.
 const slowDelay = 50 * time.Millisecond
 
 // Relay relays one answer. Its exported fields are set before its use. Read, Write and
