Search the leader without waiting for silent control hosts

Change: while no leader is known, one voter is asked each 50 ms, whether or not earlier requests have been answered.

--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -23,7 +25,13 @@
 // retried.
 func (w *Watcher) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := w.fetch(ctx); err != nil {
+		name, address, leaderKnown := w.selectVoter()
+		if !leaderKnown {
+			w.findLeader(ctx, name, address)
+			continue
+		}
+		request := w.nextRequest()
+		if err := w.fetch(ctx, name, address, request, request.MaxWait+w.Settings.Control.LeaderTimeout); err != nil {
 			w.Logger.Debug("fetch failed", "error", err)
 			sleep(ctx, retryInterval)
 		}
@@ -31,21 +39,57 @@
 	return nil
 }
 
-func (w *Watcher) fetch(ctx context.Context) error {
-	name, address, leaderKnown := w.selectVoter()
-	request := w.nextRequest()
-	limit := request.MaxWait + w.Settings.Control.LeaderTimeout
-	if !leaderKnown {
-		// This voter is only asked for the leader. If it is down, the next one
-		// has to be asked soon.
-		request.MaxWait, limit = 0, w.Settings.Control.LeaderTimeout/2
+// findLeader asks one voter after another for the leader, one each retryInterval, until
+// one has named it or ctx is done. It does not wait for a voter before it asks the next:
+// a host without power does not answer at all, and after an outage most voters may be
+// without power for a while.
+func (w *Watcher) findLeader(ctx context.Context, name zinniapond.HostName, address netip.AddrPort) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	found := make(chan struct{}, 1)
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	for {
+		asked, from := name, address
+		group.Go(func() {
+			request := w.nextRequest()
+			request.MaxWait = 0
+			if err := w.fetch(ctx, asked, from, request, w.Settings.Control.LeaderTimeout/2); err != nil {
+				w.Logger.Debug("leader not found", "error", err)
+				return
+			}
+			select {
+			case found <- struct{}{}:
+			default:
+			}
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-found:
+			return
+		case <-ticker.C:
+		}
+		leaderKnown := false
+		if name, address, leaderKnown = w.selectVoter(); leaderKnown {
+			return // a proposal has found it
+		}
 	}
+}
+
+// fetch sends one request to a voter and applies the reply. It returns an error if the
+// voter neither is the leader nor names it.
+func (w *Watcher) fetch(ctx context.Context, name zinniapond.HostName, address netip.AddrPort, request zinniapond.FetchRequest, limit time.Duration) error {
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var reply zinniapond.FetchReply
 	sent := w.Clock()
 	if err := w.Peers.Call(callCtx, address, "Control.Fetch", request, &reply); err != nil {
-		w.noteLeader(name, "")
+		if ctx.Err() == nil { // a request that was cancelled says nothing about the voter
+			w.noteLeader(name, "")
+		}
 		return zinniapond.Wrap("Control.Fetch", address, err)
 	}
 	if !reply.Accepted {
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -183,7 +183,7 @@
 }
 
 // selectVoter returns the voter for the next request: the leader if it is known,
-// else the voters in rotation.
+// else another voter at each call.
 func (w *Watcher) selectVoter() (name zinniapond.HostName, address netip.AddrPort, leaderKnown bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -194,6 +194,7 @@
 		}
 	}
 	v := voters[w.nextVoter%len(voters)]
+	w.nextVoter++
 	return v.Name, v.PeersAddress, false
 }
 
@@ -227,7 +228,7 @@
 }
 
 // noteLeader records the leader that a voter named. An empty name means that the
-// voter failed or knew no leader; the next request then goes to another voter.
+// voter failed or knew no leader.
 func (w *Watcher) noteLeader(asked, leader zinniapond.HostName) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -235,7 +236,6 @@
 		w.leader = leader
 		return
 	}
-	w.nextVoter++
 	if w.leader == asked {
 		w.leader = ""
 	}
