Run repeatable requests again when their answers are overdue

Change: an attempt without an answer after the pool's 99th percentile and the route's target ends, and the request runs at another replica, within the route's attempts and 5% of the pool's repeatable requests (policy/retry).

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -30,6 +30,9 @@
 	start := u.Clock()
 	waitUntil := start.Add(time.Duration(float64(u.deadline.Sub(start)) * maxWaitShare))
 	need := u.routingNeed()
+	if u.route.IsRepeatable() {
+		p.retrier.CountRequest(start)
+	}
 	wait := u.newWait(p, start, waitUntil)
 	defer wait.end()
 	need.Exclude = wait.excluded(start, p)
@@ -206,6 +209,10 @@
 	p.doubts.Clear(replica)
 	paced.observe(answer)
 	observation.TimeToFirstByte = u.Clock().Sub(start)
+	if !answer.IsStream {
+		departure.stay()
+		p.retrier.ObserveLatency(u.Clock(), u.poolName, observation.TimeToFirstByte)
+	}
 	if u.answerBegun && (!answer.IsStream || answer.Status != u.stream.status) {
 		observation = zinniapond.Observation{Failed: true}
 		return verdictMayHaveRun, fmt.Errorf("replica %s: status %d in place of the rest of a stream: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -17,6 +17,7 @@
 	"zinniapond.example/zinniapond/internal/fleet/limits"
 	"zinniapond.example/zinniapond/internal/policy/blame"
 	"zinniapond.example/zinniapond/internal/policy/leave"
+	"zinniapond.example/zinniapond/internal/policy/retry"
 	"zinniapond.example/zinniapond/internal/policy/robin"
 	"zinniapond.example/zinniapond/internal/policy/urgent"
 	"zinniapond.example/zinniapond/internal/policy/wait"
@@ -229,6 +230,7 @@
 		Clock: time.Now, Urgency: urgent.Policy{}, Limits: &limits.Book{Logger: hclog.NewNullLogger()}, Blame: &blame.Book{Logger: hclog.NewNullLogger()}, Throttle: &fakeThrottle{}, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
 		NewWaitQueue: func() (zinniapond.WaitQueue, error) { return new(wait.Queue), nil },
 		NewMigration: func() (zinniapond.Migration, error) { return new(leave.Policy), nil },
+		NewRetrier:   func() (zinniapond.Retrier, error) { return new(retry.Budget), nil },
 	}
 	w.initialise()
 	assert.NoError(t, w.update())
--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -9,12 +9,12 @@
 	"zinniapond.example/zinniapond"
 )
 
-// errLeft is the cause of the end of an attempt whose stream is continued at another
-// replica.
-var errLeft = errors.New("stream leaves a replica at which it will not end in time")
+// errLeft is the cause of the end of an attempt whose request runs at another replica
+// instead.
+var errLeft = errors.New("request leaves a replica at which it will not end in time")
 
-// departure ends an attempt whose stream will not end in time at its replica. It does
-// nothing if the stream must not run again.
+// departure ends an attempt whose stream will not end in time at its replica, or whose
+// answer is overdue. It does nothing if the request must not run again.
 type departure struct {
 	*run
 	pool   *pool
@@ -34,6 +34,9 @@
 // newDeparture begins to watch an attempt. The attempt uses the returned context. The
 // caller calls end after the attempt.
 func (u *run) newDeparture(ctx context.Context, p *pool, now time.Time) (context.Context, *departure) {
+	if u.route.IsRepeatable() && !u.route.IsStream() {
+		return u.newOverdue(ctx, p, now)
+	}
 	if !u.route.IsStream() || !u.route.Resumable || u.service == nil || u.service.Engine == nil || u.request.MaxGenerated <= 0 {
 		return ctx, nil
 	}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -35,6 +35,7 @@
 		r.LoadExchange = report.LoadExchange{Host: k.Settings.Host, Logger: r.Logger, Clock: k.Now}
 		r.NewRouter = func() (zinniapond.Router, error) { return kernel.New[zinniapond.Router](k) }
 		r.NewMigration = func() (zinniapond.Migration, error) { return kernel.New[zinniapond.Migration](k) }
+		r.NewRetrier = func() (zinniapond.Retrier, error) { return kernel.New[zinniapond.Retrier](k) }
 		r.NewWaitQueue = func() (zinniapond.WaitQueue, error) { return kernel.New[zinniapond.WaitQueue](k) }
 		r.LoadExchange.ControlHosts.Seeds = k.Settings.Control.Seeds()
 		if err := errors.Join(r.findPace(k), r.exportOverview(k)); err != nil {
@@ -73,6 +74,8 @@
 	NewRouter    func() (zinniapond.Router, error)
 	NewWaitQueue func() (zinniapond.WaitQueue, error)
 	NewMigration func() (zinniapond.Migration, error)
+	// NewRetrier returns the budget of second attempts of a pool.
+	NewRetrier func() (zinniapond.Retrier, error)
 	// Memory bounds the memory of all conversations and answers together.
 	Memory *quota.Quota
 	// LoadExchange exchanges the loads of replicas with other hosts. It is not
@@ -103,7 +106,9 @@
 	waiters *waiters
 	// migration decides when streams leave replicas of the pool.
 	migration zinniapond.Migration
-	replicas  atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
+	// retrier bounds the second attempts of requests whose answers are overdue.
+	retrier  zinniapond.Retrier
+	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
 	doubts   doubts.Book
@@ -252,8 +257,12 @@
 	if err != nil {
 		return nil, err
 	}
+	retrier, err := r.NewRetrier()
+	if err != nil {
+		return nil, err
+	}
 	return r.pools.GetOrCreate(name, func() *pool {
-		p := &pool{router: router, pace: r.Pace, waiters: newWaiters(queue, r.Clock), migration: migration}
+		p := &pool{router: router, pace: r.Pace, waiters: newWaiters(queue, r.Clock), migration: migration, retrier: retrier}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
 		return p
 	}), nil
--- a/internal/front/runner/runner_test.go
+++ b/internal/front/runner/runner_test.go
@@ -298,7 +298,7 @@
 		w := newTestRunner(t, zinniapond.Route{Kind: zinniapond.RequestSafe}, answersWith(200, "answer", false, nil))
 		routing := w.view.Routing
 		fresh := &Runner{
-			Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: w.Stats, Logger: w.Logger, Clock: time.Now, Urgency: w.Urgency, Limits: w.Limits, Blame: w.Blame, Throttle: w.Throttle, NewRouter: w.NewRouter, NewWaitQueue: w.NewWaitQueue, NewMigration: w.NewMigration,
+			Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: w.Stats, Logger: w.Logger, Clock: time.Now, Urgency: w.Urgency, Limits: w.Limits, Blame: w.Blame, Throttle: w.Throttle, NewRouter: w.NewRouter, NewWaitQueue: w.NewWaitQueue, NewMigration: w.NewMigration, NewRetrier: w.NewRetrier,
 		}
 		w.view.Routing = nil
 		assert.NoError(t, func() error { fresh.initialise(); return fresh.update() }())
