--- a/internal/quorum/node/node.go
+++ b/internal/quorum/node/node.go
@@ -15,10 +15,15 @@
 	"zinniapond.example/zinniapond/internal/quorum/raft"
 )
 
-// snapshotBytes is the size of the applied records after which a snapshot is
-// taken even if Node.SnapshotRecords is not reached: the disk has to hold the
-// records, and a restart has to read them.
-const snapshotBytes = 8 << 20
+// A snapshot is taken even if Node.SnapshotRecords is not reached once the records
+// applied since the last one are snapshotRatio times as large as the snapshot, but not
+// below minSnapshotBytes and always from maxSnapshotBytes on: the disk has to hold the
+// records, a restart has to read them, and hosts that start get a snapshot in their place.
+const (
+	snapshotRatio    = 2
+	minSnapshotBytes = 64 << 10
+	maxSnapshotBytes = 8 << 20
+)
 
 // Node is one voter. It is not safe for concurrent use. The exported fields
 // are set before Start. The driver calls ApplyChanges after each call of a
@@ -132,7 +137,9 @@
 // compact takes a snapshot once enough records were applied since the last one.
 func (n *Node) compact() error {
 	index := n.State.View().Index
-	if index < n.Core.Snapshot().Index+zinniapond.Index(n.SnapshotRecords) && n.bytesSinceSnapshot < snapshotBytes {
+	last := n.Core.Snapshot()
+	maxBytes := min(max(snapshotRatio*len(last.Data), minSnapshotBytes), maxSnapshotBytes)
+	if index < last.Index+zinniapond.Index(n.SnapshotRecords) && n.bytesSinceSnapshot < maxBytes {
 		return nil
 	}
 	n.bytesSinceSnapshot = 0
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -238,10 +238,18 @@
 		reply.Diverged, reply.MatchIndex = true, match
 		return true
 	}
-	last := c.log.lastIndex()
+	last, next := c.log.lastIndex(), request.NextIndex
 	if request.Disk == "" {
 		last = c.commitIndex
+		// After an outage all hosts start at once, and most of what they would get of the
+		// log are configurations and lists that later ones have replaced.
+		if s := c.log.snapshot; previous < s.Index && c.log.bytes(next, s.Index) > len(s.Data) {
+			reply.Snapshot, next = &s, s.Index+1
+		}
+	}
+	reply.Entries = c.log.batch(next, last, c.BatchBytes)
+	if reply.Snapshot != nil {
+		return true
 	}
-	reply.Entries = c.log.batch(request.NextIndex, last, c.BatchBytes)
 	return len(reply.Entries) > 0 || request.Disk != "" && c.commitIndex > request.AppliedIndex
 }
--- a/internal/quorum/raft/log.go
+++ b/internal/quorum/raft/log.go
@@ -71,6 +71,15 @@
 	return l.entries[from-l.base-1 : to-l.base]
 }
 
+// bytes returns the size of the records between the indexes from and to, both included.
+func (l *log) bytes(from, to zinniapond.Index) int {
+	size := 0
+	for _, e := range l.slice(from, to) {
+		size += len(e.Data)
+	}
+	return size
+}
+
 // batch returns the first records between the indexes from and to, both
 // included, that fit into maxBytes, but at least one.
 func (l *log) batch(from, to zinniapond.Index, maxBytes int) []zinniapond.LogEntry {
