Open further connections beside one that gets no answer

Cause: a dial to a host without power waited 250 ms for the packet that the host had dropped, so that hosts were reached up to 0.35 s after their return. Change: a dial opens a further connection each 60 ms; the first one that is established is used and the others are closed.

--- a/internal/wire/auth/auth.go
+++ b/internal/wire/auth/auth.go
@@ -37,9 +37,11 @@
 	// unreachable host than for one that stops answering.
 	DefaultTimeout = 3 * time.Second
 	// connectTimeout bounds the connect of a dial. While a peer has no power its host drops
-	// the opening packet, and the system sends it again only after 1 s and 3 s. A new dial
-	// finds the peer within this time of its return.
-	connectTimeout = 250 * time.Millisecond
+	// the opening packet, and the system sends it again only after 1 s and 3 s. Further
+	// connections are opened beside the first one each connectInterval, so that one of them
+	// finds the peer soon after its return; regions may be more than an interval apart.
+	connectTimeout  = 250 * time.Millisecond
+	connectInterval = 60 * time.Millisecond
 )
 
 // Authenticator holds the credentials of one host and authenticates its
@@ -53,6 +55,8 @@
 	// invalid or unspecified, the system chooses the address.
 	LocalAddress netip.Addr
 	credentials  credentialFiles
+	// connect opens a connection; nil for TCP.
+	connect func(ctx context.Context, peer netip.AddrPort) (net.Conn, error)
 }
 
 // New returns the authenticator of the host that the settings name, with the
@@ -105,8 +109,7 @@
 func (g *Authenticator) Dial(ctx context.Context, peer netip.AddrPort, purpose string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
-	d := net.Dialer{LocalAddr: g.localAddr(), Timeout: connectTimeout}
-	raw, err := d.DialContext(ctx, "tcp", peer.String())
+	raw, err := g.connectAny(ctx, peer)
 	if err != nil {
 		return nil, wrapNotSent("connect", peer, err)
 	}
@@ -123,6 +126,50 @@
 	return c, nil
 }
 
+// connectAny opens connections one after the other until one of them is established, one
+// fails, or connectTimeout has passed. The others are closed.
+func (g *Authenticator) connectAny(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan result)
+	isOver := make(chan struct{})
+	defer close(isOver)
+	connect := g.connect
+	if connect == nil {
+		connect = g.connectTCP
+	}
+	ticker := time.NewTicker(connectInterval)
+	defer ticker.Stop()
+	for {
+		go func() {
+			raw, err := connect(ctx, peer)
+			select {
+			case results <- result{raw, err}:
+			case <-isOver:
+				if err == nil {
+					_ = raw.Close() // nothing was sent on it
+				}
+			}
+		}()
+		select {
+		case r := <-results:
+			return r.conn, r.err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Authenticator) connectTCP(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: g.localAddr()}
+	return d.DialContext(ctx, "tcp", peer.String())
+}
+
 // localAddr returns the local address of connections to peers: the address at
 // which this host listens, so that a packet filter can distinguish hosts that have
 // several addresses. It returns nil if the host listens at all of its addresses.
