Declare the result of a voter's selection without a value

Cause: the linter reports the assignment as wasted. Change: a declaration in place of the assignment.

--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -72,7 +72,7 @@
 			return
 		case <-ticker.C:
 		}
-		leaderKnown := false
+		var leaderKnown bool
 		if name, address, leaderKnown = w.selectVoter(); leaderKnown {
 			return // a proposal has found it
 		}
