Reserve the ports of tests for their lifetime

TestTenantOverLimit failed with "bind: address already in use": newSystem took a port of the ephemeral range on 127.0.0.1, closed it, and used it and the next three on other addresses. Any connection or listener of the system can take such a port, before the first start and while a host is stopped. The soak checked one port on an address that its hosts don't use, the command scripts checked and closed, and tests of refused connections dialled ports that were free again.

internal/test/ports reserves consecutive ports until the end of a test. It reads the ephemeral range and stays outside it. A UDP socket on each port marks it as reserved for other test processes, and the system frees it also when a process is killed. A listener on all addresses checks that no process listens on the port. The checks of these tests are unchanged.

--- a/cmd/zinniapond/harness_test.go
+++ b/cmd/zinniapond/harness_test.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -13,13 +12,13 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"zinniapond.example/zinniapond/internal/test/ports"
 	"zinniapond.example/zinniapond/internal/test/proxy"
 )
 
@@ -50,34 +49,13 @@
 
 const operatorKey = "operators key of the tests"
 
-// The ports of the hosts are below the range from which the kernel takes the
-// source ports of connections (by default 32768 to 60999). Otherwise a connection
-// could use the port of a stopped host as its source port, and the host could not
-// listen on it after its restart.
-const (
-	firstPort = 18200
-	lastPort  = 32700
-)
-
-// nextPort is the offset at which the search for the next free port begins. It is
-// atomic because scripts run in parallel; it starts at an offset that depends on
-// the process, so that concurrent test processes rarely try the same ports.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()*97) % (lastPort - firstPort)) }
-
-// reservePorts returns loopback addresses with free ports. Each port is returned
-// only once until the range is used up.
+// reservePorts returns loopback addresses with ports that are reserved until the end
+// of the script.
 func reservePorts(ts *testscript.TestScript, count int) []string {
-	var list []string
-	for len(list) < count {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		ts.Check(l.Close())
-		list = append(list, l.Addr().String())
+	r := ports.Reserve(stateOf(ts).test, count)
+	list := make([]string, count)
+	for i := range list {
+		list[i] = r.Address(i).String()
 	}
 	return list
 }
@@ -97,11 +75,11 @@
 	withMetrics := flags.Bool("metrics", false, "")
 	ts.Check(flags.Parse(args))
 	hosts := flags.Args()
-	ports := reservePorts(ts, 4*len(hosts))
-	announced := slices.Clone(ports)
+	addresses := reservePorts(ts, 4*len(hosts))
+	announced := slices.Clone(addresses)
 	if *withProxies {
 		for i, h := range hosts {
-			stateOf(ts).proxyHost(i, h, ports, announced)
+			stateOf(ts).proxyHost(i, h, addresses, announced)
 		}
 	}
 	var voters []string
@@ -117,8 +95,8 @@
 		text := fmt.Sprintf("[node]\nname = %s\ncluster = test\ndata-centre = dc%d\ndata = data-%s\nroles = entry, owner, store, control\ndrain = %s\n", h, i+1, h, *drain)
 		text += "[listen]\n"
 		for n, name := range []string{"callers", "operators", "peers", "streams"} {
-			text += fmt.Sprintf("%s = %s\n", name, ports[4*i+n])
-			ts.Setenv(strings.ToUpper(h+"_"+name), ports[4*i+n])
+			text += fmt.Sprintf("%s = %s\n", name, addresses[4*i+n])
+			ts.Setenv(strings.ToUpper(h+"_"+name), addresses[4*i+n])
 		}
 		if *withMetrics {
 			address := reservePorts(ts, 1)[0]
@@ -139,12 +117,12 @@
 // proxyHost gives a host an IP address of its own and adds proxies for its ports
 // for peers and streams, so that isolateHost can drop its traffic in both
 // directions.
-func (st *scriptState) proxyHost(i int, host string, ports, announced []string) {
+func (st *scriptState) proxyHost(i int, host string, addresses, announced []string) {
 	own := netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})
 	st.hostAddresses[host] = own
 	for n := 2; n < 4; n++ {
-		target := netip.AddrPortFrom(own, netip.MustParseAddrPort(ports[4*i+n]).Port())
-		ports[4*i+n] = target.String()
+		target := netip.AddrPortFrom(own, netip.MustParseAddrPort(addresses[4*i+n]).Port())
+		addresses[4*i+n] = target.String()
 		l := proxy.New(st.test, target)
 		st.peerProxies[host] = append(st.peerProxies[host], l)
 		announced[4*i+n] = l.Address().String()
@@ -303,7 +281,7 @@
 	if l == nil {
 		target, err := netip.ParseAddrPort(args[1])
 		ts.Check(err)
-		l = proxy.New(st.test, target)
+		l = proxy.NewAt(st.test, ports.Reserve(st.test, 1).Address(0), target)
 		st.links[args[0]] = l
 		ts.Setenv(strings.ToUpper(args[0])+"_ADDRESS", l.Address().String())
 		return
--- a/internal/backend/conns/conns_test.go
+++ b/internal/backend/conns/conns_test.go
@@ -13,6 +13,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 )
 
 // listen accepts connections and passes each to serve with its number, until
@@ -50,10 +51,9 @@
 
 func TestNotSent(t *testing.T) {
 	t.Run("guards against reporting a request as not sent when only its repetition failed to connect", func(t *testing.T) {
-		var l net.Listener
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		server := ports.Reserve(t, 1).Address(0)
+		l, err := net.Listen("tcp", server.String())
 		assert.NoError(t, err)
-		server := netip.MustParseAddrPort(l.Addr().String())
 		go func() {
 			c, err := l.Accept()
 			if err != nil {
--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -16,6 +16,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 )
 
 // server accepts connections and counts them and their requests.
@@ -127,11 +128,8 @@
 		assert.Equal(t, s.requests.Load(), int64(1))
 	})
 	t.Run("guards against reporting a request as sent after a refused dial", func(t *testing.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		s := &server{address: l.Addr().(*net.TCPAddr).AddrPort()}
-		assert.NoError(t, l.Close())
-		_, err = get(t, new(Pool), s)
+		s := &server{address: ports.Reserve(t, 1).Address(0)}
+		_, err := get(t, new(Pool), s)
 		assert.ErrorIs(t, err, zinniapond.ErrNotSent)
 	})
 	t.Run("guards against reusing a connection that the replica has closed", func(t *testing.T) {
--- a/internal/backend/plain/plain_test.go
+++ b/internal/backend/plain/plain_test.go
@@ -18,6 +18,7 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/standin/tools"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 )
 
 // flakyServer counts each request that reaches it as executed, but answers only
@@ -150,10 +151,7 @@
 		a.Body.Close()
 	}
 	t.Run("guards against reporting a request as sent after a refused dial", func(t *testing.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		l.Close()
-		_, err = c.Do(t.Context(), "a", zinniapond.Backend{Address: netip.MustParseAddrPort(l.Addr().String())}, serviceCall("POST", "/"), nil)
+		_, err := c.Do(t.Context(), "a", zinniapond.Backend{Address: ports.Reserve(t, 1).Address(0)}, serviceCall("POST", "/"), nil)
 		assert.ErrorIs(t, err, zinniapond.ErrNotSent)
 	})
 	t.Run("guards against reporting a request as not sent after its deadline has expired", func(t *testing.T) {
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -17,6 +16,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 	"zinniapond.example/zinniapond/internal/test/proxy"
 )
 
@@ -258,13 +258,6 @@
 }
 
 func TestOutcome(t *testing.T) {
-	unusedAddress := func(t *testing.T) netip.AddrPort {
-		t.Helper()
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		defer l.Close()
-		return l.Addr().(*net.TCPAddr).AddrPort()
-	}
 	assertNotRun := func(t *testing.T, got result) {
 		t.Helper()
 		assert.Equal(t, got.answer.Outcome, zinniapond.OutcomeNotRun)
@@ -283,7 +276,7 @@
 	}
 	t.Run("guards against reporting an unknown outcome for a call that reached no owner", func(t *testing.T) {
 		d := newDirectory()
-		d.assign("owner", unusedAddress(t))
+		d.assign("owner", ports.Reserve(t, 1).Address(0))
 		assertNotRun(t, <-submit(newRelay(t, d), newShortCall(), new(buffer)))
 	})
 	t.Run("guards against waiting past the call's bound without a control state", func(t *testing.T) {
--- a/internal/wire/auth/auth_test.go
+++ b/internal/wire/auth/auth_test.go
@@ -26,6 +26,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -187,17 +188,14 @@
 		assert.Contains(t, err.Error(), "another secret")
 	})
 	t.Run("guards against a connection to itself keeping a restarted host from its port", func(t *testing.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		unusedAddress := l.Addr()
-		assert.NoError(t, l.Close())
-		d := net.Dialer{LocalAddr: unusedAddress}
+		unusedAddress := ports.Reserve(t, 1).Address(0)
+		d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(unusedAddress)}
 		raw, err := d.Dial("tcp", unusedAddress.String())
 		assert.NoError(t, err)
 		_, err = newAuthenticator("rennbach", "right secret").handshakeClient(context.Background(), raw, Peers)
 		raw.Close()
 		assert.ErrorIs(t, err, errSelfConnection)
-		l, err = net.Listen("tcp", unusedAddress.String())
+		l, err := net.Listen("tcp", unusedAddress.String())
 		assert.NoError(t, err)
 		assert.NoError(t, l.Close())
 	})
--- a/internal/wire/peers/peers_test.go
+++ b/internal/wire/peers/peers_test.go
@@ -18,6 +18,7 @@
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/test/ports"
 	"zinniapond.example/zinniapond/internal/test/proxy"
 	"zinniapond.example/zinniapond/internal/wire/auth"
 	"zinniapond.example/zinniapond/internal/wire/serve"
@@ -142,10 +143,7 @@
 	f := startServer(t, nil)
 	p := startPool(t, nil)
 	peer := f.server.Address()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NoError(t, err)
-	unusedAddress := l.Addr().(*net.TCPAddr).AddrPort()
-	l.Close()
+	unusedAddress := ports.Reserve(t, 1).Address(0)
 	t.Run("guards against a lost or changed message", func(t *testing.T) { mustCall(t, p, peer) })
 	t.Run("guards against losing the type of a method's error", func(t *testing.T) {
 		var reply string
