--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -8,14 +8,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,37 +19,6 @@
 	"zinniapond.example/zinniapond/internal/core/shard"
 )
 
-const (
-	// dialTimeout bounds a dial. Hosts are a few ms apart; if a replica drops the
-	// first packet, the caller does better to try another replica.
-	dialTimeout = time.Second
-	// readBufferBytes is the size of a connection's read buffer; one event of a
-	// stream fits in.
-	readBufferBytes = 4 << 10
-	// maxHeadBytes bounds the header of an answer with all interim answers before it.
-	maxHeadBytes = 64 << 10
-	// maxCopies and maxCopyBytes bound the late copies of other answers that are
-	// skipped before an answer, and the body of one.
-	maxCopies    = 4
-	maxCopyBytes = 1 << 20
-	// maxErrorBytes bounds the text of an error about a header.
-	maxErrorBytes = 200
-	// maxRefusedIDs is the number of refused requests that a connection remembers.
-	maxRefusedIDs = 16
-	// defaultIdleTimeout applies to replicas that do not announce their own idle
-	// timeout. A connection that the replica has closed is detected before its
-	// reuse.
-	defaultIdleTimeout = 30 * time.Second
-	// maxIdleSeconds bounds the idle timeout that a replica announces.
-	maxIdleSeconds = 3600
-	// idleMargin is how long before the replica's idle timeout a connection is
-	// closed on this side, so that no request is sent while the replica closes it.
-	idleMargin = time.Second
-	// keepAliveTimeout is the time within which an unreachable peer is detected
-	// while there is nothing to send.
-	keepAliveTimeout = 5 * time.Second
-)
-
 // Pool holds the idle connections to replicas. The zero value is ready for use.
 type Pool struct {
 	// MaxIdleNonRepeatable is the longest idle time of a connection for a
@@ -71,17 +35,6 @@
 	replicas shard.Map[netip.AddrPort, *replicaConns]
 }
 
-// replicaConns holds the idle connections to one replica, the most recently used
-// at the end. Once removed is set, returned connections are closed.
-type replicaConns struct {
-	mu      sync.Mutex
-	idle    []*connection
-	removed bool
-}
-
-// errHeadTooLarge reports a header that has not ended after maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("header of the answer has more than %d bytes", maxHeadBytes)
-
 // connection is a connection to a replica with its buffered reader.
 type connection struct {
 	net.Conn
@@ -107,48 +60,6 @@
 	return l.Close()
 }
 
-// body is the body of an answer. It implements io.ReadCloser.
-type body struct {
-	answer           *http.Response
-	id               string        // of the request
-	copies           int           // number of late copies before the answer
-	decoded          io.ReadCloser // as net/http decodes it
-	connection       *connection
-	stopCancellation func() bool   // stops closing the connection at the end of ctx
-	writeDone        chan struct{} // closed when no more of the request is written
-	complete         bool
-	closed           bool
-	idleTimeout      time.Duration // how long the connection may be idle after the answer
-	now              func() time.Time
-	ctx              context.Context
-}
-
-// headLimiter limits the bytes that are read from a connection while a header is
-// expected. net/http would collect header fields for as long as they arrive.
-type headLimiter struct {
-	source    io.Reader
-	limited   bool
-	remaining int
-}
-
-// expectHead sets the limit for the next header.
-func (h *headLimiter) expectHead() { h.limited, h.remaining = true, maxHeadBytes }
-
-// expectBody removes the limit.
-func (h *headLimiter) expectBody() { h.limited = false }
-
-func (h *headLimiter) Read(part []byte) (int, error) {
-	if !h.limited {
-		return h.source.Read(part)
-	}
-	if h.remaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := h.source.Read(part[:min(len(part), h.remaining)])
-	h.remaining -= n
-	return n, err
-}
-
 // Do sends a request and returns the answer once its header has arrived.
 // request is the encoded request, header and body. nonRepeatable limits the
 // idle time of a reused connection to MaxIdleNonRepeatable. The error wraps
@@ -200,224 +111,3 @@
 	answer.Body = b
 	return answer, nil
 }
-
-// readAnswer reads the header of the answer to a request and skips late copies of other
-// answers before it.
-func (p *Pool) readAnswer(l *connection, method, id string) (answer *http.Response, copies int, err error) {
-	for {
-		l.limiter.expectHead()
-		answer, err = readHead(l.reader, method)
-		l.limiter.expectBody()
-		if err != nil {
-			return nil, copies, err
-		}
-		other := ""
-		if p.IDField != "" {
-			other = answer.Header.Get(p.IDField)
-		}
-		if other == "" || other == id {
-			return answer, copies, nil
-		}
-		if copies++; copies > maxCopies {
-			return nil, copies, fmt.Errorf("more than %d answers to other requests", maxCopies)
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxCopyBytes))
-		if err == nil && n == maxCopyBytes {
-			err = fmt.Errorf("more than %d bytes", maxCopyBytes)
-		}
-		if err != nil {
-			return nil, copies, fmt.Errorf("skip answer to request %q: %w", other, err)
-		}
-	}
-}
-
-// readHead reads the header of the final answer and skips interim answers (1xx).
-func readHead(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		answer, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			return nil, shorten(err)
-		}
-		if answer.StatusCode >= http.StatusOK {
-			return answer, nil
-		}
-	}
-}
-
-// shorten bounds the text of an error. net/http repeats a malformed line, which may have
-// maxHeadBytes.
-func shorten(err error) error {
-	if len(err.Error()) <= maxErrorBytes {
-		return err
-	}
-	return fmt.Errorf("%.*q (shortened)", maxErrorBytes, err.Error())
-}
-
-// Read reads the body. It returns io.EOF at the end of a complete body only.
-func (b *body) Read(part []byte) (int, error) {
-	n, err := b.decoded.Read(part)
-	if errors.Is(err, io.EOF) {
-		b.complete = true
-	} else if err != nil && b.ctx.Err() != nil {
-		err = b.ctx.Err()
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if the request was written, the
-// answer was read to its end and nothing else was received. Otherwise it closes
-// the connection.
-func (b *body) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	notCancelled := b.stopCancellation()
-	l := b.connection
-	if b.answer.StatusCode >= http.StatusBadRequest {
-		l.refused = append(l.refused, b.id)
-		l.refused = l.refused[max(len(l.refused)-maxRefusedIDs, 0):]
-	}
-	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
-		l.reader.Buffered() > 0 {
-		err := l.abort()
-		<-b.writeDone // the close ends the write; the request is in memory until then
-		return err
-	}
-	l.idleSince = b.now()
-	l.reusableUntil = l.idleSince.Add(b.idleTimeout)
-	l.replica.put(l)
-	return nil
-}
-
-// parseIdleTimeout returns how long a connection may be idle, from the replica's
-// Keep-Alive header: the announced timeout less idleMargin, but at least half of
-// it.
-func parseIdleTimeout(value string) time.Duration {
-	for _, p := range strings.Split(value, ",") {
-		name, digits, _ := strings.Cut(strings.TrimSpace(p), "=")
-		if seconds, err := strconv.Atoi(digits); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 {
-			d := time.Duration(min(seconds, maxIdleSeconds)) * time.Second
-			return max(d-idleMargin, d/2)
-		}
-	}
-	return defaultIdleTimeout
-}
-
-func (r *replicaConns) put(l *connection) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.removed {
-		_ = l.Close()
-		return
-	}
-	r.idle = append(r.idle, l)
-}
-
-// acquire returns the most recently used idle connection if it is usable, or a
-// new one.
-func (p *Pool) acquire(ctx context.Context, now time.Time, to netip.AddrPort, id string, nonRepeatable bool) (*connection, error) {
-	r := p.replicas.GetOrCreate(to, func() *replicaConns { return new(replicaConns) })
-	for {
-		l := r.pop()
-		if l == nil {
-			break
-		}
-		if now.Before(l.reusableUntil) && l.receivedNothing() {
-			if p.isUsable(now, l, nonRepeatable) && (id == "" || !slices.Contains(l.refused, id)) {
-				return l, nil
-			}
-			r.put(l)
-			break
-		}
-		_ = l.Close()
-	}
-	if p.OnDial != nil {
-		p.OnDial()
-	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveTimeout / 2, Interval: keepAliveTimeout / 4, Count: 2}}
-	c, err := d.DialContext(ctx, "tcp", to.String())
-	if err != nil {
-		return nil, err
-	}
-	limiter := &headLimiter{source: c}
-	return &connection{Conn: c, replica: r, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
-}
-
-// IsRefused reports whether connections to an address are refused, as nothing listens
-// there. It is false if that is not known before ctx is done.
-func (p *Pool) IsRefused(ctx context.Context, to netip.AddrPort) bool {
-	if p.OnDial != nil {
-		p.OnDial()
-	}
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", to.String())
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// HasIdleConnection reports whether a request to a replica would find a
-// usable idle connection.
-func (p *Pool) HasIdleConnection(now time.Time, to netip.AddrPort, nonRepeatable bool) bool {
-	r, ok := p.replicas.Get(to)
-	if !ok {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.idle) == 0 {
-		return false
-	}
-	l := r.idle[len(r.idle)-1]
-	return now.Before(l.reusableUntil) && p.isUsable(now, l, nonRepeatable)
-}
-
-// isUsable reports whether a connection may be reused for a request: one for a
-// non-repeatable request has been idle for at most MaxIdleNonRepeatable.
-func (p *Pool) isUsable(now time.Time, l *connection, nonRepeatable bool) bool {
-	return !nonRepeatable || p.MaxIdleNonRepeatable == 0 || now.Sub(l.idleSince) <= p.MaxIdleNonRepeatable
-}
-
-func (r *replicaConns) pop() *connection {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.idle) == 0 {
-		return nil
-	}
-	l := r.idle[len(r.idle)-1]
-	r.idle = r.idle[:len(r.idle)-1]
-	return l
-}
-
-// CloseExpired closes connections past their idle timeout, and all idle
-// connections to replicas for which keep returns false.
-func (p *Pool) CloseExpired(now time.Time, keep func(netip.AddrPort) bool) {
-	var removed []netip.AddrPort
-	p.replicas.Each(func(a netip.AddrPort, r *replicaConns) bool {
-		if r.sweep(now, keep(a)) {
-			removed = append(removed, a)
-		}
-		return true
-	})
-	for _, a := range removed {
-		p.replicas.Delete(a)
-	}
-}
-
-func (r *replicaConns) sweep(now time.Time, keep bool) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.removed = !keep
-	kept := r.idle[:0]
-	for _, l := range r.idle {
-		if keep && now.Before(l.reusableUntil) {
-			kept = append(kept, l)
-		} else {
-			_ = l.Close()
-		}
-	}
-	r.idle = kept
-	return r.removed
-}
