Rename internal/core/overview to internal/core/vars

Package names have four to six letters. The package exports the state of a host at GET /debug/vars, with expvar; its type stays Overview.

--- a/internal/core/overview/overview.go
+++ b/internal/core/vars/vars.go
@@ -1,5 +1,5 @@
-// Package overview exports the state of a host that operators read at GET /debug/vars.
-package overview
+// Package vars exports the state of a host that operators read at GET /debug/vars.
+package vars
 
 import (
 	"encoding/json"
--- a/internal/core/overview/overview_test.go
+++ b/internal/core/vars/vars_test.go
@@ -1,4 +1,4 @@
-package overview
+package vars
 
 import (
 	"encoding/json"
--- a/internal/fleet/quotas/quotas.go
+++ b/internal/fleet/quotas/quotas.go
@@ -15,9 +15,9 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
-	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/core/vars"
 	"zinniapond.example/zinniapond/internal/fleet/hosts"
 )
 
@@ -33,7 +33,7 @@
 		if err := mounter.Mount("Quotas", c); err != nil {
 			return nil, fmt.Errorf("mount quotas: %w", err)
 		}
-		o, err := kernel.Find[*overview.Overview](k)
+		o, err := kernel.Find[*vars.Overview](k)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -16,9 +16,9 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
-	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
+	"zinniapond.example/zinniapond/internal/core/vars"
 	"zinniapond.example/zinniapond/internal/fleet/hosts"
 )
 
@@ -26,7 +26,7 @@
 	kernel.Register("default", func(k *kernel.Kernel) (zinniapond.Allowances, error) {
 		c := &Client{Host: k.Settings.Host, Logger: k.Logger.Named("quota"), Clock: k.Now}
 		c.ControlHosts.Seeds = k.Settings.Control.Seeds()
-		o, err := kernel.Find[*overview.Overview](k)
+		o, err := kernel.Find[*vars.Overview](k)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/front/runner/overview.go
+++ b/internal/front/runner/overview.go
@@ -10,8 +10,8 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
-	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/sample"
+	"zinniapond.example/zinniapond/internal/core/vars"
 	"zinniapond.example/zinniapond/internal/routes/table"
 )
 
@@ -27,7 +27,7 @@
 
 // exportOverview adds the runner to the overview of its host.
 func (r *Runner) exportOverview(k *kernel.Kernel) error {
-	o, err := kernel.Find[*overview.Overview](k)
+	o, err := kernel.Find[*vars.Overview](k)
 	if err == nil {
 		o.Add(r)
 	}
--- a/internal/nodecmd/status/overview.go
+++ b/internal/nodecmd/status/overview.go
@@ -12,8 +12,8 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/inject"
-	"zinniapond.example/zinniapond/internal/core/overview"
 	"zinniapond.example/zinniapond/internal/core/remote"
+	"zinniapond.example/zinniapond/internal/core/vars"
 )
 
 const readOverviewStep = "read overview"
@@ -42,16 +42,16 @@
 
 // readOverview returns the overview as the host has exported it.
 func (o *Options) readOverview(ctx context.Context, f *inject.Factory) (json.RawMessage, error) {
-	var vars map[string]json.RawMessage
+	var exported map[string]json.RawMessage
 	host := remote.Operator{Address: o.Metrics, Open: true}
-	if _, err := host.Do(ctx, f, readOverviewStep, http.MethodGet, "/debug/vars", nil, &vars); err != nil {
+	if _, err := host.Do(ctx, f, readOverviewStep, http.MethodGet, "/debug/vars", nil, &exported); err != nil {
 		var e *zinniapond.Error
 		if errors.Is(err, zinniapond.ErrNotSent) && errors.As(err, &e) {
 			e.Hint = "check --metrics, [listen] metrics in the host's settings, and that the host runs"
 		}
 		return nil, err
 	}
-	text, ok := vars[overview.Name]
+	text, ok := exported[vars.Name]
 	if !ok {
 		return nil, &zinniapond.Error{
 			Step: readOverviewStep, Peer: o.Metrics, Hint: "ask a host with the role front or control",
