Wait in a test until the third control host knows which one counts

TestOverview of fleet/quotas read the overview of host 1 directly after host 0 had got its lease. Two of three hosts grant it, so host 1 may not have the request yet. The test now waits until all messages have been handled, as others of the package do; its checks are unchanged.

--- a/internal/fleet/quotas/overview_test.go
+++ b/internal/fleet/quotas/overview_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -23,13 +24,17 @@
 
 func TestOverview(t *testing.T) {
 	t.Run("guards against a control host that shows itself as the one that counts without its lease", func(t *testing.T) {
-		q := newQuorum(3)
-		assertLimits(t, q, 0, 0, false)
-		assertGranted(t, q, 0, 1, 1)
-		assert.Equal(t, assertLimits(t, q, 0, 0, true).Counter, q.list[0])
-		assert.Equal(t, assertLimits(t, q, 1, 0, false).Counter, q.list[0])
-		q.advance(leaseTime)
-		assertLimits(t, q, 0, 0, false)
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuorum(3)
+			assertLimits(t, q, 0, 0, false)
+			assertGranted(t, q, 0, 1, 1)
+			// The lease is granted by two of the hosts; the third learns of it now.
+			synctest.Wait()
+			assert.Equal(t, assertLimits(t, q, 0, 0, true).Counter, q.list[0])
+			assert.Equal(t, assertLimits(t, q, 1, 0, false).Counter, q.list[0])
+			q.advance(leaseTime)
+			assertLimits(t, q, 0, 0, false)
+		})
 	})
 	t.Run("guards against an export that grows with the number of plans", func(t *testing.T) {
 		q := newQuorum(1)
