Open a new connection to a peer whose heartbeats are overdue

Cause: after hosts with disks lost power for 1.9 s, fronts went on using their old connections to them until these were reset, up to 1.2 s after the return: the system repeats packets at growing intervals. Change: a connection without a byte for 1.5 heartbeat intervals gets no calls; they wait for a new one. Once that is established, the silent ones are closed, so that the calls on them can be repeated.

--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -38,6 +38,7 @@
 	maxMessageBytes   int
 	heartbeatInterval time.Duration
 	silenceTimeout    time.Duration
+	lastRead          atomic.Int64 // Unix time of the last byte from the peer, in nanoseconds
 
 	mu          sync.Mutex // serialises the writes of messages and heartbeats
 	readBuffer  []byte     // last frame read; reused unless larger than chunkBytes
@@ -71,6 +72,7 @@
 	if c.silenceTimeout == 0 {
 		c.silenceTimeout = DefaultSilenceTimeout
 	}
+	c.lastRead.Store(time.Now().UnixNano())
 	c.reader = bufio.NewReaderSize(timeoutReader{c}, 16<<10)
 	go c.sendHeartbeats()
 	return c
@@ -89,6 +91,9 @@
 		return 0, io.EOF
 	}
 	n, err := c.conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
 	if err == nil || n > 0 {
 		return n, nil
 	}
@@ -116,6 +121,13 @@
 	}
 }
 
+// IsSilent reports whether a heartbeat of the peer is overdue at now. The connection is
+// still open then: a slow peer may go on, but after a loss of power it would be reset only
+// when the system repeats a packet, for which it pauses longer each time.
+func (c *Codec) IsSilent(now time.Time) bool {
+	return now.UnixNano()-c.lastRead.Load() > int64(c.heartbeatInterval*3/2)
+}
+
 // Done returns a channel that is closed when the connection is closed.
 func (c *Codec) Done() <-chan struct{} { return c.done }
 
--- a/internal/wire/peers/connection.go
+++ b/internal/wire/peers/connection.go
@@ -88,7 +88,8 @@
 
 // selectConnection returns the open connection with the fewest pending calls and
 // increments their count, or the dial to wait for if none is open. It removes
-// closed connections and starts a dial if all connections are busy.
+// closed connections and starts a dial if all connections are busy. Silent connections
+// get no calls.
 func (v *peer) selectConnection() (*connection, *dialAttempt, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -97,14 +98,19 @@
 		return nil, nil, zinniapond.ErrNotSent
 	default:
 	}
+	now := time.Now()
 	var leastLoaded *connection
-	open := v.connections[:0]
+	open, answering := v.connections[:0], 0
 	for _, l := range v.connections {
 		if !l.isOpen() {
 			l.idleTimer.Stop()
 			continue
 		}
 		open = append(open, l)
+		if l.codec.IsSilent(now) {
+			continue
+		}
+		answering++
 		if leastLoaded == nil || l.pending.Load() < leastLoaded.pending.Load() {
 			leastLoaded = l
 		}
@@ -112,7 +118,7 @@
 	clear(v.connections[len(open):])
 	v.connections = open
 	busy := leastLoaded == nil || leastLoaded.pending.Load() >= int64(v.pool.CallsPerConnection)
-	if v.pendingDial == nil && busy && len(v.connections) < v.pool.MaxConnections {
+	if v.pendingDial == nil && busy && answering < v.pool.MaxConnections {
 		v.startDial()
 	}
 	if leastLoaded == nil {
@@ -150,10 +156,22 @@
 		l := &connection{codec: codec.New(c, v.pool.MaxMessageBytes, v.pool.HeartbeatInterval, v.pool.SilenceTimeout), stats: v.pool.Stats}
 		l.idleTimer = time.AfterFunc(v.pool.IdleTimeout, func() { v.closeIdle(l) })
 		l.client = rpc.NewClientWithCodec(l.codec)
+		v.closeSilent(time.Now())
 		v.connections = append(v.connections, l)
 	}()
 }
 
+// closeSilent closes the silent connections once a new one is established, so that the
+// calls on them fail and can be repeated. The caller holds mu.
+func (v *peer) closeSilent(now time.Time) {
+	for _, l := range v.connections {
+		if l.codec.IsSilent(now) {
+			v.pool.Stats.Add("peers.silent", 1)
+			_ = l.codec.Close()
+		}
+	}
+}
+
 // connect dials after the given delay. The calls wait for it, so that a caller
 // that retries without delay does not occupy a core with dials to an unreachable
 // host.
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -55,8 +55,8 @@
 	// IdleTimeout is the time after the last call after which a connection is
 	// closed.
 	IdleTimeout time.Duration
-	// Stats counts calls, calls that ended before their reply, dials and failed
-	// dials. It may be nil.
+	// Stats counts calls, calls that ended before their reply, dials, failed dials and
+	// silent connections that a new one has replaced. It may be nil.
 	Stats *stats.Set[string]
 	// MaxMessageBytes, HeartbeatInterval and SilenceTimeout are the arguments of
 	// codec.New: the largest message in bytes, the heartbeat interval and the read
--- a/internal/wire/peers/peers_test.go
+++ b/internal/wire/peers/peers_test.go
@@ -239,6 +239,22 @@
 		mustCall(t, p, tcpProxy.Address()) // opens a new connection
 		assert.Equal(t, tcpProxy.ConnectionCount(), 2)
 	})
+	t.Run("guards against calls that wait for the end of a silent connection to a host that is back", func(t *testing.T) {
+		const longSilence = 20 * silenceTimeout
+		f := startServer(t, func(s *serve.Server) { s.SilenceTimeout = longSilence })
+		defer close(f.echo.release)
+		tcpProxy := proxy.New(t, f.server.Address())
+		p := startPool(t, func(p *Pool) { p.CallTimeout, p.SilenceTimeout = time.Minute, longSilence })
+		p.Stats = new(stats.Set[string])
+		pending := startBlockedCall(f, p, tcpProxy.Address())
+		start := time.Now()
+		tcpProxy.DropBytes()
+		time.Sleep(2 * heartbeatInterval)
+		mustCall(t, p, tcpProxy.Address())
+		assert.True(t, <-pending != nil, "the call on the silent connection has an answer")
+		assert.True(t, time.Since(start) < longSilence/2, "took %s", time.Since(start))
+		assert.Equal(t, p.Stats.Value("peers.silent"), 1)
+	})
 	t.Run("guards against a half-closed connection being used again", func(t *testing.T) {
 		tcpProxy := proxy.New(t, f.server.Address())
 		p := startPool(t, func(p *Pool) { p.CallTimeout = time.Minute })
