Return an answer whose body ends the exchange in backend/conns

The package exported two types, Pool and Exchange. Drain reads the rest of an answer. The behaviour is unchanged.

The tests of conns read the body of the answer in place of the exchange; their checks are unchanged.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -72,9 +72,10 @@
 	echoing shard.Map[netip.AddrPort, struct{}]
 }
 
-// Exchange is one request with its answer, whose body is read by Exchange.Read.
-type Exchange struct {
-	Answer *http.Response
+// exchange is one request with its answer. It is the body of the answer that Do returns.
+type exchange struct {
+	answer *http.Response
+	body   io.ReadCloser // of the answer, as net/http decodes it
 
 	pool          *Pool
 	server        netip.AddrPort
@@ -145,9 +146,10 @@
 // Do sends the request and returns once the answer's header has arrived;
 // deadlineMode is DeadlineNever, DeadlineOnReused or DeadlineAlways. The error
 // wraps ErrNotSent if no byte of the request was written. The caller closes the
-// exchange.
-func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request, deadlineMode int) (*Exchange, error) {
-	x := &Exchange{pool: p, server: server, deadlineMode: deadlineMode, cancelTimeout: func() {}}
+// answer's body, which ends the exchange: the connection is closed unless the body
+// was read to its end.
+func (p *Pool) Do(ctx context.Context, server netip.AddrPort, request *http.Request, deadlineMode int) (*http.Response, error) {
+	x := &exchange{pool: p, server: server, deadlineMode: deadlineMode, cancelTimeout: func() {}}
 	if p.AttemptTimeout > 0 {
 		ctx, x.cancelTimeout = context.WithTimeout(ctx, p.AttemptTimeout)
 	}
@@ -165,25 +167,25 @@
 	if err != nil {
 		err = x.cancelCause(err)
 		wroteAny := x.wroteAny()
-		x.Close()
+		_ = x.Close() // there is no body
 		if !wroteAny {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrNotSent, err)
 		}
 		return nil, zinniapond.Wrap("send request", server, err)
 	}
-	x.Answer = answer
+	x.answer, x.body, answer.Body = answer, answer.Body, x
 	if err := x.checkID(id); err != nil {
-		x.Close()
+		_ = x.Close() // the answer is not used
 		return nil, zinniapond.Wrap("read answer", server, err)
 	}
 	x.resetProgressTimer()
-	return x, nil
+	return answer, nil
 }
 
 // checkID checks that the answer has the id of the request. It may have none unless
 // the connection was reused in a pool with RequireID.
-func (x *Exchange) checkID(id string) error {
-	switch answered := x.Answer.Header.Get(RequestIDField); {
+func (x *exchange) checkID(id string) error {
+	switch answered := x.answer.Header.Get(RequestIDField); {
 	case answered == id:
 		x.pool.echoing.Set(x.server, struct{}{})
 		return nil
@@ -198,7 +200,7 @@
 
 // recordConn records a connection that net/http has chosen for the request, and
 // starts the progress deadline if the deadline mode asks for it.
-func (x *Exchange) recordConn(info httptrace.GotConnInfo) {
+func (x *exchange) recordConn(info httptrace.GotConnInfo) {
 	x.reused.Store(info.Reused)
 	if c, ok := info.Conn.(*countingConn); ok {
 		x.mu.Lock()
@@ -213,7 +215,7 @@
 // wroteAny reports whether any byte of the request was written. It is called
 // after RoundTrip has failed: RoundTrip closes the connection before it returns
 // an error, so no byte is written later.
-func (x *Exchange) wroteAny() bool {
+func (x *exchange) wroteAny() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, t := range x.assignedConns {
@@ -225,7 +227,7 @@
 }
 
 // resetProgressTimer restarts the progress deadline.
-func (x *Exchange) resetProgressTimer() {
+func (x *exchange) resetProgressTimer() {
 	if x.pool.ProgressTimeout > 0 {
 		x.progressTimer.Reset(x.pool.ProgressTimeout)
 	}
@@ -233,7 +235,7 @@
 
 // cancelCause returns the reason for which the exchange's context was cancelled,
 // or err if it was not cancelled.
-func (x *Exchange) cancelCause(err error) error {
+func (x *exchange) cancelCause(err error) error {
 	c := context.Cause(x.ctx)
 	if c == nil {
 		return err
@@ -247,8 +249,8 @@
 
 // Read reads the answer's body. It restarts the progress deadline and fails once
 // the body exceeds MaxAnswerBytes.
-func (x *Exchange) Read(b []byte) (int, error) {
-	n, err := x.Answer.Body.Read(b)
+func (x *exchange) Read(b []byte) (int, error) {
+	n, err := x.body.Read(b)
 	x.resetProgressTimer()
 	x.bytesRead += int64(n)
 	if x.bytesRead > MaxAnswerBytes {
@@ -260,23 +262,29 @@
 	return n, err
 }
 
-// DrainBody reads and discards the remaining bytes of an answer whose content
+// Drain reads and discards the remaining bytes of an answer of Pool.Do whose content
 // is complete, within drainTimeout and maxDrainBytes. net/http reuses a
 // connection only after the body was read to its end.
-func (x *Exchange) DrainBody() {
+func Drain(answer *http.Response) {
+	x, ok := answer.Body.(*exchange)
+	if !ok {
+		return // not an answer of Pool.Do
+	}
 	x.progressTimer.Reset(drainTimeout)
-	_, _ = io.Copy(io.Discard, io.LimitReader(x.Answer.Body, maxDrainBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.body, maxDrainBytes))
 }
 
 // Close ends the exchange. If the body was not read to its end, the connection
 // is closed too.
-func (x *Exchange) Close() {
+func (x *exchange) Close() error {
 	x.progressTimer.Stop()
-	if x.Answer != nil {
-		x.Answer.Body.Close()
+	var err error
+	if x.body != nil {
+		err = x.body.Close()
 	}
 	x.cancel(context.Canceled)
 	x.cancelTimeout()
+	return err
 }
 
 // dropTransport discards the connections to a server after one of them stopped
--- a/internal/backend/conns/conns_test.go
+++ b/internal/backend/conns/conns_test.go
@@ -38,12 +38,12 @@
 	if err != nil {
 		return err
 	}
-	x, err := p.Do(ctx, server, r, deadlineMode)
+	answer, err := p.Do(ctx, server, r, deadlineMode)
 	if err != nil {
 		return err
 	}
-	defer x.Close()
-	_, err = io.ReadAll(x)
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
 	return err
 }
 
--- a/internal/backend/openai/openai.go
+++ b/internal/backend/openai/openai.go
@@ -160,16 +160,16 @@
 		return nil, fmt.Errorf("%s: %w", step, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	x, err := c.managementPool.Do(ctx, server, request, conns.DeadlineNever)
+	a, err := c.managementPool.Do(ctx, server, request, conns.DeadlineNever)
 	if err != nil {
 		return nil, zinniapond.Wrap(step, server, err)
 	}
-	defer x.Close()
-	b, err := io.ReadAll(io.LimitReader(x, maxManagementAnswerBytes))
+	defer a.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxManagementAnswerBytes))
 	if err != nil {
 		return nil, zinniapond.Wrap(step, server, err)
 	}
-	switch status := x.Answer.StatusCode; {
+	switch status := a.StatusCode; {
 	case status == http.StatusConflict:
 		return nil, zinniapond.Wrap(step, server, zinniapond.ErrFenced)
 	case status == http.StatusNotFound:
--- a/internal/backend/openai/run.go
+++ b/internal/backend/openai/run.go
@@ -80,23 +80,23 @@
 	if r.call.Traceparent != "" {
 		request.Header.Set("Traceparent", r.call.Traceparent)
 	}
-	x, err := r.client.chatPool.Do(ctx, r.server, request, deadlineMode)
+	received, err := r.client.chatPool.Do(ctx, r.server, request, deadlineMode)
 	if err != nil {
 		if !errors.Is(err, zinniapond.ErrNotSent) {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrBackendFailed, err)
 		}
 		return zinniapond.Answer{}, err
 	}
-	defer x.Close()
-	return r.receive(x)
+	defer received.Body.Close()
+	return r.receive(received)
 }
 
-// receive reads the answer of one exchange. It rejects an answer for another
+// receive reads the answer of a server. It rejects an answer for another
 // attempt.
-func (r *attemptRun) receive(x *conns.Exchange) (zinniapond.Answer, error) {
-	header := x.Answer.Header
+func (r *attemptRun) receive(received *http.Response) (zinniapond.Answer, error) {
+	header := received.Header
 	answer := zinniapond.Answer{
-		Call: r.call.ID, Outcome: zinniapond.OutcomeDone, Status: x.Answer.StatusCode, Backend: r.server,
+		Call: r.call.ID, Outcome: zinniapond.OutcomeDone, Status: received.StatusCode, Backend: r.server,
 	}
 	fail := func(err error) (zinniapond.Answer, error) {
 		err = fmt.Errorf("%w: %w", zinniapond.ErrBackendFailed, err)
@@ -119,7 +119,7 @@
 	}
 	mediaType, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
 	if r.call.Stream && answer.Status == http.StatusOK && mediaType == "text/event-stream" {
-		err := r.forwardStream(x, answer)
+		err := r.forwardStream(received, answer)
 		answer.Body, answer.Usage = r.answerBody, r.parser.usage
 		if err != nil {
 			return fail(err)
@@ -129,7 +129,7 @@
 	if r.sinkBegun {
 		return fail(fmt.Errorf("%w: status %d instead of the rest of the stream", errAnswerDiffers, answer.Status))
 	}
-	body, err := io.ReadAll(x)
+	body, err := io.ReadAll(received.Body)
 	if err != nil {
 		return fail(err)
 	}
@@ -150,7 +150,7 @@
 // forwardStream passes complete events to the sink as they arrive. The end event
 // is only added to answerBody: the caller must not receive it before the result
 // is durable.
-func (r *attemptRun) forwardStream(x *conns.Exchange, answer zinniapond.Answer) error {
+func (r *attemptRun) forwardStream(received *http.Response, answer zinniapond.Answer) error {
 	if !r.sinkBegun && r.sink != nil {
 		if err := r.sink.Begin(answer.Status, answer.Fields); err != nil {
 			return fmt.Errorf("pass answer on: %w", err)
@@ -160,7 +160,7 @@
 	r.parser.pending = nil // discards a partial event of a broken connection
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := x.Read(buffer)
+		n, err := received.Body.Read(buffer)
 		for _, event := range r.parser.feed(buffer[:n]) {
 			event, err := r.replay.filter(event)
 			if err != nil {
@@ -177,7 +177,7 @@
 		case r.parser.err != nil:
 			return r.parser.err
 		case r.parser.ended:
-			x.DrainBody()
+			conns.Drain(received)
 			return nil
 		case errors.Is(err, io.EOF):
 			return errStreamBroken
--- a/internal/backend/plain/plain.go
+++ b/internal/backend/plain/plain.go
@@ -97,16 +97,16 @@
 	if call.Idempotent {
 		pool = c.reusePool
 	}
-	x, err := pool.Do(ctx, server.Address, request, conns.DeadlineNever)
+	received, err := pool.Do(ctx, server.Address, request, conns.DeadlineNever)
 	if err != nil {
 		if !errors.Is(err, zinniapond.ErrNotSent) {
 			err = fmt.Errorf("%w: %w", zinniapond.ErrBackendFailed, err)
 		}
 		return answer, err
 	}
-	defer x.Close()
-	header := x.Answer.Header
-	answer.Status = x.Answer.StatusCode
+	defer received.Body.Close()
+	header := received.Header
+	answer.Status = received.StatusCode
 	if answer.Status == http.StatusServiceUnavailable && header.Get("X-Leaving") == "true" {
 		if c.OnLeaving != nil {
 			c.OnLeaving(c.Clock(), server.Address)
@@ -121,7 +121,7 @@
 			}
 		}
 	}
-	answer.Body, err = readBody(x, call, answer, sink)
+	answer.Body, err = readBody(received.Body, call, answer, sink)
 	if err != nil {
 		return answer, zinniapond.Wrap("read answer", server.Address, fmt.Errorf("%w: %w", zinniapond.ErrBackendFailed, err))
 	}
@@ -160,28 +160,28 @@
 
 // readBody reads the answer's body. If the caller asked for a stream, it also
 // passes the parts to sink as they arrive.
-func readBody(x *conns.Exchange, call zinniapond.Call, answer zinniapond.Answer, sink zinniapond.Sink) ([]byte, error) {
+func readBody(body io.Reader, call zinniapond.Call, answer zinniapond.Answer, sink zinniapond.Sink) ([]byte, error) {
 	if !call.Stream || sink == nil {
-		return io.ReadAll(x)
+		return io.ReadAll(body)
 	}
 	if err := sink.Begin(answer.Status, answer.Fields); err != nil {
 		return nil, fmt.Errorf("pass answer on: %w", err)
 	}
-	var body []byte
+	var read []byte
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := x.Read(buffer)
-		body = append(body, buffer[:n]...)
+		n, err := body.Read(buffer)
+		read = append(read, buffer[:n]...)
 		if n > 0 {
 			if err := sink.Write(buffer[:n]); err != nil {
-				return body, fmt.Errorf("pass answer on: %w", err)
+				return read, fmt.Errorf("pass answer on: %w", err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return body, nil
+			return read, nil
 		}
 		if err != nil {
-			return body, err
+			return read, err
 		}
 	}
 }
