Wait for the disks in place of a fixed time

A turn that too few disks answered was prepared again after 50 ms, whatever happened meanwhile. It now waits until the set of disks changes or a disk that requests could not be sent to is reached again (Turns.Reached), for at most the 50 ms as before: only a request shows that a disk is reached.

The fakes of the runner's tests have the new method.

--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -138,8 +138,12 @@
 	asked    []zinniapond.TurnID // turns whose chains were read
 	// onReserve is called during each reservation; may be nil.
 	onReserve func()
+	// reached is closed when a disk is reached again; may be nil.
+	reached chan struct{}
 }
 
+func (f *fakeTurns) Reached() <-chan struct{} { return f.reached }
+
 func (f *fakeTurns) ReadChain(_ context.Context, _ time.Time, id zinniapond.TurnID) ([]zinniapond.Turn, error) {
 	f.asked = append(f.asked, id)
 	if f.chain == nil {
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -23,9 +23,10 @@
 	// fullRetryDelay is the delay before replicas are tried again after all of them
 	// were full.
 	fullRetryDelay = 15 * time.Millisecond
-	// quorumRetryDelay is the delay before a read or reservation is tried again
-	// after too few disks answered.
-	quorumRetryDelay = 50 * time.Millisecond
+	// quorumRetryInterval bounds the wait for a disk to be reached again, after which a
+	// read or reservation that too few disks answered is tried again. Only a request
+	// shows that a disk is reached, and there may be no other one.
+	quorumRetryInterval = 50 * time.Millisecond
 	// settleTimeout bounds a settlement after the answer.
 	settleTimeout = 3 * time.Second
 	// replyMargin is the part of the client's time that is reserved for sending an
@@ -160,19 +161,41 @@
 	}
 }
 
-// prepareWithRetry prepares a turn, and tries again while too few disks answer, for
-// at most maxWaitShare of the client's time. After that the client is told to retry.
+// prepareWithRetry prepares a turn. While too few disks answer, it tries again when the
+// disks change or are reached again, for at most maxWaitShare of the client's time.
+// After that the client is told to retry.
 func (u *run) prepareWithRetry(ctx context.Context, now time.Time) error {
 	retryUntil := now.Add(time.Duration(float64(u.deadline.Sub(now)) * maxWaitShare))
 	for {
+		// Taken before the attempt, so that a change during it is not missed.
+		reached, disks := u.Turns.Reached(), u.Directory.View().DisksIndex
 		err := u.prepare(ctx, now)
 		if !errors.Is(err, zinniapond.ErrNoQuorum) || ctx.Err() != nil || u.Clock().After(retryUntil) {
 			return err
 		}
 		u.Stats.Add("front.restored", 1)
+		u.awaitDisks(ctx, reached, disks)
+	}
+}
+
+// awaitDisks waits until reached is closed or the set of disks has another index, for at
+// most quorumRetryInterval.
+func (u *run) awaitDisks(ctx context.Context, reached <-chan struct{}, index zinniapond.Index) {
+	timer := time.NewTimer(quorumRetryInterval)
+	defer timer.Stop()
+	for {
+		changed := u.Directory.Changed()
+		if u.Directory.View().DisksIndex != index {
+			return
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(quorumRetryDelay):
+			return
+		case <-timer.C:
+			return
+		case <-reached:
+			return
+		case <-changed: // possibly another part of the view
 		}
 	}
 }
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -60,6 +60,7 @@
 	// unresponsive has the disks that did not answer in time. They are asked last
 	// until they answer again; reservations still ask all disks.
 	unresponsive shard.Map[zinniapond.DiskID, struct{}]
+	reachability reachability
 }
 
 // moveUnresponsiveLast returns the order with the unresponsive disks at its end.
@@ -93,7 +94,9 @@
 	defer cancel()
 	a := answer[R]{disk: d}
 	slowTimer := time.AfterFunc(hedgeDelay, func() { c.unresponsive.Set(d.ID, struct{}{}) })
-	if err := c.Peers.Call(callCtx, d.Address, method, request, &a.reply); err != nil {
+	err := c.Peers.Call(callCtx, d.Address, method, request, &a.reply)
+	c.reachability.record(d.ID, err)
+	if err != nil {
 		a.err = zinniapond.Wrap(method, d.Address, err)
 	} else if from := a.reply.DiskID(); from != d.ID {
 		a.err = zinniapond.Wrap(method, d.Address, fmt.Errorf("disk %s has taken the place of %s: %w", from, d.ID, zinniapond.ErrUnavailable))
--- a/request.go
+++ b/request.go
@@ -196,4 +196,7 @@
 	Settle(ctx context.Context, now time.Time, spend Spend) error
 	// Keep returns once the turn, and the spend if it has a program, are durable.
 	Keep(ctx context.Context, now time.Time, turn Turn, spend Spend) error
+	// Reached returns a channel that is closed when a disk that could not be reached
+	// answers again. An operation that failed with ErrNoQuorum may then succeed.
+	Reached() <-chan struct{}
 }
