--- a/internal/bench/commit/commit.go
+++ b/internal/bench/commit/commit.go
@@ -34,6 +34,8 @@
 	SyncEachAppend bool
 	// BodyBytes is the size of a record's body in bytes.
 	BodyBytes int
+	// Clock returns the time of the records and of the measurements.
+	Clock func() time.Time
 
 	view     zinniapond.ControlView
 	stores   map[netip.AddrPort]*store.Store
@@ -66,7 +68,7 @@
 		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
 		s := &store.Store{
 			Folder: filepath.Join(t.Folder, string(h)), Retention: time.Hour, SyncEachAppend: t.SyncEachAppend,
-			Logger: hclog.NewNullLogger(), Clock: time.Now, AfterSync: func() { t.syncs.Add(1) },
+			Logger: hclog.NewNullLogger(), Clock: t.Clock, AfterSync: func() { t.syncs.Add(1) },
 		}
 		if err := s.Open(); err != nil {
 			return err
@@ -95,9 +97,9 @@
 func (t *Trial) Recover(ctx context.Context) (time.Duration, int, error) {
 	t.writer = &writer.Writer{
 		Host: "owner", Replicas: t.Replicas, Peers: t, Directory: t, Control: t,
-		Logger: hclog.NewNullLogger(), Clock: time.Now, Timeout: 30 * time.Second,
+		Logger: hclog.NewNullLogger(), Clock: t.Clock, Timeout: 30 * time.Second,
 	}
-	began := time.Now()
+	began := t.Clock()
 	var records atomic.Int64
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(8)
@@ -107,14 +109,14 @@
 	}
 	for _, a := range t.view.Assignments {
 		group.Go(func() error {
-			return t.writer.Recover(ctx, time.Now(), a, func(zinniapond.Record) error {
+			return t.writer.Recover(ctx, t.Clock(), a, func(zinniapond.Record) error {
 				records.Add(1)
 				return nil
 			})
 		})
 	}
 	err := group.Wait()
-	return time.Since(began), int(records.Load()), err
+	return t.Clock().Sub(began), int(records.Load()), err
 }
 
 // AppendPrograms appends records of many programs that do not end: for each
@@ -156,7 +158,7 @@
 }
 
 func (t *Trial) newRecord(kind zinniapond.RecordKind, id zinniapond.ProgramID) zinniapond.Record {
-	r := zinniapond.Record{Kind: kind, Program: id, At: time.Now()}
+	r := zinniapond.Record{Kind: kind, Program: id, At: t.Clock()}
 	switch kind {
 	case zinniapond.RecordOpen:
 		r.OpenedProgram = &zinniapond.Program{ID: id, Plan: "plan", Customer: "customer", OpenedAt: r.At}
@@ -170,14 +172,14 @@
 
 func (t *Trial) appendRecord(ctx context.Context, r zinniapond.Record) error {
 	shard := zinniapond.ShardOf(string(r.Program), t.Shards)
-	return t.writer.Append(ctx, time.Now(), shard, t.view.Assignments[shard].Epoch, r)
+	return t.writer.Append(ctx, t.Clock(), shard, t.view.Assignments[shard].Epoch, r)
 }
 
 // MeasureAppends lets programs append concurrently for the given time, each
 // program one record after the other.
 func (t *Trial) MeasureAppends(ctx context.Context, programs int, duration time.Duration) result {
 	before := t.syncs.Load()
-	r := measureAppends(programs, duration, func(p, _ int) error {
+	r := measureAppends(t.Clock, programs, duration, func(p, _ int) error {
 		return t.appendRecord(ctx, t.newRecord(zinniapond.RecordIntent, zinniapond.ProgramID("load-"+strconv.Itoa(p))))
 	})
 	r.Syncs = t.syncs.Load() - before
@@ -205,7 +207,7 @@
 func (t *Trial) LeaseValid(time.Time) bool { return true }
 
 // ConfirmedAt returns the present time.
-func (t *Trial) ConfirmedAt() time.Time { return time.Now() }
+func (t *Trial) ConfirmedAt() time.Time { return t.Clock() }
 
 // Changed returns a channel that is never closed.
 func (t *Trial) Changed() <-chan struct{} { return nil }
--- a/internal/bench/commit/commit_test.go
+++ b/internal/bench/commit/commit_test.go
@@ -13,7 +13,7 @@
 const duration = 2 * time.Second
 
 func newTrial(b *testing.B, replicas int, single bool) *Trial {
-	t := &Trial{Folder: b.TempDir(), Replicas: replicas, Shards: 64, SyncEachAppend: single, BodyBytes: 2048}
+	t := &Trial{Folder: b.TempDir(), Replicas: replicas, Shards: 64, SyncEachAppend: single, BodyBytes: 2048, Clock: time.Now}
 	assert.NoError(b, t.Start(context.Background()))
 	b.Cleanup(t.Stop)
 	return t
@@ -46,7 +46,7 @@
 			report(b, newTrial(b, 1, false).MeasureStore(programs, duration))
 		})
 		b.Run(fmt.Sprintf("wal/programs=%d", programs), func(b *testing.B) {
-			r, err := MeasureSegmentLog(b.TempDir(), programs, 2048, duration)
+			r, err := MeasureSegmentLog(time.Now, b.TempDir(), programs, 2048, duration)
 			assert.NoError(b, err)
 			report(b, r)
 		})
--- a/internal/bench/commit/engine.go
+++ b/internal/bench/commit/engine.go
@@ -16,7 +16,7 @@
 // runs are written and synced together. The log keeps no index by program and
 // removes nothing, so the result is a lower bound for the cost of a
 // purpose-built log.
-func MeasureSegmentLog(folder string, programs, body int, duration time.Duration) (result, error) {
+func MeasureSegmentLog(clock func() time.Time, folder string, programs, body int, duration time.Duration) (result, error) {
 	log, err := wal.Open(filepath.Join(folder, "wal"), &wal.Options{NoSync: true, SegmentSize: 64 << 20})
 	if err != nil {
 		return result{}, err
@@ -61,7 +61,7 @@
 			}
 		}
 	}()
-	r := measureAppends(programs, duration, func(int, int) error {
+	r := measureAppends(clock, programs, duration, func(int, int) error {
 		j := entry{data: make([]byte, body), done: make(chan struct{})}
 		queue <- j
 		<-j.done
@@ -81,7 +81,7 @@
 func (t *Trial) MeasureStore(programs int, duration time.Duration) result {
 	s := t.stores[t.view.Members["store0"].PeersAddress]
 	before := t.syncs.Load()
-	r := measureAppends(programs, duration, func(p, n int) error {
+	r := measureAppends(t.Clock, programs, duration, func(p, n int) error {
 		index := zinniapond.Index(n + 1)
 		request := &zinniapond.AppendRequest{
 			Shard: zinniapond.ShardID(p + t.Shards), Epoch: 1, PrevIndex: index - 1,
@@ -99,26 +99,26 @@
 
 // measureAppends calls appendOne in a loop for the given time, from one
 // goroutine for each program, and merges the measurements.
-func measureAppends(programs int, duration time.Duration, appendOne func(program, number int) error) result {
+func measureAppends(clock func() time.Time, programs int, duration time.Duration, appendOne func(program, number int) error) result {
 	parts := make([]result, programs)
-	began := time.Now()
+	began := clock()
 	var group sync.WaitGroup
 	for p := range programs {
 		parts[p].Latency = newHistogram()
 		group.Go(func() {
-			for n := 0; time.Since(began) < duration; n++ {
-				at := time.Now()
+			for n := 0; clock().Sub(began) < duration; n++ {
+				at := clock()
 				if err := appendOne(p, n); err != nil {
 					parts[p].Failures++
 					continue
 				}
 				parts[p].Appends++
-				_ = parts[p].Latency.RecordValue(time.Since(at).Microseconds())
+				_ = parts[p].Latency.RecordValue(clock().Sub(at).Microseconds())
 			}
 		})
 	}
 	group.Wait()
-	r := result{Elapsed: time.Since(began), Latency: newHistogram()}
+	r := result{Elapsed: clock().Sub(began), Latency: newHistogram()}
 	for _, p := range parts {
 		r.Appends += p.Appends
 		r.Failures += p.Failures
