Give the last recovery of TestFuzz time for slow syncs

Its recoveries wait 80 ms for a majority, also the last one, when all links and stores are back. A sync of the shared disk took up to 0.9 s then.

While links are cut and stores stopped the wait stays 80 ms. The last recovery of a majority of intact disks waits up to 10 s. What must hold is unchanged: it has to succeed, and a recovery with one intact disk must not.

--- a/internal/journal/writer/fuzz_test.go
+++ b/internal/journal/writer/fuzz_test.go
@@ -65,7 +65,13 @@
 	fuzzOwners = []zinniapond.HostName{"o", "p"}
 )
 
-const fuzzWait = 80 * time.Millisecond
+const (
+	// fuzzWait bounds operations while links are cut and stores are stopped.
+	fuzzWait = 80 * time.Millisecond
+	// healedWait bounds them once all links and stores are back. A majority then answers
+	// after the time of a sync, which was up to 0.9 s on a busy disk.
+	healedWait = 10 * time.Second
+)
 
 func (m *model) drawHost(label string) zinniapond.HostName {
 	return rapid.SampledFrom(fuzzHosts).Draw(m.t, label)
@@ -155,17 +161,17 @@
 // takeover alternates between two hosts, so that a link of the new owner may be cut
 // while that of the old owner works.
 func (m *model) takeover() {
-	m.recover(m.c.assign(fuzzOwners[m.c.View().Assignments[0].Epoch%2]))
+	m.recover(m.c.assign(fuzzOwners[m.c.View().Assignments[0].Epoch%2]), fuzzWait)
 }
 
 // restartOwner recovers the shard under the same assignment in a new process.
 func (m *model) restartOwner() {
 	if a := m.c.View().Assignments[0]; a.Epoch > 0 {
-		m.recover(a)
+		m.recover(a, fuzzWait)
 	}
 }
 
-func (m *model) recover(a zinniapond.Assignment) bool {
+func (m *model) recover(a zinniapond.Assignment, wait time.Duration) bool {
 	if m.current != nil {
 		m.formerOwners = append(m.formerOwners, m.current)
 		m.current = nil
@@ -175,7 +181,7 @@
 			o.stop() // a host runs one process at a time
 		}
 	}
-	next := &owner{Writer: m.c.newWriter(a.Owner, fuzzWait), epoch: a.Epoch}
+	next := &owner{Writer: m.c.newWriter(a.Owner, wait), epoch: a.Epoch}
 	replay := make(map[string][]string)
 	err := next.Recover(ctx, time.Now(), a, func(r zinniapond.Record) error {
 		replay[string(r.Program)] = append(replay[string(r.Program)], r.Reason)
@@ -317,7 +323,11 @@
 	var n int
 	for range 20 {
 		n = m.countIntact()
-		if m.recover(m.c.assign("o")) {
+		wait := fuzzWait
+		if n >= 2 {
+			wait = healedWait
+		}
+		if m.recover(m.c.assign("o"), wait) {
 			break
 		}
 	}
@@ -335,7 +345,7 @@
 		c := newCluster(t, fuzzHosts...)
 		m := &model{c: c, t: r, attempts: make(map[string][]*attempt), ended: make(map[string]bool)}
 		defer c.stop()
-		m.recover(c.assign("o", fuzzHosts[:3]...))
+		m.recover(c.assign("o", fuzzHosts[:3]...), fuzzWait)
 		r.Repeat(map[string]func(*rapid.T){
 			"append": func(*rapid.T) { m.append() }, "append2": func(*rapid.T) { m.append() },
 			"burst": func(*rapid.T) { m.burst() }, "stale": func(*rapid.T) { m.appendAsFormerOwner() },
