Add the time to open a connection to a replica's expected time

Cause: an idle connection counted only among replicas within a tenth of the least expected time. For calls of a few milliseconds one running call is more than that, so that a connection was opened that takes longer than the call beside another.

Change: a replica to which this host has no idle connection has 2 ms more, a round trip and 1 ms at the replica, in its score and its expected time. Among replicas of about equal cost one with an idle connection is taken as before.

--- a/internal/policy/prefix/candidates.go
+++ b/internal/policy/prefix/candidates.go
@@ -17,6 +17,7 @@
 	relativeSlowness float64
 	score            float64
 	ejected          bool
+	needsConnection  bool // this host has no idle connection to the server
 }
 
 // gatherCandidates reads the state of the servers to compare: all servers of a
@@ -37,6 +38,7 @@
 		if s.address == need.PrefixBackend {
 			o.cachedTokens = max(o.cachedTokens, need.PrefixTokens)
 		}
+		o.needsConnection = need.HasIdleConnection != nil && !need.HasIdleConnection(s.address)
 		candidates = append(candidates, o)
 	}
 	if len(eligible) <= sampleSize {
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -230,7 +230,7 @@
 		if !allowed(o) {
 			continue
 		}
-		o.score = o.relativeSlowness * r.latency.expectedCost(need, o.cachedTokens, o.state.load, o.state.slots)
+		o.score = o.relativeSlowness*r.latency.expectedCost(need, o.cachedTokens, o.state.load, o.state.slots) + o.openNanos()
 		if !r.latency.hasObservations() {
 			// Without observations: fewest in flight, and twice as many count as equal
 			// where the whole prompt is cached.
@@ -263,7 +263,7 @@
 		eligible = filterOrAll(eligible, func(o *candidate) bool { return o.dataCentre == need.DataCentre })
 	}
 	if need.HasIdleConnection != nil {
-		eligible = filterOrAll(eligible, func(o *candidate) bool { return need.HasIdleConnection(o.address) })
+		eligible = filterOrAll(eligible, func(o *candidate) bool { return !o.needsConnection })
 	}
 	eligible = filterOrAll(eligible, func(o *candidate) bool { return o.dataCentre == need.DataCentre })
 	count := uint64(len(eligible))
--- a/internal/policy/prefix/speed.go
+++ b/internal/policy/prefix/speed.go
@@ -106,7 +106,7 @@
 	uncached := float64(max(need.PromptTokens-o.cachedTokens, 0) + promptOverhead)
 	unloaded := s.prefillPerToken*uncached + s.decodePerToken*s.generatedShare*float64(need.MaxGenerated)
 	waiting := max(o.state.load-o.state.slots+1, 0) / o.state.slots
-	return time.Duration(unloaded * max(o.state.slowness, 1) * (1 + waiting))
+	return time.Duration(unloaded*max(o.state.slowness, 1)*(1+waiting) + o.openNanos())
 }
 
 func (s *latencyModel) estimate(need zinniapond.PickInfo, cached zinniapond.Tokens) time.Duration {
