Keep the connections of all fronts within the limit of a replica

Cause: connectionLimit of a service was parsed and not enforced. A replica resets connections beyond it, and 390 fronts that keep one idle connection each are beyond a limit of 200 without any load.

Change: each front computes its share from the limit, the number of fronts and the sum of all requests at the replica (internal/policy/share), and the pool of connections refuses one beyond it before a byte is sent and closes idle ones beyond. The fake client of the runner's tests has the two new methods.

--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,7 @@
 	ErrCorrupt         = errors.New("corrupt record")
 	ErrNotSent         = errors.New("no byte reached the peer")
 	ErrPermitExpired   = errors.New("permit has expired")
+	ErrConnectionLimit = errors.New("connection limit of the replica is reached")
 	ErrUnavailable     = errors.New("no backend server available")
 	ErrWarnings        = errors.New("configuration has warnings")
 )
--- a/interfaces.go
+++ b/interfaces.go
@@ -165,7 +165,10 @@
 	// HasIdleConnection reports whether there is an idle connection to a server;
 	// nil if unknown.
 	HasIdleConnection func(netip.AddrPort) bool
-	Exclude           []netip.AddrPort // servers that this call has already tried
+	// CanConnect reports whether a connection to a server may be opened or is idle; nil
+	// if connections are not limited.
+	CanConnect func(netip.AddrPort) bool
+	Exclude    []netip.AddrPort // servers that this call has already tried
 	// RemainingTime is the time until the deadline of the call; zero if it has none.
 	RemainingTime time.Duration
 }
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -314,6 +314,10 @@
 		_ = l.closeFor(zinniapond.OpenStale)
 		return
 	}
+	if r.opens.isOverShare(len(r.idle) + 1) {
+		_ = l.closeFor(zinniapond.OpenOverShare)
+		return
+	}
 	r.idle = append(r.idle, l)
 }
 
@@ -338,7 +342,10 @@
 		hasIdle = true
 		break
 	}
-	reason, restarts := r.opens.begin(hasIdle)
+	reason, restarts, err := r.beginOpen(hasIdle, id)
+	if err != nil {
+		return nil, err
+	}
 	p.recordOpen(reason)
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveTimeout / 2, Interval: keepAliveTimeout / 4, Count: 2}}
 	c, err := d.DialContext(ctx, "tcp", to.String())
--- a/internal/backend/links/opens.go
+++ b/internal/backend/links/opens.go
@@ -21,14 +21,19 @@
 	losses []zinniapond.OpenReason
 	// restarts is the number of restarts of the replica.
 	restarts int
+	share    zinniapond.ConnectionShare
 }
 
 // begin records that a connection is being opened, and returns the reason and the number
-// of restarts of the replica. hasIdle is set if there are idle connections that do not
-// suit the request.
-func (o *opens) begin(hasIdle bool) (reason zinniapond.OpenReason, restarts int) {
+// of restarts of the replica. It returns false if that would exceed the share. hasIdle is
+// set if there are idle connections that do not suit the request, and exempt if the share
+// does not apply.
+func (o *opens) begin(hasIdle, exempt bool) (reason zinniapond.OpenReason, restarts int, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !exempt && o.share.IsLimited && o.count >= o.share.Open {
+		return "", 0, false
+	}
 	o.count++
 	last := len(o.losses) - 1
 	switch {
@@ -42,7 +47,7 @@
 		reason = zinniapond.OpenAllInUse
 	}
 	o.used = true
-	return reason, o.restarts
+	return reason, o.restarts, true
 }
 
 // fail records that the connection could not be opened. The next one has the same reason.
--- a/internal/backend/links/opens_test.go
+++ b/internal/backend/links/opens_test.go
@@ -126,7 +126,7 @@
 	t.Run("guards against unbounded memory for connections that are not replaced", func(t *testing.T) {
 		var o opens
 		for range 1000 {
-			o.begin(false)
+			o.begin(false, false)
 		}
 		for range 1000 {
 			o.end(zinniapond.OpenStale, 0)
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -37,6 +37,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
 	_ "zinniapond.example/zinniapond/internal/policy/retry"
 	_ "zinniapond.example/zinniapond/internal/policy/robin"
+	_ "zinniapond.example/zinniapond/internal/policy/share"
 	_ "zinniapond.example/zinniapond/internal/policy/urgent"
 	_ "zinniapond.example/zinniapond/internal/policy/wait"
 
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -166,7 +166,7 @@
 		Priority: u.urgency(start), LastEventID: u.resumeID(),
 	})
 	switch {
-	case errors.Is(err, zinniapond.ErrPermitExpired):
+	case errors.Is(err, zinniapond.ErrPermitExpired), errors.Is(err, zinniapond.ErrConnectionLimit):
 		return verdictNotRun, err
 	case errors.Is(err, zinniapond.ErrNotSent):
 		observation = zinniapond.Observation{Failed: true}
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/shard"
 	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/fleet/limits"
 	"zinniapond.example/zinniapond/internal/policy/blame"
@@ -33,6 +34,7 @@
 	sent    []zinniapond.ReplicaRequest
 	turns   fakeTurns
 	marked  []netip.AddrPort
+	shares  shard.Map[netip.AddrPort, zinniapond.ConnectionShare]
 	gone    map[netip.AddrPort]bool // replicas that have ended
 	reports int                     // number of reports that were asked for
 	runsOn  int                     // number of reports that name the run of a broken stream
@@ -82,6 +84,15 @@
 
 func (w *testRunner) HasIdleConnection(time.Time, netip.AddrPort, bool) bool { return false }
 
+func (w *testRunner) CanConnect(a netip.AddrPort) bool {
+	share, ok := w.shares.Get(a)
+	return !ok || !share.IsLimited || share.Open > 0
+}
+
+func (w *testRunner) LimitConnections(a netip.AddrPort, share zinniapond.ConnectionShare) {
+	w.shares.Set(a, share)
+}
+
 // body is the body of an answer that may break off.
 type body struct {
 	io.Reader
--- a/internal/front/runner/loads.go
+++ b/internal/front/runner/loads.go
@@ -31,6 +31,8 @@
 	for _, l := range loads {
 		counts[l.Replica] = l.Count
 	}
+	r.sums.Store(&counts)
+	r.limitConnections(now)
 	r.pools.Each(func(_ zinniapond.PoolName, p *pool) bool {
 		for a := range *p.replicas.Load() {
 			p.router.UpdateLoad(now, zinniapond.LoadReport{Backend: a, TakenAt: now, RunningCalls: counts[a]})
--- a/internal/front/runner/pick.go
+++ b/internal/front/runner/pick.go
@@ -27,6 +27,9 @@
 		PromptTokens: u.request.PromptTokens, MaxGenerated: u.request.MaxGenerated, PrefixBackend: u.home.Replica, PrefixTokens: min(u.home.Tokens, u.request.PromptTokens),
 		HasIdleConnection: func(a netip.AddrPort) bool { return u.Client.HasIdleConnection(u.Clock(), a, u.sentOnce()) },
 	}
+	if u.Sharing != nil && u.service != nil && u.service.ConnectionLimit > 0 {
+		n.CanConnect = u.Client.CanConnect
+	}
 	hash := xxhash.New()
 	add := func(name string, tokens zinniapond.Tokens) {
 		_, _ = hash.WriteString(name) // never fails
@@ -84,7 +87,7 @@
 	replicas := *p.replicas.Load()
 	choice, ok := p.router.Pick(now, need, func(a netip.AddrPort) bool {
 		b, live := replicas[a]
-		return live && allowed(b)
+		return live && allowed(b) && (need.CanConnect == nil || need.CanConnect(a))
 	})
 	if !ok {
 		return candidate{}, false
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -41,7 +41,7 @@
 			return nil, err
 		}
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances), kernel.FindInto(k, &r.Sharing),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
@@ -65,7 +65,9 @@
 	// Pace bounds the requests at new replicas; nil if the settings do not name one.
 	Pace zinniapond.Pace
 	// Allowances keeps plans within their limits. It is not used if it is nil.
-	Allowances   zinniapond.Allowances
+	Allowances zinniapond.Allowances
+	// Sharing divides the connections that replicas accept. It is not used if it is nil.
+	Sharing      zinniapond.ConnectionSharing
 	Stats        *stats.Set[string]
 	Meter        *meter.Meter
 	Logger       hclog.Logger
@@ -89,9 +91,12 @@
 	configured chan struct{}
 	pools      shard.Map[zinniapond.PoolName, *pool]
 	hostCount  atomic.Int64 // hosts that exchange loads
-	ended      ended.Checker
-	begun      begun.Book
-	parts      shard.Map[zinniapond.PoolName, *parts.Book] // shared parts of prompts
+	// sums has the number of all hosts' requests at each replica, nil before the first
+	// exchange.
+	sums  atomic.Pointer[map[netip.AddrPort]int]
+	ended ended.Checker
+	begun begun.Book
+	parts shard.Map[zinniapond.PoolName, *parts.Book] // shared parts of prompts
 	// background counts the settlements that run after an answer.
 	background sync.WaitGroup
 }
@@ -162,6 +167,9 @@
 	if r.Pace != nil {
 		r.Pace.SetHostCount(count)
 	}
+	if r.Sharing != nil {
+		r.Sharing.SetHostCount(r.Clock(), count)
+	}
 }
 
 // followUpdates applies the configuration and the list of replicas whenever they
@@ -231,6 +239,7 @@
 		}
 		return true
 	})
+	r.limitConnections(now)
 	r.Client.CloseIdle(now, backends)
 	r.ended.Prune(now)
 	return nil
--- a/request.go
+++ b/request.go
@@ -163,13 +163,19 @@
 // ReplicaClient sends requests to replicas.
 type ReplicaClient interface {
 	// Send sends a request and returns the header of the answer. The error wraps
-	// ErrNotSent if no byte of the request can have reached the replica, and
-	// ErrUnavailable if nothing listens at its address.
+	// ErrNotSent if no byte of the request can have reached the replica,
+	// ErrUnavailable if nothing listens at its address, and ErrConnectionLimit if the
+	// request would need a connection beyond this host's share.
 	Send(ctx context.Context, now time.Time, sending ReplicaRequest) (*ReplicaAnswer, error)
 	// HasIdleConnection reports whether there is an idle connection that a request
 	// to the replica would use. once has the meaning of
 	// ReplicaRequest.NotRepeated.
 	HasIdleConnection(now time.Time, replica netip.AddrPort, once bool) bool
+	// CanConnect reports whether a request to the replica would find an idle connection
+	// or may open one.
+	CanConnect(replica netip.AddrPort) bool
+	// LimitConnections bounds the connections to a replica and closes idle ones beyond.
+	LimitConnections(replica netip.AddrPort, share ConnectionShare)
 	// HasEnded reports whether nothing listens at the address of a replica. It is false
 	// if that is not known.
 	HasEnded(ctx context.Context, replica netip.AddrPort) bool
