--- a/internal/backend/links/body.go
+++ b/internal/backend/links/body.go
@@ -67,7 +67,7 @@
 	}
 	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
 		l.reader.Buffered() > 0 {
-		err := l.abort()
+		err := l.abort(b.closeReason(notCancelled))
 		<-b.writeDone // the close ends the write; the request is in memory until then
 		return err
 	}
--- a/internal/backend/links/idle.go
+++ b/internal/backend/links/idle.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"zinniapond.example/zinniapond"
 )
 
 const (
@@ -30,13 +32,18 @@
 	mu      sync.Mutex
 	idle    []*connection
 	removed bool
+	opens   opens
 }
 
 func (r *replicaConns) put(l *connection) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.removed {
-		_ = l.Close()
+		_ = l.closeFor(zinniapond.OpenStale)
+		return
+	}
+	if r.opens.isOverShare(len(r.idle) + 1) {
+		_ = l.closeFor(zinniapond.OpenOverShare)
 		return
 	}
 	r.idle = append(r.idle, l)
@@ -46,38 +53,42 @@
 // new one.
 func (p *Pool) acquire(ctx context.Context, now time.Time, to netip.AddrPort, id string, nonRepeatable bool) (*connection, error) {
 	r := p.replicas.GetOrCreate(to, func() *replicaConns { return new(replicaConns) })
-	for {
-		l := r.pop()
-		if l == nil {
-			break
+	hasIdle := false
+	for l := r.pop(); l != nil; l = r.pop() {
+		if !now.Before(l.reusableUntil) {
+			_ = l.closeFor(zinniapond.OpenStale)
+			continue
+		}
+		if !l.receivedNothing() {
+			_ = l.closeFor(zinniapond.OpenClosedIdle)
+			continue
 		}
-		if now.Before(l.reusableUntil) && l.receivedNothing() {
-			if p.isUsable(now, l, nonRepeatable) && (id == "" || !slices.Contains(l.refused, id)) {
-				return l, nil
-			}
-			r.put(l)
-			break
+		if p.isUsable(now, l, nonRepeatable) && (id == "" || !slices.Contains(l.refused, id)) {
+			return l, nil
 		}
-		_ = l.Close()
+		r.put(l)
+		hasIdle = true
+		break
 	}
-	if p.OnDial != nil {
-		p.OnDial()
+	reason, restarts, err := r.beginOpen(hasIdle, id)
+	if err != nil {
+		return nil, err
 	}
+	p.recordOpen(reason)
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveTimeout / 2, Interval: keepAliveTimeout / 4, Count: 2}}
 	c, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
+		r.opens.fail(reason)
 		return nil, err
 	}
 	limiter := &headLimiter{source: c}
-	return &connection{Conn: c, replica: r, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
+	return &connection{Conn: c, replica: r, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, restarts: restarts}, nil
 }
 
 // IsRefused reports whether connections to an address are refused, as nothing listens
 // there. It is false if that is not known before ctx is done.
 func (p *Pool) IsRefused(ctx context.Context, to netip.AddrPort) bool {
-	if p.OnDial != nil {
-		p.OnDial()
-	}
+	p.recordOpen(zinniapond.OpenProbe)
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", to.String())
 	if err == nil {
@@ -143,7 +154,7 @@
 		if keep && now.Before(l.reusableUntil) {
 			kept = append(kept, l)
 		} else {
-			_ = l.Close()
+			_ = l.closeFor(zinniapond.OpenStale)
 		}
 	}
 	r.idle = kept
--- a/internal/backend/links/links.go
+++ b/internal/backend/links/links.go
@@ -25,8 +25,8 @@
 	// request that must not be repeated; zero for no limit. A replica may drop a
 	// connection unnoticed, and a request sent on such a connection is lost.
 	MaxIdleNonRepeatable time.Duration
-	// OnDial is called for each new connection; may be nil.
-	OnDial func()
+	// OnDial is called for each new connection, before it is opened; may be nil.
+	OnDial func(reason zinniapond.OpenReason)
 	// IDField is the header field in which an answer has the id of its request. An
 	// answer with another id is a late copy and is skipped. Empty if answers have no
 	// id.
@@ -47,17 +47,19 @@
 	// copy of such an answer could not be told from the answer to the same request.
 	refused []string
 	// written is set while all bytes of the last request are written.
-	written atomic.Bool
+	written  atomic.Bool
+	restarts int         // of the replica when the connection was opened
+	closed   atomic.Bool // set by closeFor
 }
 
 // abort closes the connection. The rest of a request that is not written is dropped at
 // once: the operating system would go on sending what it holds of it, for as long as a
 // replica that reads slowly takes.
-func (l *connection) abort() error {
+func (l *connection) abort(reason zinniapond.OpenReason) error {
 	if c, ok := l.Conn.(*net.TCPConn); ok && !l.written.Load() {
 		_ = c.SetLinger(0) // fails only if the connection is closed
 	}
-	return l.Close()
+	return l.closeFor(reason)
 }
 
 // Do sends a request and returns the answer once its header has arrived.
@@ -89,7 +91,7 @@
 	}
 	b := &body{connection: l, id: id, now: now, ctx: ctx, writeDone: make(chan struct{})}
 	l.written.Store(false)
-	b.stopCancellation = context.AfterFunc(ctx, func() { _ = l.abort() })
+	b.stopCancellation = context.AfterFunc(ctx, func() { _ = l.abort(zinniapond.OpenAfterError) })
 	go func() {
 		// An answer may arrive before the whole request is written.
 		_, err := l.Write(request)
@@ -99,7 +101,7 @@
 	answer, copies, err := p.readAnswer(l, method, id)
 	if err != nil {
 		b.stopCancellation()
-		_ = l.abort()
+		_ = l.abort(zinniapond.OpenAfterError)
 		<-b.writeDone // the close ends the write; the request is in memory until then
 		if ctx.Err() != nil {
 			err = ctx.Err()
