Wait in a test for the second answer in place of a fixed time

Cause: TestDo failed in 2 of 22 runs at a load of 42: the stand-in sends the second copy 20 ms after the first, and the test sends its next request 40 ms after the answer, whether or not the copy has arrived. A copy that arrives later cannot be told from the answer in this test, as its answers have no ids. Change: the test waits until the copy has been written.

--- a/internal/backend/links/links_test.go
+++ b/internal/backend/links/links_test.go
@@ -101,16 +101,18 @@
 		assert.Equal(t, s.connections.Load(), int64(3))
 	})
 	t.Run("guards against reusing an idle connection on which a second answer has arrived", func(t *testing.T) {
+		repeated := make(chan struct{})
 		s, p := serve(t, func(c net.Conn, _ int64) {
 			_, _ = io.WriteString(c, okAnswer)
 			time.Sleep(20 * time.Millisecond)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+			repeated <- struct{}{}
 		}), new(Pool)
 		for range 3 {
 			body, err := get(t, p, s)
 			assert.NoError(t, err)
 			assert.Equal(t, body, "ok")
-			time.Sleep(40 * time.Millisecond)
+			<-repeated // on loopback, written bytes have arrived
 		}
 	})
 	t.Run("guards against taking a truncated answer for a complete one", func(t *testing.T) {
