Record only what has changed in the replica list

Cause: each change of the list was a record with the whole list, 45 KB at 480 replicas, sent to each host: 14.7 of 16.7 MB/s at the leader with 300 hosts. Change: the leader replaces the list of a command by the positions of removed replicas and the new or changed ones, and records the whole list if that does not restore it. An edit names the list that it was made from; it is refused if another one is in force, and the proposer finds the difference again at its next refresh. The edit is a kind of command of its own: a host of an earlier version refuses it and keeps its list, where it would otherwise apply an empty one.

--- a/fleet.go
+++ b/fleet.go
@@ -1,8 +1,10 @@
 package zinniapond
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -180,6 +182,11 @@
 	Slots int `json:"slots,omitempty"`
 }
 
+// Compare orders replicas by address and id.
+func (b Backend) Compare(o Backend) int {
+	return cmp.Or(b.Address.Compare(o.Address), strings.Compare(b.ID, o.ID))
+}
+
 // ControlView is the control state as applied by one host. It is immutable once
 // published, so that readers can share it.
 type ControlView struct {
--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -254,6 +254,8 @@
 		r.apply(now, list)
 		return
 	}
+	// Edits of the list in the control log assume this order.
+	slices.SortStableFunc(list, zinniapond.Backend.Compare)
 	if view.BackendsIndex > 0 && reflect.DeepEqual(list, view.Backends) {
 		return
 	}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -68,9 +68,13 @@
 func (s *State) Voters() []zinniapond.VoterKey { return s.voters }
 
 // Check completes a command before the leader appends it: it adds the faults of
-// the lists and replaces their texts by edits. It returns false with the result if
+// the lists and replaces texts and the list of replicas by edits. It returns false with the result if
 // the command needs no record, because it is a resent copy.
 func (s *State) Check(command *zinniapond.Command) (zinniapond.CommandResult, bool) {
+	if command.Kind == zinniapond.CommandBackends {
+		replaceBackendsByEdit(s.View(), command)
+		return zinniapond.CommandResult{}, true
+	}
 	if command.Kind != zinniapond.CommandLists {
 		return zinniapond.CommandResult{}, true
 	}
@@ -139,6 +143,8 @@
 	case zinniapond.CommandBackends:
 		view.Backends, view.BackendsIndex = command.Backends, view.Index
 		return acceptedResult()
+	case zinniapond.CommandBackendsEdit:
+		return applyBackendsEdit(view, command.BackendsEdit)
 	case zinniapond.CommandEmpty, "":
 		if command.Shards > 0 && view.Shards == 0 {
 			view.Shards = command.Shards
--- a/messages.go
+++ b/messages.go
@@ -19,6 +19,9 @@
 	CommandRouting  CommandKind = "routing"
 	CommandDisk     CommandKind = "disk"
 	CommandBackends CommandKind = "backends"
+	// CommandBackendsEdit replaces CommandBackends in a record. It is a kind of its own:
+	// a host that does not know the field of the edit would apply an empty list.
+	CommandBackendsEdit CommandKind = "backends-edit"
 )
 
 // Command is one change of the control state.
@@ -51,6 +54,19 @@
 	Disk    *DiskChange `cbor:"di,omitempty"`
 	// Backends is the complete list of replicas.
 	Backends []Backend `cbor:"b,omitempty"`
+	// BackendsEdit replaces Backends in a record: the leader records only the
+	// difference from the list in force.
+	BackendsEdit *BackendsEdit `cbor:"be,omitempty"`
+}
+
+// BackendsEdit is the difference between two lists of replicas, which are sorted by
+// address and id.
+type BackendsEdit struct {
+	// Base is the index of the record that last changed the list, to which the edit
+	// applies.
+	Base    Index     `cbor:"b"`
+	Removed []int     `cbor:"r,omitempty"` // positions in the list before, ascending
+	Added   []Backend `cbor:"a,omitempty"` // new replicas, and changed ones after the change
 }
 
 // ListEdit is the difference between a list and its previous version: the part
