Record a changed state of a replica by its position

Cause: an edit of the replica list repeated the names of fields and the whole entry of a replica of which only the state changes, about 115 bytes, and the proposal to the leader had the whole list. Change: the host that reads the list proposes the edit. Positions whose state becomes live or leaving are listed apart, and added replicas have short keys.

--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -17,6 +17,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/fleet/state"
 )
 
 func init() {
@@ -261,6 +262,9 @@
 	}
 	boundedCtx, cancel = context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := r.Control.Propose(boundedCtx, now, zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list})
+	result, err := r.Control.Propose(boundedCtx, now, state.NewBackendsCommand(view, list))
+	if err == nil && !result.Accepted {
+		err = errors.New(result.Reason) // the list is compared again at the next refresh
+	}
 	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "error", err)
 }
--- a/internal/bench/volume/cluster_test.go
+++ b/internal/bench/volume/cluster_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,6 +43,7 @@
 	random   *rand.Rand
 	replicas []zinniapond.Backend
 	started  int // number of replicas that have been started
+	stopped  bool
 }
 
 func newPlatform(count int) *platform {
@@ -67,6 +69,9 @@
 func (p *platform) change() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped {
+		return
+	}
 	for range max(len(p.replicas)/240, 1) {
 		if i := p.random.IntN(len(p.replicas)); p.replicas[i].State == zinniapond.BackendLive {
 			p.replicas[i].State = zinniapond.BackendLeaving
@@ -76,6 +81,13 @@
 	}
 }
 
+// stop ends the changes.
+func (p *platform) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+}
+
 // List implements zinniapond.Lister.
 func (p *platform) List(context.Context) ([]zinniapond.Backend, error) {
 	p.mu.Lock()
@@ -117,8 +129,11 @@
 		c := &cluster{t: t, ctx: ctx, platform: newPlatform(replicaCount), logger: hclog.NewNullLogger(), network: &network{
 			control: make(map[netip.AddrPort]*controlHost), silent: make(map[netip.AddrPort]bool), volumes: make(map[netip.AddrPort]map[string]int),
 		}}
-		defer c.group.Wait()
-		defer stop()
+		defer func() {
+			stop()
+			c.group.Wait()
+			c.network.calls.Wait()
+		}()
 		c.settings = zinniapond.Settings{Cluster: "test", DataCentre: "one"}
 		c.settings.Platform.RefreshInterval = time.Second
 		c.settings.Control = zinniapond.ControlSettings{
@@ -228,6 +243,17 @@
 	return true
 }
 
+// haveSameList reports whether all hosts have the platform's present list.
+func (c *cluster) haveSameList() bool {
+	want, _ := c.platform.List(c.ctx)
+	for _, h := range c.fronts {
+		if !slices.Equal(h.roster.Backends(), want) {
+			return false
+		}
+	}
+	return true
+}
+
 // await waits in virtual time.
 func (c *cluster) await(what string, condition func() bool) {
 	c.t.Helper()
--- a/internal/bench/volume/network_test.go
+++ b/internal/bench/volume/network_test.go
@@ -27,6 +27,7 @@
 	control map[netip.AddrPort]*controlHost
 	silent  map[netip.AddrPort]bool // hosts that have lost power
 	volumes map[netip.AddrPort]map[string]int
+	calls   sync.WaitGroup // calls in progress
 }
 
 // endpoint is the network as one host uses it.
@@ -38,7 +39,7 @@
 // Call implements zinniapond.Peers. A host without power neither answers nor refuses.
 func (e endpoint) Call(ctx context.Context, peer netip.AddrPort, method string, request, reply any) error {
 	done := make(chan error, 1)
-	go func() { done <- e.network.call(e.address, peer, method, request, reply) }()
+	e.network.calls.Go(func() { done <- e.network.call(e.address, peer, method, request, reply) })
 	select {
 	case err := <-done:
 		if !errors.Is(err, errSilent) {
--- a/internal/fleet/state/backends.go
+++ b/internal/fleet/state/backends.go
@@ -6,21 +6,22 @@
 	"zinniapond.example/zinniapond"
 )
 
-// replaceBackendsByEdit replaces the list of replicas of a command by the difference
-// from the list in force. Every host has that list, so that a record, the log and the
-// traffic to each host grow with the change and not with the list. The list stays whole
-// if it is the first one, or if the difference does not restore it or is larger.
-func replaceBackendsByEdit(view *zinniapond.ControlView, command *zinniapond.Command) {
+// NewBackendsCommand returns the command that replaces the list of replicas of a view: the
+// difference, so that a record, the log and the traffic to each host grow with the change
+// and not with the list. It has the whole list if that is the first one, or if the
+// difference does not restore it or has more entries.
+func NewBackendsCommand(view *zinniapond.ControlView, list []zinniapond.Backend) zinniapond.Command {
+	whole := zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list}
 	if view.BackendsIndex == 0 {
-		return
+		return whole
 	}
-	edit := newBackendsEdit(view.Backends, command.Backends)
+	edit := newBackendsEdit(view.Backends, list)
 	edit.Base = view.BackendsIndex
 	restored, ok := editBackends(view.Backends, edit)
-	if !ok || !slices.Equal(restored, command.Backends) || len(edit.Added)+len(edit.Removed) > len(command.Backends) {
-		return
+	if !ok || !slices.Equal(restored, list) || len(edit.Added)+len(edit.Removed) > len(list) {
+		return whole
 	}
-	command.Kind, command.Backends, command.BackendsEdit = zinniapond.CommandBackendsEdit, nil, edit
+	return zinniapond.Command{Kind: zinniapond.CommandBackendsEdit, BackendsEdit: edit}
 }
 
 // newBackendsEdit returns the difference between two lists that are sorted by
@@ -32,11 +33,11 @@
 		for ; i < len(base) && base[i].Compare(b) < 0; i++ {
 			edit.Removed = append(edit.Removed, i)
 		}
-		if i < len(base) && base[i] == b {
+		if i < len(base) && addStateChange(edit, i, base[i], b) {
 			i++
 			continue
 		}
-		edit.Added = append(edit.Added, b)
+		edit.Added = append(edit.Added, zinniapond.AddedBackend(b))
 	}
 	for ; i < len(base); i++ {
 		edit.Removed = append(edit.Removed, i)
@@ -44,9 +45,32 @@
 	return edit
 }
 
+// addStateChange adds the change of a replica at a position to an edit. It returns false
+// if the replica changes in more than its state.
+func addStateChange(edit *zinniapond.BackendsEdit, position int, before, after zinniapond.Backend) bool {
+	changed := before.State != after.State
+	before.State = after.State
+	switch {
+	case before != after:
+		return false
+	case !changed:
+	case after.State == zinniapond.BackendLive:
+		edit.Live = append(edit.Live, position)
+	case after.State == zinniapond.BackendLeaving:
+		edit.Leaving = append(edit.Leaving, position)
+	default:
+		return false
+	}
+	return true
+}
+
 // editBackends applies an edit to a list. It returns false if a position is not in the
-// list or the positions do not ascend.
+// list or the positions to remove do not ascend.
 func editBackends(base []zinniapond.Backend, edit *zinniapond.BackendsEdit) ([]zinniapond.Backend, bool) {
+	base = slices.Clone(base) // readers share the list
+	if !setStates(base, edit.Live, zinniapond.BackendLive) || !setStates(base, edit.Leaving, zinniapond.BackendLeaving) {
+		return nil, false
+	}
 	list := make([]zinniapond.Backend, 0, len(base)+len(edit.Added))
 	next := 0
 	for _, position := range edit.Removed {
@@ -56,13 +80,26 @@
 		list = append(list, base[next:position]...)
 		next = position + 1
 	}
-	list = append(append(list, base[next:]...), edit.Added...)
+	list = append(list, base[next:]...)
+	for _, b := range edit.Added {
+		list = append(list, zinniapond.Backend(b))
+	}
 	slices.SortStableFunc(list, zinniapond.Backend.Compare)
 	return list, true
 }
 
+func setStates(list []zinniapond.Backend, positions []int, state zinniapond.BackendState) bool {
+	for _, position := range positions {
+		if position < 0 || position >= len(list) {
+			return false
+		}
+		list[position].State = state
+	}
+	return true
+}
+
 // applyBackendsEdit changes the list of replicas if it is the one that the edit was made
-// from. Otherwise the list has been changed between the proposal and the record, and the
+// from. Otherwise the list was changed between the proposal and the record, and the
 // proposer finds the difference again when it next reads the platform's list.
 func applyBackendsEdit(view *zinniapond.ControlView, edit *zinniapond.BackendsEdit) zinniapond.CommandResult {
 	switch {
--- a/internal/fleet/state/backends_test.go
+++ b/internal/fleet/state/backends_test.go
@@ -16,8 +16,6 @@
 // commit records a command as the leader does, and applies it at all states.
 func commit(t assert.TB, command zinniapond.Command, leader *State, followers ...*State) zinniapond.LogEntry {
 	t.Helper()
-	_, ok := leader.Check(&command)
-	assert.True(t, ok, "no record needed")
 	data, err := cbor.Marshal(command)
 	assert.NoError(t, err)
 	entry := zinniapond.LogEntry{Index: leader.View().Index + 1, Term: 1, Data: data}
@@ -28,8 +26,10 @@
 	return entry
 }
 
-func listCommand(list []zinniapond.Backend) zinniapond.Command {
-	return zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list}
+// commitList records a change of the list.
+func commitList(t assert.TB, list []zinniapond.Backend, leader *State, followers ...*State) zinniapond.LogEntry {
+	t.Helper()
+	return commit(t, NewBackendsCommand(leader.View(), list), leader, followers...)
 }
 
 // newReplicas returns a list of replicas that are live.
@@ -50,7 +50,7 @@
 				return zinniapond.Backend{
 					Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, rapid.Byte().Draw(t, "host") % 8}), 80),
 					ID:      rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"),
-					State:   rapid.SampledFrom([]zinniapond.BackendState{zinniapond.BackendLive, zinniapond.BackendLeaving}).Draw(t, "state"),
+					State:   rapid.SampledFrom([]zinniapond.BackendState{zinniapond.BackendLive, zinniapond.BackendLeaving, "", "other"}).Draw(t, "state"),
 				}
 			})
 			for range rapid.IntRange(1, 6).Draw(t, "changes") {
@@ -58,7 +58,7 @@
 				if rapid.Bool().Draw(t, "sorted") {
 					slices.SortStableFunc(list, zinniapond.Backend.Compare)
 				}
-				commit(t, listCommand(list), leader, follower)
+				commitList(t, list, leader, follower)
 				assert.True(t, slices.Equal(follower.View().Backends, list), "got %v, want %v", follower.View().Backends, list)
 				assert.Equal(t, follower.View().BackendsIndex, leader.View().Index)
 			}
@@ -67,28 +67,32 @@
 	t.Run("guards against records that grow with the list", func(t *testing.T) {
 		s := new(State)
 		list := newReplicas(480)
-		commit(t, listCommand(list), s)
+		commitList(t, list, s)
 		list = slices.Clone(list)
 		list[100].State = zinniapond.BackendLeaving
 		list = slices.Delete(list, 200, 201)
-		entry := commit(t, listCommand(list), s)
-		assert.True(t, len(entry.Data) < 250, "record of %d bytes", len(entry.Data))
+		entry := commitList(t, list, s)
+		assert.True(t, len(entry.Data) < 50, "record of %d bytes", len(entry.Data))
 		assert.Equal(t, s.View().Backends, list)
 	})
 	t.Run("guards against a change of the list that readers share", func(t *testing.T) {
 		s := new(State)
-		commit(t, listCommand(newReplicas(3)), s)
+		commitList(t, newReplicas(3), s)
 		before := s.View()
-		commit(t, listCommand(newReplicas(2)), s)
+		commitList(t, newReplicas(2), s)
+		leaving := newReplicas(2)
+		leaving[0].State = zinniapond.BackendLeaving
+		between := s.View()
+		commitList(t, leaving, s)
+		assert.Equal(t, between.Backends, newReplicas(2))
+		assert.Equal(t, s.View().Backends, leaving)
 		assert.Equal(t, before.Backends, newReplicas(3))
-		assert.Equal(t, s.View().Backends, newReplicas(2))
 	})
 	t.Run("guards against an edit of another list", func(t *testing.T) {
 		s := new(State)
-		commit(t, listCommand(newReplicas(3)), s)
-		late := listCommand(newReplicas(2)) // checked before the next record is applied
-		s.Check(&late)
-		commit(t, listCommand(newReplicas(4)), s)
+		commitList(t, newReplicas(3), s)
+		late := NewBackendsCommand(s.View(), newReplicas(2))
+		commitList(t, newReplicas(4), s)
 		commit(t, late, s)
 		assert.Equal(t, s.View().Backends, newReplicas(4))
 	})
@@ -97,18 +101,22 @@
 			_, ok := editBackends(newReplicas(3), &zinniapond.BackendsEdit{Removed: removed})
 			assert.True(t, !ok, "positions %v accepted", removed)
 		}
+		for _, edit := range []zinniapond.BackendsEdit{{Live: []int{3}}, {Leaving: []int{-1}}} {
+			_, ok := editBackends(newReplicas(3), &edit)
+			assert.True(t, !ok, "edit %+v accepted", edit)
+		}
 		s := new(State)
-		commit(t, listCommand(newReplicas(3)), s)
+		commitList(t, newReplicas(3), s)
 		commit(t, zinniapond.Command{Kind: zinniapond.CommandBackendsEdit}, s)
 		assert.Equal(t, s.View().Backends, newReplicas(3))
 	})
 	t.Run("guards against a host that starts from a snapshot and cannot apply the next edit", func(t *testing.T) {
 		leader, late := new(State), new(State)
-		commit(t, listCommand(newReplicas(3)), leader)
+		commitList(t, newReplicas(3), leader)
 		data, err := leader.Encode()
 		assert.NoError(t, err)
 		assert.NoError(t, late.Decode(data))
-		commit(t, listCommand(newReplicas(2)), leader, late)
+		commitList(t, newReplicas(2), leader, late)
 		assert.Equal(t, late.View().Backends, newReplicas(2))
 	})
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -68,13 +68,9 @@
 func (s *State) Voters() []zinniapond.VoterKey { return s.voters }
 
 // Check completes a command before the leader appends it: it adds the faults of
-// the lists and replaces texts and the list of replicas by edits. It returns false with the result if
+// the lists and replaces their texts by edits. It returns false with the result if
 // the command needs no record, because it is a resent copy.
 func (s *State) Check(command *zinniapond.Command) (zinniapond.CommandResult, bool) {
-	if command.Kind == zinniapond.CommandBackends {
-		replaceBackendsByEdit(s.View(), command)
-		return zinniapond.CommandResult{}, true
-	}
 	if command.Kind != zinniapond.CommandLists {
 		return zinniapond.CommandResult{}, true
 	}
--- a/messages.go
+++ b/messages.go
@@ -1,6 +1,7 @@
 package zinniapond
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -19,8 +20,8 @@
 	CommandRouting  CommandKind = "routing"
 	CommandDisk     CommandKind = "disk"
 	CommandBackends CommandKind = "backends"
-	// CommandBackendsEdit replaces CommandBackends in a record. It is a kind of its own:
-	// a host that does not know the field of the edit would apply an empty list.
+	// CommandBackendsEdit changes the list. It is a kind of its own: a host that does not
+	// know the field of the edit would apply an empty list.
 	CommandBackendsEdit CommandKind = "backends-edit"
 )
 
@@ -54,8 +55,7 @@
 	Disk    *DiskChange `cbor:"di,omitempty"`
 	// Backends is the complete list of replicas.
 	Backends []Backend `cbor:"b,omitempty"`
-	// BackendsEdit replaces Backends in a record: the leader records only the
-	// difference from the list in force.
+	// BackendsEdit is the difference from the list in force.
 	BackendsEdit *BackendsEdit `cbor:"be,omitempty"`
 }
 
@@ -64,9 +64,26 @@
 type BackendsEdit struct {
 	// Base is the index of the record that last changed the list, to which the edit
 	// applies.
-	Base    Index     `cbor:"b"`
-	Removed []int     `cbor:"r,omitempty"` // positions in the list before, ascending
-	Added   []Backend `cbor:"a,omitempty"` // new replicas, and changed ones after the change
+	Base Index `cbor:"b"`
+	// Live and Leaving are the positions, in the list before, of the replicas of which
+	// only the state changes, and Removed those of replicas to remove; all ascending.
+	Live    []int `cbor:"v,omitempty"`
+	Leaving []int `cbor:"l,omitempty"`
+	Removed []int `cbor:"r,omitempty"`
+	// Added are new replicas, and those that change in another way after the change.
+	Added []AddedBackend `cbor:"a,omitempty"`
+}
+
+// AddedBackend is a Backend in its shortest encoding: an edit goes to each host.
+type AddedBackend struct {
+	Address     netip.AddrPort `cbor:"1,keyasint"`
+	Kind        BackendKind    `cbor:"2,keyasint,omitempty"`
+	Pool        PoolName       `cbor:"3,keyasint,omitempty"`
+	DataCentre  DataCentre     `cbor:"4,keyasint,omitempty"`
+	State       BackendState   `cbor:"5,keyasint,omitempty"`
+	ChecksFence bool           `cbor:"6,keyasint,omitempty"`
+	ID          string         `cbor:"7,keyasint,omitempty"`
+	Slots       int            `cbor:"8,keyasint,omitempty"`
 }
 
 // ListEdit is the difference between a list and its previous version: the part
