--- a/internal/front/report/report_test.go
+++ b/internal/front/report/report_test.go
@@ -23,6 +23,9 @@
 	asked  []string
 	reply  zinniapond.LoadsReply
 	failed map[string]bool
+
+	backends []zinniapond.Backend
+	packed   []byte // sums in the reply to a host that names its list
 }
 
 func newControlHosts(names ...zinniapond.HostName) *controlHosts {
@@ -34,19 +37,27 @@
 }
 
 func (h *controlHosts) View() *zinniapond.ControlView {
-	return &zinniapond.ControlView{Voters: h.voters}
+	v := &zinniapond.ControlView{Voters: h.voters, Backends: h.backends}
+	if len(h.backends) > 0 {
+		v.BackendsIndex = 7
+	}
+	return v
 }
 func (h *controlHosts) Catalog() *zinniapond.Catalog { return nil }
 func (h *controlHosts) LeaseValid(time.Time) bool    { return true }
 func (h *controlHosts) ConfirmedAt() time.Time       { return time.Time{} }
 func (h *controlHosts) Changed() <-chan struct{}     { return nil }
 
-func (h *controlHosts) Call(_ context.Context, to netip.AddrPort, _ string, _, reply any) error {
+func (h *controlHosts) Call(_ context.Context, to netip.AddrPort, _ string, request, reply any) error {
 	h.asked = append(h.asked, to.String())
 	if h.failed[to.String()] {
 		return errors.New("gone")
 	}
-	*reply.(*zinniapond.LoadsReply) = h.reply
+	answer := h.reply
+	if request.(zinniapond.LoadsRequest).ListIndex > 0 {
+		answer.Packed, answer.Loads = h.packed, nil
+	}
+	*reply.(*zinniapond.LoadsReply) = answer
 	return nil
 }
 
@@ -78,6 +89,20 @@
 		assert.Equal(t, f.learned, sums)
 		assert.Equal(t, h.asked[0], "10.0.0.1:7000")
 	})
+	t.Run("guards against sums that stay unknown as they do not fit the list of this host", func(t *testing.T) {
+		h := newControlHosts("10.0.0.1:7000")
+		h.backends = []zinniapond.Backend{{Address: sums[0].Replica}}
+		h.packed = []byte{8, 0}
+		f := newFixture("h", h)
+		assert.Equal(t, f.exchange(context.Background()), failureInterval)
+		assert.Equal(t, len(f.learned), 0)
+		f.exchange(context.Background())
+		assert.Equal(t, f.learned, sums)
+		h.packed = []byte{8}
+		f.learned = nil
+		f.exchange(context.Background())
+		assert.Equal(t, f.learned, sums)
+	})
 	t.Run("guards against taking a failed exchange for idle replicas", func(t *testing.T) {
 		h := newControlHosts("10.0.0.1:7000")
 		h.failed["10.0.0.1:7000"] = true
