--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -17,6 +17,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/fleet/state"
 )
 
 func init() {
@@ -254,11 +255,16 @@
 		r.apply(now, list)
 		return
 	}
+	// Edits of the list in the control log assume this order.
+	slices.SortStableFunc(list, zinniapond.Backend.Compare)
 	if view.BackendsIndex > 0 && reflect.DeepEqual(list, view.Backends) {
 		return
 	}
 	boundedCtx, cancel = context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := r.Control.Propose(boundedCtx, now, zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list})
+	result, err := r.Control.Propose(boundedCtx, now, state.NewBackendsCommand(view, list))
+	if err == nil && !result.Accepted {
+		err = errors.New(result.Reason) // the list is compared again at the next refresh
+	}
 	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "error", err)
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -139,6 +139,8 @@
 	case zinniapond.CommandBackends:
 		view.Backends, view.BackendsIndex = command.Backends, view.Index
 		return acceptedResult()
+	case zinniapond.CommandBackendsEdit:
+		return applyBackendsEdit(view, command.BackendsEdit)
 	case zinniapond.CommandEmpty, "":
 		if command.Shards > 0 && view.Shards == 0 {
 			view.Shards = command.Shards
