Tell stalled streams from slow ones and end them early

Cause: only the deadline, or the last instant at which another replica could complete it, ended a stream whose replica had stopped but sent a byte now and then. Streams that may not be resumed, streams without a token limit, and streams of a pool that had not completed 20 streams yet were not watched at all. A pause of this host counted as silence of the replica.

Change: complete events are the only progress. A stream has stalled after 20 usual times between events, 3 targets of the route, 4 times its own mean and 1 s, whichever is longest. It then goes on at another replica if it may, within 5 streams and 5% of those that end. Otherwise it is broken off only if the replica says twice that it does not run it, or if it cannot end before the deadline. The silence is counted anew after this host was held up.

One subtest of TestDeparture changed: its replica now says that it still works on the stream that has to stay while requests wait. A run that the replica says it has dropped is now left in that case as well.

--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -155,7 +155,7 @@
 		finish(u.Clock(), v, observation)
 		u.recordAttempt(replica, v, err)
 	}()
-	sendCtx, departure := u.newDeparture(ctx, p, start)
+	sendCtx, departure := u.newDeparture(ctx, p, replica, start)
 	u.departure = departure
 	defer func() { departure.end(u.Clock(), v == verdictDone) }()
 	readCtx, interrupt := context.WithCancel(sendCtx)
--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -9,16 +9,27 @@
 	"zinniapond.example/zinniapond"
 )
 
-// errLeft is the cause of the end of an attempt whose stream is continued at another
-// replica.
-var errLeft = errors.New("stream leaves a replica at which it will not end in time")
+var (
+	// errLeft is the cause of the end of an attempt whose stream is continued at another
+	// replica.
+	errLeft = errors.New("stream leaves a replica at which it has stalled or will not end in time")
+	// errStalled is the cause of the end of an attempt whose stream cannot be completed.
+	errStalled = errors.New("stream has stalled and cannot be completed")
+)
+
+// maxTimerDelay is how late a timer fires on a busy host. If it fires later, the host was
+// held up, and what has come meanwhile may be unread.
+const maxTimerDelay = 100 * time.Millisecond
 
-// departure ends an attempt whose stream will not end in time at its replica. It does
-// nothing if the stream must not run again.
+// departure ends an attempt whose stream will not end in time at its replica, or has
+// stalled there. If the stream must not run again, the attempt goes on for as long as the
+// stream may still be completed.
 type departure struct {
 	*run
-	pool   *pool
-	cancel context.CancelCauseFunc
+	pool    *pool
+	replica zinniapond.Backend
+	ctx     context.Context // of the attempt
+	cancel  context.CancelCauseFunc
 	// isFirst is set for the first run of the stream, and mayRunAgain if the route allows
 	// another one.
 	isFirst, mayRunAgain bool
@@ -29,65 +40,169 @@
 	isOver   bool
 	hasLeft  bool
 	isSlow   bool // the client is slow
+	// isAsking is set while the replica is asked whether the run goes on, and isGone once
+	// it has said that it does not.
+	isAsking, isGone bool
 }
 
 // newDeparture begins to watch an attempt. The attempt uses the returned context. The
 // caller calls end after the attempt.
-func (u *run) newDeparture(ctx context.Context, p *pool, now time.Time) (context.Context, *departure) {
-	if !u.route.IsStream() || !u.route.Resumable || u.service == nil || u.service.Engine == nil || u.request.MaxGenerated <= 0 {
+func (u *run) newDeparture(ctx context.Context, p *pool, replica zinniapond.Backend, now time.Time) (context.Context, *departure) {
+	if !u.route.IsStream() {
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	isFirst, mayRunAgain := u.possibleRuns == 0 && u.request.LastEventID == "", u.possibleRuns+2 <= u.route.MaxAttempts
-	d := &departure{run: u, pool: p, cancel: cancel, isFirst: isFirst, mayRunAgain: mayRunAgain, progress: zinniapond.StreamProgress{
-		StartedAt: now, Generated: u.stream.generated, MaxGenerated: u.request.MaxGenerated, TokensPerEvent: u.service.Engine.TokensPerEvent, Deadline: u.deadline,
+	isFirst, mayRunAgain := u.possibleRuns == 0 && u.request.LastEventID == "", u.repeatable() && u.possibleRuns+2 <= u.route.MaxAttempts
+	d := &departure{run: u, pool: p, replica: replica, ctx: ctx, cancel: cancel, isFirst: isFirst, mayRunAgain: mayRunAgain, progress: zinniapond.StreamProgress{
+		StartedAt: now, Generated: u.stream.generated, MaxGenerated: u.request.MaxGenerated, Deadline: u.deadline,
+		TargetLatency: u.route.TargetLatency, TargetGap: u.route.TargetGap,
 	}}
+	if u.service != nil && u.service.Engine != nil {
+		d.progress.TokensPerEvent = u.service.Engine.TokensPerEvent
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.check(now)
 	return ctx, d
 }
 
-// record records the events that have come from all replicas so far.
-func (d *departure) record(now time.Time) {
+// recordAnswer records that the header of the answer has come.
+func (d *departure) recordAnswer(now time.Time) {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stream.generated == d.progress.Generated {
+	d.progress.AnsweredAt = now
+	d.check(now)
+}
+
+// record records the events with data that the replica has sent, and the tokens that all
+// replicas have generated.
+func (d *departure) record(now time.Time, events int, generated zinniapond.Tokens) {
+	if d == nil || events == 0 {
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.progress.Events == 0 {
 		d.progress.FirstEventAt = now
 	}
-	d.progress.Events += int((d.stream.generated - d.progress.Generated) / max(d.progress.TokensPerEvent, 1))
-	d.progress.Generated, d.progress.LastEventAt = d.stream.generated, now
+	d.progress.Events += events
+	d.progress.Generated, d.progress.LastEventAt = generated, now
+	d.isGone = false
 	d.check(now)
 }
 
-// check ends the attempt, or sets the timer for the next check. A stream stays where it is
-// while requests wait, because no other replica has room then. The caller holds the lock.
+// check ends the attempt, or sets the timer for the next check. The caller holds the lock.
 func (d *departure) check(now time.Time) {
 	if d.timer != nil {
 		d.timer.Stop()
 	}
-	if d.isOver || d.hasLeft || !d.mayRunAgain {
+	if d.isOver || d.hasLeft || d.isAsking {
 		return
 	}
-	leave, askAt := d.pool.migration.ShouldLeave(now, d.progress)
-	switch {
-	case leave && d.pool.waiters.queue.Len() == 0:
-		d.hasLeft = true
+	leave, askAt := d.shouldLeave(now)
+	if leave {
 		d.Stats.Add("front.left", 1)
-		d.cancel(errLeft)
-	case !leave && !askAt.IsZero():
-		d.timer = time.AfterFunc(askAt.Sub(now), func() {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.check(d.Clock())
-		})
+		d.endAttempt(errLeft)
+		return
+	}
+	stall := d.pool.migration.Stall(now, d.progress)
+	switch {
+	case stall.IsHopeless:
+		d.Stats.Add("front.stalled", 1)
+		d.endAttempt(errStalled)
+		return
+	case stall.IsStalled:
+		d.isAsking = true
+		d.background.Go(d.askReplica)
+		return
+	}
+	if at := soonest(askAt, stall.AskAt); !at.IsZero() {
+		d.checkAt(now, at)
+	}
+}
+
+// shouldLeave reports whether the stream goes on at another replica, and when to ask
+// again. A stream stays where it is while requests wait, because no other replica has room
+// then.
+func (d *departure) shouldLeave(now time.Time) (leave bool, askAt time.Time) {
+	if !d.mayRunAgain || d.pool.waiters.queue.Len() > 0 {
+		return false, time.Time{}
+	}
+	return d.pool.migration.ShouldLeave(now, d.progress)
+}
+
+// checkAt sets the timer for the next check. The caller holds the lock.
+func (d *departure) checkAt(now, at time.Time) {
+	d.timer = time.AfterFunc(at.Sub(now), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		now := d.Clock()
+		if now.Sub(at) > maxTimerDelay {
+			d.progress.ResumedAt = now
+		}
+		d.check(now)
+	})
+}
+
+// endAttempt ends the attempt. The caller holds the lock.
+func (d *departure) endAttempt(cause error) {
+	d.hasLeft = true
+	d.cancel(cause)
+}
+
+// askReplica asks the replica of a stalled stream whether it still works on it. The attempt
+// ends if the replica has said twice that it does not: its last events may have been on
+// the way the first time.
+func (d *departure) askReplica() {
+	isGone := d.isRunGone(d.ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	d.isAsking = false
+	if d.isOver || d.hasLeft {
+		return
+	}
+	stall := d.pool.migration.Stall(now, d.progress)
+	if !stall.IsStalled {
+		d.check(now) // events have come
+		return
+	}
+	wasGone := d.isGone
+	d.isGone = isGone
+	if isGone && wasGone {
+		d.Stats.Add("front.stalled", 1)
+		if d.mayRunAgain {
+			d.endAttempt(errLeft)
+		} else {
+			d.endAttempt(errStalled)
+		}
+		return
 	}
+	d.checkAt(now, soonest(stall.AskAt, now.Add(reportAge+runEndInterval)))
+}
+
+// isRunGone reports whether the replica does not work on the request any more; false if
+// that is not known.
+func (d *departure) isRunGone(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	running, err := d.Client.IsRunning(callCtx, d.replica, d.request.ID)
+	if err != nil {
+		d.Logger.Debug("run of a stalled stream not known", "id", d.request.ID, "replica", d.replica.Address, "error", err)
+		return d.ended.Has(ctx, d.Clock(), d.replica)
+	}
+	return !running
+}
+
+// soonest returns the earlier of two instants, of which zero ones are ignored.
+func soonest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // stay keeps the stream at its replica, and its times from being learned. Its events are
@@ -118,12 +233,18 @@
 	}
 }
 
-// left reports whether the stream has left its replica.
-func (d *departure) left() bool {
+// cause returns why the attempt was ended; nil if it was not.
+func (d *departure) cause() error {
 	if d == nil {
-		return false
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.hasLeft
+	if !d.hasLeft {
+		return nil
+	}
+	return context.Cause(d.ctx)
 }
+
+// left reports whether the stream has left its replica.
+func (d *departure) left() bool { return d.cause() != nil }
--- a/internal/front/runner/leave_test.go
+++ b/internal/front/runner/leave_test.go
@@ -97,6 +97,7 @@
 	inBubble(t, "guards against leaving a replica while no other one has room", func(t *testing.T) {
 		c := newEventClient(t, 2)
 		c.stops.Store(true)
+		c.runsOn = 1000 // a run that is gone is left in any case
 		p, err := c.pool("pool")
 		assert.NoError(t, err)
 		// The waiting request arrives later, so that the turn does not wait for it.
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -58,6 +58,7 @@
 		}
 	}
 	u.stream.resumedAfter = u.stream.lastID
+	u.departure.recordAnswer(u.Clock())
 	var parser events.Parser
 	buffer := make([]byte, streamReadSize)
 	beforeFirstByte := true
@@ -69,10 +70,11 @@
 				observation.TimeToFirstByte, beforeFirstByte = now.Sub(start), false
 				u.firstByteTime = now.Sub(u.request.ReceivedAt)
 			}
+			begun := u.stream.events
 			if err := u.forwardEvents(&parser, buffer[:n]); err != nil {
 				return verdictFailed, err
 			}
-			u.departure.record(u.Clock())
+			u.departure.record(u.Clock(), u.stream.events-begun, u.stream.generated)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -86,9 +88,14 @@
 	}
 }
 
-// brokenStream returns the verdict for a stream that broke off.
+// brokenStream returns the verdict for a stream that broke off or was ended by its
+// departure.
 func (u *run) brokenStream(err error) (verdict, error) {
-	if u.repeatable() {
+	cause := u.departure.cause()
+	if cause != nil {
+		err = fmt.Errorf("%w: %w", cause, err)
+	}
+	if u.repeatable() && !errors.Is(cause, errStalled) {
 		return verdictMayHaveRun, err
 	}
 	return verdictFailed, err
--- a/internal/policy/leave/leave_test.go
+++ b/internal/policy/leave/leave_test.go
@@ -104,3 +104,79 @@
 		assert.Equal(t, leavesAfter(new(Policy), usualFirst, usualGap, 0), 0)
 	})
 }
+
+// answeredAt returns the progress of a stream whose answer has begun, with events at
+// regular intervals.
+func answeredAt(gap time.Duration, events int) zinniapond.StreamProgress {
+	s := progressAt(usualFirst, gap, events)
+	s.AnsweredAt, s.Deadline = start.Add(usualFirst), start.Add(time.Minute)
+	return s
+}
+
+// assertStallsAfter checks from which silence on a stream has stalled.
+func assertStallsAfter(t *testing.T, p *Policy, s zinniapond.StreamProgress, want time.Duration) {
+	t.Helper()
+	at := silentSince(s).Add(want)
+	before, after := p.Stall(at.Add(-1), s), p.Stall(at, s)
+	assert.True(t, !before.IsStalled && after.IsStalled, "not stalled after %s but %t before: %t", want, after.IsStalled, before.IsStalled)
+	assert.True(t, before.AskAt.Equal(at), "to be asked at %s", before.AskAt.Sub(silentSince(s)))
+}
+
+func TestStall(t *testing.T) {
+	t.Run("guards against taking the usual pauses for a stall", func(t *testing.T) {
+		assertStallsAfter(t, newPolicy(), answeredAt(usualGap, 5), minStall)
+		slow := new(Policy)
+		for range 100 {
+			slow.ObserveEnd(start, progressAt(usualFirst, 100*time.Millisecond, eventCount))
+		}
+		assert.True(t, slow.gap >= float64(95*time.Millisecond), "usual time between events %s", time.Duration(slow.gap))
+		assertStallsAfter(t, slow, answeredAt(usualGap, 5), time.Duration(stallRatio*slow.gap))
+	})
+	t.Run("guards against a stall before the route's target has passed several times", func(t *testing.T) {
+		s := answeredAt(usualGap, 5)
+		s.TargetGap = 700 * time.Millisecond
+		assertStallsAfter(t, newPolicy(), s, stallTargets*s.TargetGap)
+	})
+	t.Run("guards against taking a regularly slow stream for a stalled one", func(t *testing.T) {
+		assertStallsAfter(t, newPolicy(), answeredAt(2*time.Second, 5), ownRatio*2*time.Second)
+	})
+	t.Run("guards against a stall while nothing is known or no answer has come", func(t *testing.T) {
+		assert.Equal(t, new(Policy).Stall(start.Add(time.Hour), answeredAt(usualGap, 5)), zinniapond.StreamStall{})
+		assert.Equal(t, newPolicy().Stall(start.Add(time.Hour), progressAt(usualFirst, usualGap, 0)), zinniapond.StreamStall{})
+	})
+	t.Run("guards against counting the time for which this host was held up", func(t *testing.T) {
+		s := answeredAt(usualGap, 5)
+		s.ResumedAt = s.LastEventAt.Add(10 * time.Second)
+		assertStallsAfter(t, newPolicy(), s, minStall)
+	})
+	t.Run("guards against breaking a stream off that may still end in time", func(t *testing.T) {
+		p, s := newPolicy(), answeredAt(usualGap, eventCount/2)
+		for _, share := range []zinniapond.Tokens{7, 8, 9, 10} {
+			for range 50 {
+				short := progressAt(usualFirst, usualGap/2, eventCount)
+				short.Generated = share * short.MaxGenerated / 10
+				p.ObserveEnd(start, short)
+			}
+		}
+		rest := time.Duration(remainingEvents(s, p.lowShare) * p.lowGap)
+		assert.True(t, rest < eventCount/2*usualGap, "%s for the rest", rest)
+		assert.True(t, !p.Stall(s.Deadline.Add(-rest-1), s).IsHopeless, "hopeless with %s left", rest)
+		assert.True(t, p.Stall(s.Deadline.Add(-rest), s).IsHopeless, "not hopeless with %s left", rest)
+	})
+	t.Run("guards against more streams that leave early than the share of those that end", func(t *testing.T) {
+		p, s := newPolicy(), answeredAt(usualGap, 5)
+		leaves := func() (n int) {
+			for range 100 {
+				if leave, _ := p.ShouldLeave(start.Add(10*time.Second), s); leave {
+					n++
+				}
+			}
+			return n
+		}
+		assert.Equal(t, leaves(), maxLeaves)
+		for range int(2 / leavesPerStream) {
+			p.ObserveEnd(start, progressAt(usualFirst, usualGap, eventCount))
+		}
+		assert.Equal(t, leaves(), 2)
+	})
+}
