Send no request after the lease on its key has expired

Cause: the key of a request was checked before the connection to the replica was made, which may take 1 s, and before any pause of the process. Permits of limits were checked again directly before the write, the lease on keys was not. With a revocation time of 5 s the lease is 4.5 s, so that a request could be sent up to 5.5 s after a key was revoked, and later still after a pause.

Change: the instant until which a request may be sent is the first of the ends of its permits and of the lease on its key.

Result: TestAccess fails without the change (SendUntil was zero). A process that is suspended between this check and the write is not covered: only the replica could refuse such a request.

--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -102,6 +102,10 @@
 		u.request.Credentials = nil
 	}
 	u.plan, u.isPublic = plan, u.isPublic || t.Routing().HasPlans && plan == nil
+	u.keyUntil = time.Time{}
+	if lease := u.Access.KeyLease(); plan != nil && lease > 0 {
+		u.keyUntil = confirmedAt.Add(lease)
+	}
 	return nil
 }
 
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -110,6 +110,26 @@
 		w.confirmedAge = 3 * time.Second
 		refusesWith(t, w, "new", zinniapond.ErrStaleConfig)
 	})
+	t.Run("guards against a key that is revoked while the request connects or the process is suspended", func(t *testing.T) {
+		w := newKeyedRunner(t, safe, whole)
+		w.confirmedAge = 3 * time.Second
+		confirmedAt := time.Now().Add(-w.confirmedAge)
+		assert.True(t, w.forward(withKey(blueKey)).ended, "the answer is not complete")
+		until := w.sent[0].SendUntil.Sub(confirmedAt)
+		assert.True(t, until >= 4500*time.Millisecond && until < 4900*time.Millisecond, "to be sent until %s after the confirmation", until)
+	})
+	t.Run("guards against sending a request whose key could not be confirmed in time", func(t *testing.T) {
+		connectsLate := func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			return nil, zinniapond.Join(zinniapond.ErrNotSent, zinniapond.ErrPermitExpired)
+		}
+		w := newKeyedRunner(t, safe)
+		w.replies = []reply{func(q zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
+			w.confirmedAge = 5 * time.Second
+			return connectsLate(q)
+		}}
+		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
+		assert.Equal(t, len(w.sent), 1)
+	})
 	t.Run("guards against a table that is older than its confirmation", func(t *testing.T) {
 		w := newKeyedRunner(t, safe, whole)
 		assert.NoError(t, w.update())
--- a/internal/front/runner/allowance.go
+++ b/internal/front/runner/allowance.go
@@ -71,12 +71,23 @@
 	return zinniapond.ProgramID(u.scoped(string(u.request.Program)))
 }
 
-// permitsUntil returns the instant at which the first permit of the request expires; zero
-// if it needs none. The connection to the replica may take as long as the permit lasts.
+// permitsUntil returns the instant at which the first permit of the request, or the lease
+// on its key, expires; zero if it needs none. The connection to the replica may take as
+// long, or the process be suspended.
 func (u *run) permitsUntil(replica candidate) time.Time {
 	until := replica.permitUntil
-	if u.allowance.held && (until.IsZero() || u.allowance.permit.ExpiresAt.Before(until)) {
-		until = u.allowance.permit.ExpiresAt
+	for _, t := range []time.Time{u.keyUntil, u.allowance.expiresAt()} {
+		if !t.IsZero() && (until.IsZero() || t.Before(until)) {
+			until = t
+		}
 	}
 	return until
 }
+
+// expiresAt returns when the permit expires; zero if there is none.
+func (a *allowance) expiresAt() time.Time {
+	if !a.held {
+		return time.Time{}
+	}
+	return a.permit.ExpiresAt
+}
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -59,6 +59,7 @@
 	answerBegun  bool
 	answerRead   bool // the answer to the current attempt was read to its end
 	stream       stream
+	keyUntil     time.Time  // when the lease on the key expires; zero if it does not
 	sendUntil    time.Time  // when the permits of the current attempt expire
 	departure    *departure // watches the current attempt
 	held         int64      // bytes of memory taken
--- a/request.go
+++ b/request.go
@@ -110,7 +110,7 @@
 	// Deadline is the instant at which the replica is to stop.
 	Deadline time.Time
 	// SendUntil is the instant after which the request must not be sent, as its permits
-	// have expired; zero if it needs none.
+	// or the lease on its key have expired; zero if it needs none.
 	SendUntil time.Time
 	// NotRepeated is set if neither the scheduler nor the client repeats the
 	// request. It is then sent on a new or recently used connection only, as
