Take no disk for lost because the leader was suspended

Cause: the control leader judged the silence of disks by the time after it had polled them. If its process was suspended during a poll, all calls had timed out when it went on, and every disk had been silent for as long as the pause: it proposed all of them as lost. The same followed when the first poll after a pause failed, as connections had broken. A process that had led before the pause still did so by its own view, and its proposals were accepted by the new leader.

Change: at most the time of a poll counts between its begin and the decision, and the time in which no disk was polled does not count as silence. Only a host whose control state was confirmed within the lease manages the disks.

A disk that is silent is found as before.

--- a/internal/turns/disks/disks.go
+++ b/internal/turns/disks/disks.go
@@ -48,6 +48,8 @@
 
 	mu      sync.Mutex
 	reports map[zinniapond.DiskID]zinniapond.DiskReport
+	// decidedAt is the time of the last decision.
+	decidedAt time.Time
 }
 
 // Role returns the role of the plug-in.
@@ -75,16 +77,19 @@
 // returns the interval until the next round.
 func (t *Manager) runRound(ctx context.Context) time.Duration {
 	view := t.Directory.View()
-	if view.Leader != t.Settings.VoterName() || len(view.Disks) == 0 {
+	begun := t.Clock()
+	if !t.isLeader(begun, view) || len(view.Disks) == 0 {
 		t.reports = nil
 		return steadyInterval
 	}
 	if t.reports == nil {
-		t.reports = make(map[zinniapond.DiskID]zinniapond.DiskReport)
+		t.reports, t.decidedAt = make(map[zinniapond.DiskID]zinniapond.DiskReport), begun
 	}
+	t.excludePause(begun)
 	t.collectReports(ctx, view)
+	t.decidedAt = earlier(t.Clock(), begun.Add(reportTimeout))
 	m := states.Transitions{View: view, Tolerance: t.Settings.Keeper, RecordLifetime: forgetAfter(view), Reports: t.reports}
-	for _, c := range m.Changes(t.Clock()) {
+	for _, c := range m.Changes(t.decidedAt) {
 		t.propose(ctx, c)
 	}
 	for _, d := range view.Disks {
@@ -95,6 +100,35 @@
 	return steadyInterval
 }
 
+// isLeader reports whether this host is the control leader, as confirmed within the lease.
+// A process that was suspended may have been replaced meanwhile.
+func (t *Manager) isLeader(now time.Time, view *zinniapond.ControlView) bool {
+	return view.Leader == t.Settings.VoterName() && now.Sub(t.Directory.ConfirmedAt()) < t.Settings.Control.LeaseDuration
+}
+
+// excludePause makes the time in which no disk was polled, such as while this process was
+// suspended, not count as silence of the disks. The first poll afterwards may fail at all
+// of them, as connections have broken.
+func (t *Manager) excludePause(now time.Time) {
+	pause := now.Sub(t.decidedAt) - steadyInterval
+	if pause <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, r := range t.reports {
+		r.ReceivedAt = r.ReceivedAt.Add(pause)
+		t.reports[id] = r
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // forgetAfter returns the time without a report from a disk after which every record
 // on it is past its retention.
 func forgetAfter(view *zinniapond.ControlView) time.Duration {
