Apply a change of the disks only to the set it was decided on

Cause: a change of a disk applied if that disk had the expected state. Two retirements at two hosts, each tolerated without the other, were both accepted. A former leader that went on after a pause could remove a disk although another one had been lost meanwhile, and could change a disk that had left the expected state and returned to it.

Change: retirements and removals name the last change of the set of disks that they know, and all changes the record since which the disk has its state. The control log refuses them if there is a later one.

Records without these fields, such as those of older logs, apply as before. Voters of the former version ignore the fields: while hosts of both versions run, a refused change applies on those.

--- a/internal/fleet/state/routing.go
+++ b/internal/fleet/state/routing.go
@@ -20,7 +20,7 @@
 }
 
 // applyDisk moves a disk to another state or removes it, if the disk still has the
-// state for which the change was decided.
+// state for which the change was decided, and the other disks too if it depends on them.
 func applyDisk(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
 	if command.Disk == nil || command.Disk.Disk.ID == "" {
 		return refusedResult("no disk given")
@@ -32,6 +32,10 @@
 		return acceptedResult()
 	case current.State != change.ExpectedState:
 		return refusedResult(fmt.Sprintf("disk %s is %q and not %q", change.Disk.ID, current.State, change.ExpectedState))
+	case change.Disk.StateSince > 0 && change.Disk.StateSince != current.StateSince:
+		return refusedResult(fmt.Sprintf("disk %s is %q since record %d and not %d", change.Disk.ID, current.State, current.StateSince, change.Disk.StateSince))
+	case change.DisksIndex > 0 && change.DisksIndex != view.DisksIndex:
+		return refusedResult(fmt.Sprintf("a disk has changed in record %d", view.DisksIndex))
 	}
 	change.Disk.StateSince, change.Disk.CountsSince = view.Index, current.CountsSince
 	if change.Disk.CountsForWrites() && current.CountsSince == 0 {
--- a/internal/fleet/state/routing_test.go
+++ b/internal/fleet/state/routing_test.go
@@ -71,3 +71,48 @@
 		assert.Equal(t, view.Retired["d"].Host, zinniapond.HostName("h"))
 	})
 }
+
+func TestConcurrentDiskChanges(t *testing.T) {
+	const joining, full, lost, leaving = zinniapond.DiskJoining, zinniapond.DiskFull, zinniapond.DiskLost, zinniapond.DiskLeaving
+	newDisks := func(t *testing.T) *State {
+		s := new(State)
+		for _, id := range []zinniapond.DiskID{"a", "b"} {
+			apply(t, s, diskCommand(id, "", joining, false))
+			apply(t, s, diskCommand(id, joining, full, false))
+		}
+		return s
+	}
+	// decide returns a change that is decided in the present state.
+	decide := func(s *State, id zinniapond.DiskID, to zinniapond.DiskState, remove bool) zinniapond.Command {
+		d := s.View().Disks[id]
+		c := zinniapond.DiskChange{Disk: d, ExpectedState: d.State, Remove: remove}
+		if c.Disk.State = to; remove || to == leaving {
+			c.DisksIndex = s.View().DisksIndex
+		}
+		return zinniapond.Command{Kind: zinniapond.CommandDisk, Disk: &c}
+	}
+	t.Run("guards against two retirements that are each tolerated without the other", func(t *testing.T) {
+		s := newDisks(t)
+		first, second := decide(s, "a", leaving, false), decide(s, "b", leaving, false)
+		assert.True(t, apply(t, s, first).Accepted, "the first is refused")
+		assert.True(t, !apply(t, s, second).Accepted, "the second is accepted")
+		assert.True(t, apply(t, s, first).Accepted, "a repeated retirement is refused")
+		assert.Equal(t, s.View().Disks["b"].State, full)
+	})
+	t.Run("guards against the removal of a disk that was decided before another one was lost", func(t *testing.T) {
+		s := newDisks(t)
+		apply(t, s, decide(s, "a", lost, false))
+		removal := decide(s, "a", lost, true)
+		apply(t, s, decide(s, "b", lost, false))
+		assert.True(t, !apply(t, s, removal).Accepted, "accepted")
+		assert.Equal(t, len(s.View().Disks), 2)
+	})
+	t.Run("guards against a late change of a disk that has left the state and returned to it", func(t *testing.T) {
+		s := newDisks(t)
+		late := decide(s, "a", lost, false)
+		for _, to := range []zinniapond.DiskState{lost, joining, full} {
+			assert.True(t, apply(t, s, decide(s, "a", to, false)).Accepted, "refused")
+		}
+		assert.True(t, !apply(t, s, late).Accepted, "accepted")
+	})
+}
--- a/internal/turns/states/states.go
+++ b/internal/turns/states/states.go
@@ -42,6 +42,9 @@
 		}
 		change := zinniapond.DiskChange{Disk: d, ExpectedState: d.State, Remove: remove}
 		change.Disk.State = state
+		if remove {
+			change.DisksIndex = m.View.DisksIndex
+		}
 		changes = append(changes, change)
 	}
 	// Losses are proposed first and removals last, as removals depend on which
--- a/internal/turns/states/states_test.go
+++ b/internal/turns/states/states_test.go
@@ -122,6 +122,18 @@
 		w.report("one", 2*time.Minute, 80, 11)
 		assert.Equal(t, w.decidedChange("one"), "removed")
 	})
+	t.Run("guards against a removal that applies although another disk has changed since", func(t *testing.T) {
+		w := newDiskSet()
+		w.view.DisksIndex = 97
+		w.addDisk("old", 1, zinniapond.DiskLost, 95)
+		w.addDisk("other", 2, zinniapond.DiskFull, 11)
+		w.report("old", 2*detectionTimeout, 80, 11)
+		w.report("other", 0, 100, 95)
+		m := Transitions{View: &w.view, Tolerance: zinniapond.KeeperSettings{MaxLostMachines: 1, CatchUpTime: 2 * detectionTimeout}, RecordLifetime: time.Minute, Reports: w.reports}
+		changes := m.Changes(w.now)
+		assert.Equal(t, len(changes), 1)
+		assert.True(t, changes[0].Remove && changes[0].DisksIndex == 97, "change %+v", changes[0])
+	})
 	t.Run("guards against removing a leaving disk that still has records of its own", func(t *testing.T) {
 		w := newDiskSet()
 		w.addDisk("leaves", 1, zinniapond.DiskLeaving, 90)
--- a/turns.go
+++ b/turns.go
@@ -122,10 +122,13 @@
 	Disk Disk `cbor:"d"`
 	// ExpectedState is the state on which the decision was based; empty for a disk
 	// that is not a member. The change applies only if the disk still has this
-	// state.
+	// state, since Disk.StateSince if that is set.
 	ExpectedState DiskState `cbor:"b,omitempty"`
 	// Remove is set to remove the disk from the set.
 	Remove bool `cbor:"x,omitempty"`
+	// DisksIndex is set if the decision depends on all disks: the change applies only if
+	// no disk has changed since the record with this index.
+	DisksIndex Index `cbor:"v,omitempty"`
 }
 
 // KeepRequest asks a disk to store turns and spends. The reply is sent once
