Replace the list of replicas only by one read after it

Cause: a host that read the list as the leader, and was suspended or replaced before it proposed it, put the older list in force again at its return. It also went on reading while its leadership was not confirmed. A host that had read the list directly kept that list when its control state was confirmed again, until the list in the control log changed.

Change: a list names the record of the list that it replaces, and the control log refuses it if there is a later one. Only a host whose control state was confirmed within the lease reads as the leader. A host that no longer reads directly applies the list of the control log.

--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -230,13 +230,17 @@
 func (r *Roster) readIfResponsible(ctx context.Context) {
 	view := r.Directory.View()
 	now := r.Clock()
-	isLeader := view.Leader == r.Settings.VoterName() && r.Settings.HasRole(zinniapond.RoleControl)
+	isLeader := view.Leader == r.Settings.VoterName() && r.Settings.HasRole(zinniapond.RoleControl) && now.Sub(r.Directory.ConfirmedAt()) < r.Settings.Control.LeaseDuration
 	readsDirectly := !r.Settings.HasRole(zinniapond.RoleControl) && now.Sub(r.Directory.ConfirmedAt()) > staleRefreshes*r.Settings.Platform.RefreshInterval
+	hasReadDirectly := r.readsDirectly
 	if readsDirectly != r.readsDirectly {
 		r.readsDirectly = readsDirectly
 		r.Logger.Info("source of the replica list changed", "own", readsDirectly, "confirmed", r.Directory.ConfirmedAt())
 	}
 	if !isLeader && !readsDirectly {
+		if hasReadDirectly && view.BackendsIndex > 0 {
+			r.apply(now, view.Backends) // an unchanged list causes no other call
+		}
 		return
 	}
 	boundedCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -259,6 +263,6 @@
 	}
 	boundedCtx, cancel = context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := r.Control.Propose(boundedCtx, now, zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list})
-	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "error", err)
+	result, err := r.Control.Propose(boundedCtx, now, zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list, BackendsIndex: view.BackendsIndex})
+	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "accepted", result.Accepted, "reason", result.Reason, "error", err)
 }
--- a/internal/fleet/state/routing.go
+++ b/internal/fleet/state/routing.go
@@ -19,6 +19,16 @@
 	return acceptedResult()
 }
 
+// applyBackends replaces the list of replicas, unless it was read before the present one
+// was known: its sender may have been suspended or replaced since.
+func applyBackends(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
+	if command.BackendsIndex > 0 && command.BackendsIndex < view.BackendsIndex {
+		return refusedResult(fmt.Sprintf("the list has changed in record %d", view.BackendsIndex))
+	}
+	view.Backends, view.BackendsIndex = command.Backends, view.Index
+	return acceptedResult()
+}
+
 // applyDisk moves a disk to another state or removes it, if the disk still has the
 // state for which the change was decided, and the other disks too if it depends on them.
 func applyDisk(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
--- a/internal/fleet/state/routing_test.go
+++ b/internal/fleet/state/routing_test.go
@@ -72,6 +72,21 @@
 	})
 }
 
+func TestBackends(t *testing.T) {
+	list := func(id string, replaces zinniapond.Index) zinniapond.Command {
+		return zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: []zinniapond.Backend{{ID: id}}, BackendsIndex: replaces}
+	}
+	t.Run("guards against an older list of a leader that was suspended while it read it", func(t *testing.T) {
+		s := new(State)
+		apply(t, s, list("first", 0))
+		first := s.View().BackendsIndex
+		assert.True(t, apply(t, s, list("second", first)).Accepted, "the second is refused")
+		assert.True(t, !apply(t, s, list("late", first)).Accepted, "an older list is accepted")
+		assert.Equal(t, s.View().Backends[0].ID, "second")
+		assert.True(t, apply(t, s, list("third", s.View().BackendsIndex)).Accepted, "the third is refused")
+	})
+}
+
 func TestConcurrentDiskChanges(t *testing.T) {
 	const joining, full, lost, leaving = zinniapond.DiskJoining, zinniapond.DiskFull, zinniapond.DiskLost, zinniapond.DiskLeaving
 	newDisks := func(t *testing.T) *State {
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -137,8 +137,7 @@
 	case zinniapond.CommandDisk:
 		return applyDisk(view, command)
 	case zinniapond.CommandBackends:
-		view.Backends, view.BackendsIndex = command.Backends, view.Index
-		return acceptedResult()
+		return applyBackends(view, command)
 	case zinniapond.CommandEmpty, "":
 		if command.Shards > 0 && view.Shards == 0 {
 			view.Shards = command.Shards
--- a/messages.go
+++ b/messages.go
@@ -49,8 +49,11 @@
 
 	Routing *Routing    `cbor:"ro,omitempty"`
 	Disk    *DiskChange `cbor:"di,omitempty"`
-	// Backends is the complete list of replicas.
-	Backends []Backend `cbor:"b,omitempty"`
+	// Backends is the complete list of replicas. BackendsIndex is the index of the record
+	// whose list it replaces; the command applies only if there is no later one. It is 0
+	// for the first list.
+	Backends      []Backend `cbor:"b,omitempty"`
+	BackendsIndex Index     `cbor:"bx,omitempty"`
 }
 
 // ListEdit is the difference between a list and its previous version: the part
