Contain a panic in a request to that request

Cause: a panic in a goroutine that a request starts (the reservation of tokens, its settlement, questions to replicas) ended the front with all its requests. A panic in the request's own goroutine was contained by net/http, which closes the connection without an answer and logs at the level of debugging.

Change: such goroutines turn a panic into an error of their request and log it with its stack.

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -226,9 +226,10 @@
 			Retention: u.turnRetention() + u.route.Timeout,
 		}
 		go func() {
-			var err error
-			others, err = u.Turns.Reserve(ctx, now, u.spend, u.request.TokenBudget)
-			reserved <- err
+			reserved <- u.contain("reserve tokens", func() (err error) {
+				others, err = u.Turns.Reserve(ctx, now, u.spend, u.request.TokenBudget)
+				return err
+			})
 		}()
 	} else {
 		reserved <- nil
@@ -292,7 +293,7 @@
 		return
 	}
 	spend := u.settledSpend()
-	u.background.Go(func() {
+	u.inBackground("settle tokens", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := u.Turns.Settle(ctx, u.Clock(), spend); err != nil {
--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -116,7 +116,7 @@
 		return
 	case stall.IsStalled:
 		d.isAsking = true
-		d.background.Go(d.askReplica)
+		d.inBackground("ask replica", d.askReplica)
 		return
 	}
 	if at := soonest(askAt, stall.AskAt); !at.IsZero() {
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -73,7 +73,7 @@
 		return
 	}
 	u.suspected = true
-	u.background.Go(func() {
+	u.inBackground("check replica", func() {
 		if u.ended.Has(context.Background(), u.Clock(), replica) {
 			u.recordEnding(p, replica, u.digest)
 		}
