--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -231,13 +231,17 @@
 func (r *Roster) readIfResponsible(ctx context.Context) {
 	view := r.Directory.View()
 	now := r.Clock()
-	isLeader := view.Leader == r.Settings.VoterName() && r.Settings.HasRole(zinniapond.RoleControl)
+	isLeader := view.Leader == r.Settings.VoterName() && r.Settings.HasRole(zinniapond.RoleControl) && now.Sub(r.Directory.ConfirmedAt()) < r.Settings.Control.LeaseDuration
 	readsDirectly := !r.Settings.HasRole(zinniapond.RoleControl) && now.Sub(r.Directory.ConfirmedAt()) > staleRefreshes*r.Settings.Platform.RefreshInterval
+	hasReadDirectly := r.readsDirectly
 	if readsDirectly != r.readsDirectly {
 		r.readsDirectly = readsDirectly
 		r.Logger.Info("source of the replica list changed", "own", readsDirectly, "confirmed", r.Directory.ConfirmedAt())
 	}
 	if !isLeader && !readsDirectly {
+		if hasReadDirectly && view.BackendsIndex > 0 {
+			r.apply(now, view.Backends) // an unchanged list causes no other call
+		}
 		return
 	}
 	boundedCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -262,9 +266,7 @@
 	}
 	boundedCtx, cancel = context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	// The list is compared again at the next refresh if the command is refused.
 	result, err := r.Control.Propose(boundedCtx, now, state.NewBackendsCommand(view, list))
-	if err == nil && !result.Accepted {
-		err = errors.New(result.Reason) // the list is compared again at the next refresh
-	}
-	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "error", err)
+	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "accepted", result.Accepted, "reason", result.Reason, "error", err)
 }
--- a/internal/fleet/state/backends.go
+++ b/internal/fleet/state/backends.go
@@ -11,7 +11,7 @@
 // and not with the list. It has the whole list if that is the first one, or if the
 // difference does not restore it or has more entries.
 func NewBackendsCommand(view *zinniapond.ControlView, list []zinniapond.Backend) zinniapond.Command {
-	whole := zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list}
+	whole := zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list, BackendsIndex: view.BackendsIndex}
 	if view.BackendsIndex == 0 {
 		return whole
 	}
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -60,6 +60,7 @@
 	answerBegun  bool
 	answerRead   bool // the answer to the current attempt was read to its end
 	stream       stream
+	keyUntil     time.Time  // when the lease on the key expires; zero if it does not
 	sendUntil    time.Time  // when the permits of the current attempt expire
 	departure    *departure // watches the current attempt
 	held         int64      // bytes of memory taken
@@ -248,9 +249,10 @@
 			Retention: u.turnRetention() + u.route.Timeout,
 		}
 		go func() {
-			var err error
-			others, err = u.Turns.Reserve(ctx, now, u.spend, u.request.TokenBudget)
-			reserved <- err
+			reserved <- u.contain("reserve tokens", func() (err error) {
+				others, err = u.Turns.Reserve(ctx, now, u.spend, u.request.TokenBudget)
+				return err
+			})
 		}()
 	} else {
 		reserved <- nil
@@ -314,7 +316,7 @@
 		return
 	}
 	spend := u.settledSpend()
-	u.background.Go(func() {
+	u.inBackground("settle tokens", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := u.Turns.Settle(ctx, u.Clock(), spend); err != nil {
--- a/internal/front/runner/overdue.go
+++ b/internal/front/runner/overdue.go
@@ -18,7 +18,7 @@
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	d := &departure{run: u, pool: p, cancel: cancel, mayRunAgain: true}
+	d := &departure{run: u, pool: p, ctx: ctx, cancel: cancel, mayRunAgain: true}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.awaitAnswer(now, max(usual, u.route.TargetLatency), usual)
@@ -42,9 +42,8 @@
 		// The request has waited for longer than a pause between attempts.
 		if d.pool.waiters.queue.Len() == 0 {
 			if _, isAllowed := d.pool.retrier.AllowRetry(now, d.possibleRuns+1); isAllowed {
-				d.hasLeft = true
 				d.Stats.Add("front.overdue", 1)
-				d.cancel(errLeft)
+				d.endAttempt(errLeft)
 				return
 			}
 		}
--- a/internal/wire/codec/fault.go
+++ b/internal/wire/codec/fault.go
@@ -37,6 +37,7 @@
 	"corrupt":     zinniapond.ErrCorrupt,
 	"unavailable": zinniapond.ErrUnavailable,
 	"permit":      zinniapond.ErrPermitExpired,
+	"connections": zinniapond.ErrConnectionLimit,
 	"warnings":    zinniapond.ErrWarnings,
 	"cap":         zinniapond.ErrCapExceeded,
 }
--- a/messages.go
+++ b/messages.go
@@ -53,8 +53,11 @@
 
 	Routing *Routing    `cbor:"ro,omitempty"`
 	Disk    *DiskChange `cbor:"di,omitempty"`
-	// Backends is the complete list of replicas.
-	Backends []Backend `cbor:"b,omitempty"`
+	// Backends is the complete list of replicas. BackendsIndex is the index of the record
+	// whose list it replaces; the command applies only if there is no later one. It is 0
+	// for the first list.
+	Backends      []Backend `cbor:"b,omitempty"`
+	BackendsIndex Index     `cbor:"bx,omitempty"`
 	// BackendsEdit is the difference from the list in force.
 	BackendsEdit *BackendsEdit `cbor:"be,omitempty"`
 }
