--- a/internal/front/quota/drive_test.go
+++ b/internal/front/quota/drive_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"context"
 	"math"
 	"slices"
 	"sync"
@@ -11,17 +12,33 @@
 )
 
 // request runs one request of a plan as the runner does, and returns the time to retry if
-// it is refused.
-func (s *site) request(f *front, name zinniapond.PlanName, begins bool) (time.Duration, bool) {
+// it is refused. It fails without a refusal if the process of the front ends. deadline is
+// that of the client; zero if it has none.
+func (s *site) request(f *front, name zinniapond.PlanName, begins bool, deadline time.Time) (time.Duration, bool) {
 	s.pause(&f.frozen)
+	client, ctx := s.process(f)
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
 	start := time.Now()
 	s.mu.Lock()
 	s.offers[name] = append(s.offers[name], offer{start, begins})
 	s.mu.Unlock()
 	for {
 		plan := s.plan(name)
-		permit, err := f.Acquire(s.ctx, time.Now(), plan, begins)
+		permit, err := client.Acquire(ctx, time.Now(), plan, begins)
 		s.pause(&f.frozen)
+		if now, process := s.process(f); now != client && process.Err() == nil {
+			client, ctx = now, process // the client repeats a request that lost its connection
+			if !deadline.IsZero() {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithDeadline(ctx, deadline)
+				defer cancel()
+			}
+			continue
+		}
 		if err != nil {
 			var e *zinniapond.Error
 			wait := 100 * time.Millisecond
@@ -33,28 +50,37 @@
 		if time.Now().Before(permit.ExpiresAt) {
 			break
 		}
-		f.Return(time.Now(), plan, permit)
+		client.Return(time.Now(), plan, permit)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waited += time.Since(start)
+	s.longest = max(s.longest, time.Since(start))
 	s.runs[name] = append(s.runs[name], time.Now())
 	return 0, true
 }
 
-// attempts runs a request with two retries. pick chooses the front of each attempt.
-func (s *site) attempts(pick func() *front, name zinniapond.PlanName, begins bool) bool {
+// attempts runs a request with two retries. pick chooses the front of each attempt. A
+// client with a deadline waits for at most a third of its remaining time between two.
+func (s *site) attempts(pick func() *front, l load, begins bool) bool {
 	s.mu.Lock()
 	s.asked++
 	s.mu.Unlock()
+	var deadline time.Time
+	if l.patience > 0 {
+		deadline = time.Now().Add(l.patience)
+	}
 	for range 3 {
-		wait, ok := s.request(pick(), name, begins)
+		wait, ok := s.request(pick(), l.plan, begins, deadline)
 		if ok {
 			return true
 		}
 		s.mu.Lock()
 		s.refused++
 		s.mu.Unlock()
+		if !deadline.IsZero() {
+			wait = min(wait, time.Until(deadline)/3)
+		}
 		time.Sleep(wait)
 	}
 	s.mu.Lock()
@@ -73,6 +99,9 @@
 	skew int
 	// span is the time for which programs begin.
 	span time.Duration
+	// patience is the time for which a client waits for a request with its retries; 0 if
+	// it has no deadline.
+	patience time.Duration
 	// continuing is set if the requests belong to programs that were begun before.
 	continuing bool
 }
@@ -116,7 +145,7 @@
 // program runs the requests of one program.
 func (s *site) program(l load) {
 	pick := s.pick(l)
-	if !s.attempts(pick, l.plan, !l.continuing) {
+	if !s.attempts(pick, l, !l.continuing) {
 		return
 	}
 	s.mu.Lock()
@@ -124,7 +153,7 @@
 	s.mu.Unlock()
 	for range l.turns - 1 {
 		time.Sleep(s.exponential(l.pause))
-		if !s.attempts(pick, l.plan, false) {
+		if !s.attempts(pick, l, false) {
 			return
 		}
 	}
--- a/internal/front/quota/norace_test.go
+++ b/internal/front/quota/norace_test.go
@@ -5,6 +5,8 @@
 const (
 	// maxFronts bounds the fronts of a site.
 	maxFronts = 1000
+	// lossFronts and lossPlans are the size of the site in TestPowerLoss.
+	lossFronts, lossPlans = 54, 81
 	// suddenPrograms is the number of requests a second in a sudden load.
 	suddenPrograms = 480
 )
--- a/internal/front/quota/site_test.go
+++ b/internal/front/quota/site_test.go
@@ -46,6 +46,8 @@
 	refused int // number of refusals
 	lost    int // number of requests that were refused for good
 	waited  time.Duration
+	// longest is the longest wait of a request that ran.
+	longest time.Duration
 }
 
 // offer is one attempt of a client.
@@ -67,6 +69,8 @@
 type front struct {
 	*quota.Client
 	name     string
+	ctx      context.Context // ends with the process
+	stop     context.CancelFunc
 	stats    *stats.Set[string]
 	frozen   time.Time
 	bytes    int
@@ -221,6 +225,27 @@
 	s.group.Go(func() { _ = counted.Run(ctx) }) // returns nil only
 }
 
+// startFront starts a process of a front, in place of an earlier one.
+func (s *site) startFront(f *front, frontCount int) {
+	client := &quota.Client{
+		Host: zinniapond.HostName(f.name), Peers: connection{s, f.name}, ControlHosts: hosts.Chooser{Directory: s},
+		Policy: allow.Policy{Access: access}, Stats: f.stats, Logger: hclog.NewNullLogger(), Clock: time.Now,
+	}
+	client.SetHostCount(frontCount)
+	ctx, stop := context.WithCancel(s.ctx)
+	s.mu.Lock()
+	f.Client, f.ctx, f.stop = client, ctx, stop
+	s.mu.Unlock()
+	s.group.Go(func() { _ = client.Run(ctx) }) // returns nil only
+}
+
+// process returns the present process of a front.
+func (s *site) process(f *front) (*quota.Client, context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return f.Client, f.ctx
+}
+
 // killCounter ends the process of a control host.
 func (s *site) killCounter(address netip.AddrPort) {
 	s.mu.Lock()
@@ -255,16 +280,10 @@
 			s.startCounter(a)
 		}
 		for i := range frontCount {
-			f := &front{name: fmt.Sprintf("front-%d", i), stats: new(stats.Set[string])}
-			f.Client = &quota.Client{
-				Host: zinniapond.HostName(f.name), Peers: connection{s, f.name}, ControlHosts: hosts.Chooser{Directory: s},
-				Policy: allow.Policy{Access: access}, Stats: f.stats, Logger: hclog.NewNullLogger(), Clock: time.Now,
-			}
-			f.SetHostCount(frontCount)
-			s.fronts = append(s.fronts, f)
+			s.fronts = append(s.fronts, &front{name: fmt.Sprintf("front-%d", i), stats: new(stats.Set[string])})
 		}
 		for _, f := range s.fronts {
-			s.group.Go(func() { _ = f.Run(s.ctx) }) // returns nil only
+			s.startFront(f, frontCount)
 		}
 		time.Sleep(time.Second)
 		play(s)
