Wait for tokens of a new count for half of the remaining time

Cause: a request waited for at most 150 ms once a control host answered, and was refused at once if the new, empty bucket needed longer. While no control host answered it was refused after 2 s, and programs that begin took the tokens of this host before begun ones that had arrived later. A refused client was told to return when the refusal was no longer cached, at most 250 ms later, whether or not there was room then.

Change: while no control host answers, and while the buckets of a new count fill, a request waits for half of its remaining time, at most 5 s, unless it cannot be served in that time. Begun programs go first. A refused client is told when there is room. No tokens are fetched in advance from a new count.

--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -35,7 +35,7 @@
 type balance struct {
 	mu       sync.Mutex
 	plan     zinniapond.PlanName
-	limit    zinniapond.PlanLimit
+	rule     zinniapond.PlanLimit
 	lifetime time.Duration
 	batches  []batch   // in the order of their grants
 	reserves []reserve // in the order of their grants
@@ -44,9 +44,14 @@
 	demand   [kinds]float64
 	demandAt time.Time
 	used     time.Time // time of the last request
-	// refusedUntil is the end of the time in which requests are refused without a message.
+	// refusedUntil is the end of the time in which requests are refused without a message
+	// that cannot wait until roomAt, when one is likely to be allowed.
 	refusedUntil [kinds]time.Time
+	roomAt       [kinds]time.Time
 	refusedAt    time.Time // time of the last reply that has refused requests
+	// filledAt is the end of the time in which requests wait longer, as the control host
+	// has begun to count a short time ago.
+	filledAt time.Time
 	// nextOwn is the time of the next request that no control host counts.
 	nextOwn time.Time
 }
@@ -64,12 +69,35 @@
 	expires time.Time
 }
 
-// waiter is a request that waits for a token.
+// waiter is a request that waits for a token: until the time until, or until extended
+// while no control host has answered or its count is new.
 type waiter struct {
-	begins   bool
-	until    time.Time
-	answered bool // a control host has answered since the request waits
-	result   chan outcome
+	begins          bool
+	until, extended time.Time
+	answered        bool // a control host has answered since the request waits
+	result          chan outcome
+}
+
+// limit returns the time until which a request waits.
+func (b *balance) limit(now time.Time, w *waiter) time.Time {
+	if !w.answered || now.Before(b.filledAt) {
+		return later(w.until, w.extended)
+	}
+	return w.until
+}
+
+// refusal returns the time until a request of a kind is likely to be allowed if it is
+// refused without a message, as it cannot wait for as long as that.
+func (b *balance) refusal(now time.Time, w *waiter) (wait time.Duration, refused bool) {
+	k := kindOf(w.begins)
+	limit := w.until
+	if now.Before(b.filledAt) {
+		limit = later(w.until, w.extended)
+	}
+	if !now.Before(b.refusedUntil[k]) || b.roomAt[k].Before(limit) {
+		return 0, false
+	}
+	return b.roomAt[k].Sub(now), true
 }
 
 // outcome is the expiry of a token, or the time until one is likely if expires is zero.
@@ -79,8 +107,8 @@
 }
 
 func (b *balance) setLimit(policy zinniapond.AllowancePolicy, limit zinniapond.PlanLimit) {
-	if b.limit != limit {
-		b.limit, b.lifetime = limit, policy.Lifetime(limit)
+	if b.rule != limit {
+		b.rule, b.lifetime = limit, policy.Lifetime(limit)
 	}
 }
 
@@ -113,16 +141,6 @@
 	return now.Add(ownValidity), true
 }
 
-// hasOwn reports whether takeOwn would succeed.
-func (b *balance) hasOwn(now time.Time, interval time.Duration) bool {
-	for _, p := range b.reserves {
-		if p.count > 0 && now.Before(p.expires) {
-			return true
-		}
-	}
-	return interval > 0 && !now.Before(b.nextOwn)
-}
-
 func earlier(x, y time.Time) time.Time {
 	if x.Before(y) {
 		return x
@@ -155,17 +173,18 @@
 // apply adds the tokens of a grant that was asked for at sentAt, and decides on the
 // requests that wait. It returns the time of the next message that is needed for them;
 // zero if none is.
-func (b *balance) apply(now, sentAt time.Time, mark zinniapond.QuotaMark, grant zinniapond.QuotaGrant) time.Time {
+func (b *balance) apply(now, sentAt time.Time, reply *zinniapond.QuotaReply, grant zinniapond.QuotaGrant) time.Time {
 	b.lifetime = max(grant.Lifetime, 0)
+	b.filledAt = now.Add(reply.FilledIn)
 	if grant.Beginning+grant.Continuing > 0 {
-		b.batches = append(b.batches, batch{mark, sentAt.Add(grant.Lifetime), [kinds]int{grant.Beginning, grant.Continuing}})
+		b.batches = append(b.batches, batch{reply.Mark, sentAt.Add(grant.Lifetime), [kinds]int{grant.Beginning, grant.Continuing}})
 	}
 	if grant.Reserve > 0 {
 		b.reserves = append(b.reserves, reserve{grant.Reserve, sentAt.Add(zinniapond.ReserveLifetime)})
 	}
 	waits := [kinds]time.Duration{grant.BeginWait, grant.OtherWait}
 	for k, wait := range waits {
-		b.refusedUntil[k] = time.Time{}
+		b.refusedUntil[k], b.roomAt[k] = time.Time{}, now.Add(wait)
 		if wait > waitTime {
 			b.refusedUntil[k] = now.Add(min(wait, maxRefusalAge))
 			b.refusedAt = now
@@ -176,7 +195,7 @@
 	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
 		w.answered = !grant.Unknown
 		wait := waits[kindOf(w.begins)]
-		if again := now.Add(wait); again.Before(w.until) {
+		if again := now.Add(wait); again.Before(b.limit(now, w)) {
 			if next.IsZero() || again.Before(next) {
 				next = again
 			}
@@ -204,20 +223,30 @@
 	}
 }
 
-// serveOwn gives tokens to the requests that wait while no control host answers. It
-// reports whether some still wait.
+// serveOwn gives tokens to the requests that wait while no control host answers, those of
+// programs that were begun first. It reports whether some still wait.
 func (b *balance) serveOwn(now time.Time, interval time.Duration) (served int, remain bool) {
-	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
-		expires, ok := b.takeOwn(now, interval)
-		if ok {
-			served++
-			w.result <- outcome{expires: expires}
-		}
-		return ok
-	})
+	for _, begins := range []bool{false, true} {
+		b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+			if w.begins != begins {
+				return false
+			}
+			expires, ok := b.takeOwn(now, interval)
+			if ok {
+				served++
+				w.result <- outcome{expires: expires}
+			}
+			return ok
+		})
+	}
 	return served, len(b.waiting) > 0
 }
 
+// isAhead reports whether a request waits that is served before one that arrives now.
+func (b *balance) isAhead(begins bool) bool {
+	return slices.ContainsFunc(b.waiting, func(w *waiter) bool { return begins || !w.begins })
+}
+
 func (b *balance) remove(w *waiter) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(x *waiter) bool { return x == w })
 }
--- a/internal/front/quota/demand.go
+++ b/internal/front/quota/demand.go
@@ -66,10 +66,10 @@
 }
 
 // prefetch returns the number of tokens to obtain in advance: those for half of their
-// lifetime.
+// lifetime. A count that is new has no tokens but for requests that wait.
 func (b *balance) prefetch(now time.Time, k kind) int {
 	expected := b.demand[k] * b.lifetime.Seconds()
-	if expected < minPrefetch || float64(b.limit.Rate)*b.lifetime.Seconds() < minRefill {
+	if now.Before(b.filledAt) || expected < minPrefetch || float64(b.rule.Rate)*b.lifetime.Seconds() < minRefill {
 		return 0
 	}
 	return max(int(expected/2+0.5)-b.held(now, k), 0)
--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -186,7 +186,7 @@
 	var next time.Time
 	for i, b := range asked {
 		b.mu.Lock()
-		at := b.apply(now, sentAt, reply.Mark, reply.Grants[i])
+		at := b.apply(now, sentAt, reply, reply.Grants[i])
 		b.mu.Unlock()
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
@@ -210,7 +210,7 @@
 	remain := false
 	for _, b := range asked {
 		b.mu.Lock()
-		served, waits := b.serveOwn(now, c.ownInterval(b.limit))
+		served, waits := b.serveOwn(now, c.ownInterval(b.rule))
 		b.mu.Unlock()
 		c.Stats.Add("quota.own", int64(served))
 		remain = remain || waits
--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -36,18 +36,23 @@
 }
 
 const (
-	// waitTime is the longest time for which a request waits for tokens.
+	// waitTime is the longest time for which a request waits for tokens of a count that is
+	// not new.
 	waitTime = 150 * time.Millisecond
 	// outageShare is the share of its remaining time for which a request waits for a control
-	// host that answers, and maxOutageWait the longest such wait. The client then has time
-	// left to try another host.
+	// host that answers, or for tokens of a new count, and maxOutageWait the longest such
+	// wait. The client then has time left to try another host. A host that no control host
+	// answers for longer than that has no valid configuration and refuses all requests with
+	// keys.
 	outageShare   = 0.5
-	maxOutageWait = 2 * time.Second
+	maxOutageWait = 5 * time.Second
 	// outageRetryAfter is the least delay after which a client may retry while no control
 	// host answers.
 	outageRetryAfter = 200 * time.Millisecond
-	// minRetryAfter is the least delay after any other refusal.
+	// minRetryAfter and maxRetryAfter bound the delay after any other refusal, without its
+	// random part.
 	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
 	// ownValidity is the time for which a permit is valid that no control host has
 	// counted.
 	ownValidity = 250 * time.Millisecond
@@ -126,39 +131,49 @@
 		}
 		return zinniapond.Permit{SendAt: now, ExpiresAt: expires}, nil
 	}
-	if until := b.refusedUntil[kindOf(begins)]; now.Before(until) {
+	w := newWaiter(ctx, now, begins)
+	if wait, refused := b.refusal(now, w); refused {
 		b.mu.Unlock()
-		return zinniapond.Permit{}, c.refuse(until.Sub(now))
+		return zinniapond.Permit{}, c.refuse(wait)
 	}
-	if c.failing.Load() {
-		if expires, ok := b.takeOwn(now, c.ownInterval(b.limit)); ok {
+	if c.failing.Load() && !b.isAhead(begins) {
+		if expires, ok := b.takeOwn(now, c.ownInterval(b.rule)); ok {
 			b.mu.Unlock()
 			c.Stats.Add("quota.own", 1)
 			return zinniapond.Permit{SendAt: now, ExpiresAt: expires}, nil
 		}
 	}
-	w := &waiter{begins: begins, until: now.Add(waitTime), result: make(chan outcome, 1)}
 	b.waiting = append(b.waiting, w)
 	b.mu.Unlock()
 	c.schedule(now, true)
 	return c.await(ctx, b, w)
 }
 
-// await waits for the outcome of a request. After waitTime the request uses the tokens
-// that this host may grant by itself if no control host has answered, or waits for one
-// that does. It is refused otherwise.
+// newWaiter returns a request that waits from now on.
+func newWaiter(ctx context.Context, now time.Time, begins bool) *waiter {
+	w := &waiter{begins: begins, until: now.Add(waitTime), result: make(chan outcome, 1)}
+	if deadline, ok := ctx.Deadline(); ok {
+		wait := time.Duration(float64(time.Until(deadline)) * outageShare)
+		w.extended = now.Add(min(wait, maxOutageWait))
+	}
+	return w
+}
+
+// await waits for the outcome of a request. A request for which no control host has
+// answered in its time uses the tokens that this host may grant by itself, if there are
+// any. It is refused otherwise.
 func (c *Client) await(ctx context.Context, b *balance, w *waiter) (zinniapond.Permit, error) {
-	timer := time.NewTimer(w.until.Sub(c.Clock()))
+	timer := time.NewTimer(max(w.until.Sub(c.Clock()), nextTime))
 	defer timer.Stop()
-	for isExtended := false; ; isExtended = true {
+	for {
 		select {
 		case o := <-w.result:
 			return c.permit(o)
 		case <-ctx.Done():
 		case <-timer.C:
 		}
-		wait := c.extend(ctx, b, w)
-		if isExtended || wait <= 0 {
+		wait := c.remaining(b, w)
+		if ctx.Err() != nil || wait <= 0 {
 			break
 		}
 		timer.Reset(wait)
@@ -173,32 +188,23 @@
 	default:
 	}
 	if ctx.Err() == nil && !w.answered {
-		if expires, ok := b.takeOwn(now, c.ownInterval(b.limit)); ok {
+		if expires, ok := b.takeOwn(now, c.ownInterval(b.rule)); ok {
 			c.Stats.Add("quota.own", 1)
 			return zinniapond.Permit{SendAt: now, ExpiresAt: expires}, nil
 		}
 		return zinniapond.Permit{}, c.refuse(outageRetryAfter)
 	}
-	return zinniapond.Permit{}, c.refuse(waitTime)
+	return zinniapond.Permit{}, c.refuse(max(b.roomAt[kindOf(w.begins)].Sub(now), waitTime))
 }
 
-// extend lengthens the wait of a request for which no control host has answered, and
-// returns how much longer it waits. A plan below its limit would else be refused while the
-// control hosts are being replaced, which takes about a second.
-func (c *Client) extend(ctx context.Context, b *balance, w *waiter) time.Duration {
+// remaining returns how much longer a request waits. A plan below its limit would else be
+// refused while the control hosts are being replaced, which takes about a second, and
+// while the buckets of the new count fill.
+func (c *Client) remaining(b *balance, w *waiter) time.Duration {
 	now := c.Clock()
-	deadline, ok := ctx.Deadline()
-	if !ok || ctx.Err() != nil {
-		return 0
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w.answered || b.hasOwn(now, c.ownInterval(b.limit)) {
-		return 0
-	}
-	wait := min(time.Duration(float64(time.Until(deadline))*outageShare), maxOutageWait)
-	w.until = now.Add(wait)
-	return wait
+	return b.limit(now, w).Sub(now)
 }
 
 func (c *Client) permit(o outcome) (zinniapond.Permit, error) {
@@ -212,7 +218,7 @@
 // part, so that the clients do not return together.
 func (c *Client) refuse(wait time.Duration) error {
 	c.Stats.Add("quota.refused", 1)
-	wait = max(wait, minRetryAfter)
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return &zinniapond.Error{Step: "check request limit", RetryAfter: wait*3/4 + rand.N(wait*3/4), Err: zinniapond.ErrRateLimited}
 }
 
--- a/internal/front/quota/quota_test.go
+++ b/internal/front/quota/quota_test.go
@@ -25,10 +25,11 @@
 // controlHost is a fake of a control host that answers every call alike.
 type controlHost struct {
 	*quota.Client
-	grant zinniapond.QuotaGrant
-	log   bytes.Buffer
+	log bytes.Buffer
 
 	mu       sync.Mutex // guards the following
+	grant    zinniapond.QuotaGrant
+	filledIn time.Duration
 	err      error
 	requests []zinniapond.QuotaRequest
 }
@@ -47,6 +48,13 @@
 	h.err = nil
 }
 
+// answer sets the answer to all further calls.
+func (h *controlHost) answer(grant zinniapond.QuotaGrant, filledIn time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.grant, h.filledIn = grant, filledIn
+}
+
 // seen returns the requests that have arrived.
 func (h *controlHost) seen() []zinniapond.QuotaRequest {
 	h.mu.Lock()
@@ -68,8 +76,10 @@
 	h.requests = append(h.requests, q)
 	h.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	r := reply.(*zinniapond.QuotaReply)
-	r.Counter = to
+	r.Counter, r.FilledIn = to, h.filledIn
 	for _, need := range q.Needs {
 		if need.Beginning+need.Continuing == 0 {
 			r.Grants = append(r.Grants, zinniapond.QuotaGrant{Lifetime: h.grant.Lifetime})
@@ -77,8 +87,6 @@
 		}
 		r.Grants = append(r.Grants, h.grant)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	return h.err
 }
 
@@ -263,6 +271,120 @@
 	})
 }
 
+// waitFor acquires a token for a client that waits for the given time.
+func (h *controlHost) waitFor(t *testing.T, plan *zinniapond.Plan, begins bool, patience time.Duration) (time.Duration, error) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, err := h.Acquire(ctx, start, plan, begins)
+	return time.Since(start), err
+}
+
+func TestOutageOrder(t *testing.T) {
+	plan := &zinniapond.Plan{Name: "p", RequestRate: 100, RequestBurst: 100}
+	t.Run("guards against requests that are refused while waiting would serve them", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{Continuing: 1, Lifetime: 100 * time.Millisecond}, func(t *testing.T, h *controlHost) {
+			h.fail()
+			time.AfterFunc(3500*time.Millisecond, h.recover)
+			waited, err := h.waitFor(t, plan, false, 10*time.Second)
+			assert.NoError(t, err)
+			assert.True(t, waited < 4*time.Second, "allowed after %s", waited)
+		})
+	})
+	t.Run("guards against a cut-off host that keeps its clients from trying another", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
+			h.fail()
+			waited, err := h.waitFor(t, plan, false, time.Minute)
+			assertRefused(t, err, 100*time.Millisecond, time.Second)
+			assert.True(t, waited <= 5*time.Second, "refused after %s", waited)
+		})
+	})
+	t.Run("guards against programs that begin before others go on", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{}, func(t *testing.T, h *controlHost) {
+			h.fail()
+			h.SetHostCount(10) // it allows itself a request each 1.75 s
+			var order []string
+			var group sync.WaitGroup
+			var mu sync.Mutex
+			request := func(name string, begins bool) {
+				group.Go(func() {
+					if _, err := h.waitFor(t, plan, begins, 8*time.Second); err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						order = append(order, name)
+					}
+				})
+				time.Sleep(10 * time.Millisecond)
+			}
+			request("first", true)
+			time.Sleep(time.Second)
+			request("begins", true)
+			request("goes on", false)
+			group.Wait()
+			assert.Equal(t, order, []string{"first", "goes on", "begins"})
+		})
+	})
+}
+
+func TestNewCount(t *testing.T) {
+	plan := &zinniapond.Plan{Name: "p", RequestRate: 100, RequestBurst: 100}
+	missing := zinniapond.QuotaGrant{BeginWait: 400 * time.Millisecond, OtherWait: 400 * time.Millisecond, Lifetime: time.Second}
+	late := zinniapond.QuotaGrant{BeginWait: 4 * time.Second, OtherWait: 400 * time.Millisecond, Lifetime: time.Second}
+	t.Run("guards against refusals while the buckets of a new count fill", func(t *testing.T) {
+		withHost(t, missing, func(t *testing.T, h *controlHost) {
+			h.answer(missing, 7*time.Second)
+			time.AfterFunc(1100*time.Millisecond, func() {
+				h.answer(zinniapond.QuotaGrant{Continuing: 1, Lifetime: time.Second}, 6*time.Second)
+			})
+			waited, err := h.waitFor(t, plan, false, 4*time.Second)
+			assert.NoError(t, err)
+			assert.True(t, waited < 1300*time.Millisecond, "allowed after %s", waited)
+			assert.True(t, len(h.seen()) <= 4, "%d messages", len(h.seen()))
+		})
+	})
+	t.Run("guards against requests that wait for more than half of their time", func(t *testing.T) {
+		withHost(t, missing, func(t *testing.T, h *controlHost) {
+			h.answer(missing, 7*time.Second)
+			waited, err := h.waitFor(t, plan, false, 4*time.Second)
+			assertRefused(t, err, 100*time.Millisecond, time.Second)
+			assert.True(t, waited >= 1500*time.Millisecond && waited <= 2*time.Second, "refused after %s", waited)
+		})
+	})
+	t.Run("guards against requests that wait in vain", func(t *testing.T) {
+		withHost(t, late, func(t *testing.T, h *controlHost) {
+			h.answer(late, 7*time.Second)
+			for range 10 {
+				waited, err := h.waitFor(t, plan, true, 4*time.Second)
+				// There is room after 4 s; clients return after 2 s at the most without the random part.
+				assertRefused(t, err, 1500*time.Millisecond, 3*time.Second)
+				assert.True(t, waited < 100*time.Millisecond, "refused after %s", waited)
+			}
+			assert.Equal(t, len(h.seen()), 1)
+			_, err := h.waitFor(t, plan, true, 20*time.Second)
+			assertRefused(t, err, 100*time.Millisecond, 3*time.Second)
+		})
+	})
+	t.Run("guards against waits of plans above their limits when the count is not new", func(t *testing.T) {
+		withHost(t, missing, func(t *testing.T, h *controlHost) {
+			waited, err := h.waitFor(t, plan, false, 4*time.Second)
+			assertRefused(t, err, 300*time.Millisecond, 600*time.Millisecond)
+			assert.True(t, waited <= 10*time.Millisecond, "refused after %s", waited)
+		})
+	})
+	t.Run("guards against tokens in advance that requests of other fronts need", func(t *testing.T) {
+		withHost(t, zinniapond.QuotaGrant{Continuing: 1, Lifetime: time.Second}, func(t *testing.T, h *controlHost) {
+			h.answer(zinniapond.QuotaGrant{Continuing: 1, Lifetime: time.Second}, 7*time.Second)
+			for range 20 {
+				_, err := h.acquire(plan, false)
+				assert.NoError(t, err)
+			}
+			for _, r := range h.seen() {
+				assert.Equal(t, r.Needs[0].Continuing, 1)
+			}
+		})
+	})
+}
+
 func TestForget(t *testing.T) {
 	t.Run("guards against messages for idle plans", func(t *testing.T) {
 		withHost(t, zinniapond.QuotaGrant{Beginning: 1, Lifetime: time.Second}, func(t *testing.T, h *controlHost) {
