Count windows under random faults of fronts and control hosts

Cause: TestFailure counts windows under six chosen faults of control hosts; no test restarted fronts or combined faults.

Change: TestFaults draws a plan, a load, and up to four faults that may overlap: fronts and control hosts are killed and restarted, frozen, cut off or without power. TestPowerLoss bounds what plans at half of their limits lose.

--- a/internal/front/quota/race_test.go
+++ b/internal/front/quota/race_test.go
@@ -7,6 +7,8 @@
 const (
 	maxFronts      = 14
 	suddenPrograms = 160
+	// lossFronts and lossPlans are the size of the site in TestPowerLoss.
+	lossFronts, lossPlans = 7, 20
 )
 
 // tableFronts are the sizes of the site in TestTable.
--- a/internal/front/quota/site_test.go
+++ b/internal/front/quota/site_test.go
@@ -139,6 +139,8 @@
 		}
 	}
 	address := netip.MustParseAddrPort(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return &s.counters[address].frozen
 }
 
@@ -220,6 +222,10 @@
 	var ctx context.Context
 	ctx, counted.stop = context.WithCancel(s.ctx)
 	s.mu.Lock()
+	if earlier := s.counters[address]; earlier != nil {
+		earlier.dead = true
+		earlier.stop()
+	}
 	s.counters[address] = counted
 	s.mu.Unlock()
 	s.group.Go(func() { _ = counted.Run(ctx) }) // returns nil only
@@ -234,11 +240,23 @@
 	client.SetHostCount(frontCount)
 	ctx, stop := context.WithCancel(s.ctx)
 	s.mu.Lock()
+	if f.stop != nil {
+		f.stop()
+	}
 	f.Client, f.ctx, f.stop = client, ctx, stop
 	s.mu.Unlock()
 	s.group.Go(func() { _ = client.Run(ctx) }) // returns nil only
 }
 
+// killFront ends the process of a front. Its clients wait until it is started again, which
+// takes the given time.
+func (s *site) killFront(f *front, span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.stop()
+	f.frozen = time.Now().Add(span + time.Millisecond) // after the start
+}
+
 // process returns the present process of a front.
 func (s *site) process(f *front) (*quota.Client, context.Context) {
 	s.mu.Lock()
@@ -256,6 +274,8 @@
 
 // counting returns the control host that has answered most requests of fronts.
 func (s *site) counting() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var best netip.AddrPort
 	most := int64(-1)
 	for _, a := range s.order {
