Signal the timers of the token exchange without their channels

go test -race ./internal/front/quota crashed now and then with a SIGSEGV in runtime.(*timer).maybeRunChan. The fault is in the race detector of Go 1.26.8: if goroutines of one synctest bubble receive at the same time from channels of timers that have become due while nobody waited for them, they share one context of the detector.

Client.Run now has timers that call functions. The behaviour is the same.

--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -27,9 +27,6 @@
 	// avoidTime is the time for which the control host that counts is not asked directly
 	// after a failure.
 	avoidTime = 3 * time.Second
-	// nextTime is the shortest time of a timer. With the race detector, Go 1.26 crashes now
-	// and then if a select in a bubble of package synctest finds a timer that is due.
-	nextTime = time.Nanosecond
 	// sweepInterval is the interval at which unused tokens are collected and idle plans
 	// are forgotten.
 	sweepInterval = 500 * time.Millisecond
@@ -58,10 +55,15 @@
 	}
 	c.mu.Unlock()
 	if earliest {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		signal(c.wake)
+	}
+}
+
+// signal sends a value to a channel with room for one, unless it has one.
+func signal(to chan<- struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
 	}
 }
 
@@ -83,24 +85,28 @@
 // Run sends messages until ctx is done.
 func (c *Client) Run(ctx context.Context) error {
 	c.initialise()
-	timer := time.NewTimer(nextTime)
+	// The timers call functions and have no channels. The race detector of Go 1.26
+	// crashes if goroutines of a synctest bubble receive at the same time from channels of
+	// timers that have become due while nobody waited for them.
+	timer := time.AfterFunc(0, func() { signal(c.wake) })
 	defer timer.Stop()
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	sweep := make(chan struct{}, 1)
+	sweepTimer := time.AfterFunc(sweepInterval, func() { signal(sweep) })
+	defer sweepTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-sweep:
 			c.sweep(c.Clock())
+			sweepTimer.Reset(sweepInterval)
 			continue
 		case <-c.wake:
-		case <-timer.C:
 		}
 		switch wait, ok := c.takeDue(c.Clock()); {
 		case ok && wait == 0:
 			c.exchange(ctx)
-			timer.Reset(nextTime)
+			signal(c.wake)
 		case ok:
 			timer.Reset(wait)
 		}
