--- a/internal/front/quota/faults_test.go
+++ b/internal/front/quota/faults_test.go
@@ -90,35 +90,45 @@
 	return y
 }
 
-// TestFaults lets fronts and control hosts fail at random times, with loads of half to four
-// times the limit, and counts each window. It guards against more requests than the limit
-// allows, whoever fails.
+// drawLoad draws a plan and its load, of half to eight times its limit. The requests of a
+// sudden load belong to programs that were begun, so that they may use the whole bucket.
+func drawLoad(t *rapid.T, name zinniapond.PlanName) (zinniapond.Plan, load) {
+	plan := zinniapond.Plan{
+		Name:         name,
+		RequestRate:  zinniapond.RequestRate(rapid.IntRange(2, 40).Draw(t, "rate")),
+		RequestBurst: rapid.SampledFrom([]int{1, 12, 40, 120}).Draw(t, "burst"),
+	}
+	share := rapid.SampledFrom([]float64{0.5, 4, 8}).Draw(t, "share")
+	l := load{plan: name, programs: float64(plan.RequestRate) * share / 4, turns: 4, pause: time.Second, span: 12 * time.Second, patience: 6 * time.Second}
+	if rapid.Bool().Draw(t, "sudden") {
+		l.programs, l.turns, l.continuing = l.programs*4, 1, true
+	}
+	l.skew = rapid.IntRange(0, 3).Draw(t, "skew")
+	return plan, l
+}
+
+// TestFaults lets fronts and control hosts fail at random times, and counts each window. It
+// guards against more requests than the limits allow, whoever fails.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		plan := zinniapond.Plan{
-			Name:         "p",
-			RequestRate:  zinniapond.RequestRate(rapid.IntRange(2, 60).Draw(rt, "rate")),
-			RequestBurst: rapid.IntRange(1, 120).Draw(rt, "burst"),
-		}
-		// Each request of a sudden load belongs to a program that was begun, so that it may use
-		// the whole bucket.
-		sudden := rapid.Bool().Draw(rt, "sudden")
-		share := rapid.SampledFrom([]float64{0.5, 2, 4}).Draw(rt, "share")
-		l := load{plan: "p", programs: float64(plan.RequestRate) * share / 4, turns: 4, pause: time.Second, span: 12 * time.Second, patience: 6 * time.Second}
-		if sudden {
-			l.programs, l.turns, l.continuing = l.programs*4, 1, true
+		var plans []zinniapond.Plan
+		var loads []load
+		for _, name := range []zinniapond.PlanName{"a", "b", "c"} {
+			plan, l := drawLoad(rt, name)
+			plans, loads = append(plans, plan), append(loads, l)
 		}
-		l.skew = rapid.IntRange(0, 3).Draw(rt, "skew")
 		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 4).Draw(rt, "faults")
 		s := runSite(t, rapid.Uint64().Draw(rt, "seed"), 7, func(s *site) {
-			s.setPlans(plan)
+			s.setPlans(plans...)
 			for _, f := range faults {
 				s.group.Go(func() { f.run(s) })
 			}
-			s.drive(l)
-			time.Sleep(16*time.Second - l.span) // the last fault ends
+			s.drive(loads...)
+			time.Sleep(4 * time.Second) // the last fault ends
 		})
-		count, over := s.worst(plan, time.Time{})
-		assert.True(rt, over == 0, "%d requests in a window, %.0f above the bound", count, over)
+		for _, plan := range plans {
+			count, over := s.worst(plan, time.Time{})
+			assert.True(rt, over == 0, "%s: %d requests in a window, %.0f above the bound", plan.Name, count, over)
+		}
 	})
 }
