--- a/internal/front/quota/quota.go
+++ b/internal/front/quota/quota.go
@@ -161,7 +161,7 @@
 // answered in its time uses the tokens that this host may grant by itself, if there are
 // any. It is refused otherwise.
 func (c *Client) await(ctx context.Context, b *balance, w *waiter) (zinniapond.Permit, error) {
-	timer := time.NewTimer(max(w.until.Sub(c.Clock()), nextTime))
+	timer := time.NewTimer(w.until.Sub(c.Clock()))
 	defer timer.Stop()
 	select {
 	case o := <-w.result:
