Close a connection between hosts on which a message makes no progress

Cause: a connection between hosts was closed after 3 s without a byte. A message of which a byte arrived now and then kept the connection open, and new calls were put on it, as those that had timed out no longer counted as pending there.

Change: within a message at least 1 KB, or its rest, has to arrive within the silence timeout. A message that arrives slowly is not cut.

--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -31,6 +31,11 @@
 // slow peer is renewed as long as bytes are sent. Larger buffers are not reused.
 const chunkBytes = 64 << 10
 
+// minProgressBytes is the number of bytes of an incomplete message that have to arrive
+// within the silence timeout. A peer that sends a byte now and then would keep the
+// connection, and all calls on it, waiting.
+const minProgressBytes = 1 << 10
+
 // Codec is a client or server codec for net/rpc over one connection.
 type Codec struct {
 	conn              net.Conn
@@ -43,6 +48,12 @@
 	readBuffer  []byte     // last frame read; reused unless larger than chunkBytes
 	pendingBody []byte     // encoded body of the last frame read
 
+	// missing is the number of bytes that are still to arrive before the read timeout
+	// begins again: zero at the beginning of a message, one for its first bytes, and
+	// minProgressBytes within it. It is used by the goroutine that reads.
+	missing int
+	isBegun bool // bytes of the message have arrived
+
 	readingStopped atomic.Bool
 	closed         atomic.Bool
 	done           chan struct{}
@@ -77,18 +88,25 @@
 }
 
 // timeoutReader reads from the connection and fails if no byte arrives within the
-// silence timeout. After StopReading it returns io.EOF.
+// silence timeout, or less than minProgressBytes of a message. After StopReading it
+// returns io.EOF.
 type timeoutReader struct{ c *Codec }
 
 func (t timeoutReader) Read(p []byte) (int, error) {
 	c := t.c
-	if err := c.conn.SetReadDeadline(time.Now().Add(c.silenceTimeout)); err != nil {
-		return 0, err
+	if c.missing <= 0 {
+		if c.missing = 1; c.isBegun {
+			c.missing = minProgressBytes
+		}
+		if err := c.conn.SetReadDeadline(time.Now().Add(c.silenceTimeout)); err != nil {
+			return 0, err
+		}
 	}
 	if c.readingStopped.Load() {
 		return 0, io.EOF
 	}
 	n, err := c.conn.Read(p)
+	c.missing, c.isBegun = c.missing-n, c.isBegun || n > 0
 	if err == nil || n > 0 {
 		return n, nil
 	}
@@ -174,6 +192,7 @@
 		c.readBuffer = nil
 	}
 	for {
+		c.missing, c.isBegun = 0, false
 		frame, err := ReadFrame(c.reader, c.maxMessageBytes, c.readBuffer)
 		if err == nil && len(frame) == 0 {
 			continue
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -148,6 +148,35 @@
 		assert.Contains(t, err.Error(), "silent")
 		<-a.Done()
 	})
+	// sendSlowly sends a message of 20 KB in parts, one each interval, and returns what
+	// reading it returns.
+	sendSlowly := func(t *testing.T, part int, interval time.Duration) error {
+		t.Helper()
+		clientConn, serverConn := connectTCP(t)
+		message := new(frameBuffer)
+		assert.NoError(t, message.build(DefaultMaxMessageBytes, header{Seq: 1, Text: "m"}, make([]byte, 20<<10)))
+		go func() {
+			for rest := message.bytes(); len(rest) > 0; rest = rest[min(part, len(rest)):] {
+				if _, err := clientConn.Write(rest[:min(part, len(rest))]); err != nil {
+					return
+				}
+				time.Sleep(interval)
+			}
+		}()
+		b := New(serverConn, 0, time.Hour, silenceTimeout)
+		defer time.AfterFunc(10*silenceTimeout, func() { _ = b.Close() }).Stop()
+		defer func() { _ = b.Close() }()
+		return b.ReadRequestHeader(new(rpc.Request))
+	}
+	t.Run("guards against waiting for a message of which a byte arrives now and then", func(t *testing.T) {
+		begun := time.Now()
+		err := sendSlowly(t, 1, 20*time.Millisecond)
+		assert.True(t, err != nil, "a message of %s is read", time.Since(begun))
+		assert.True(t, time.Since(begun) < 4*silenceTimeout, "given up after %s", time.Since(begun))
+	})
+	t.Run("guards against cutting a message that arrives slowly", func(t *testing.T) {
+		assert.NoError(t, sendSlowly(t, 1<<10, silenceTimeout/4))
+	})
 	t.Run("guards against a writer blocked by a peer that does not read", func(t *testing.T) {
 		clientConn, _ := connectTCP(t)
 		a := New(clientConn, 0, time.Hour, silenceTimeout)
