--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -16,6 +16,8 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
 )
@@ -196,3 +198,35 @@
 		assert.Contains(t, r.Error, "limit 1000")
 	})
 }
+
+func TestCopies(t *testing.T) {
+	t.Run("guards against a late second copy of a response that another caller gets", func(t *testing.T) {
+		clientConn, serverConn := connectTCP(t)
+		server := New(serverConn, 0, 0, 0)
+		defer func() { _ = server.Close() }()
+		go func() {
+			var last *rpc.Response
+			for {
+				var r rpc.Request
+				var body string
+				if server.ReadRequestHeader(&r) != nil || server.ReadRequestBody(&body) != nil {
+					return
+				}
+				if last != nil {
+					_ = server.WriteResponse(last, "copy")
+				}
+				last = &rpc.Response{Seq: r.Seq}
+				_ = server.WriteResponse(last, "answer to "+body)
+			}
+		}()
+		client := rpc.NewClientWithCodec(New(clientConn, 0, 0, 0))
+		defer func() { _ = client.Close() }()
+		for _, request := range []string{"one", "two", "three"} {
+			var reply string
+			var raw cbor.RawMessage
+			assert.NoError(t, client.Call("m", request, &raw))
+			assert.NoError(t, cbor.Unmarshal(raw, &reply))
+			assert.Equal(t, reply, "answer to "+request)
+		}
+	})
+}
