--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -37,6 +37,12 @@
 	// recorded latency.
 	significantDigits = 2
 	headerTimeout     = 5 * time.Second
+	// transferTimeout bounds the time for receiving a request and for sending its answer.
+	// A client that takes a byte now and then would hold the answer in memory.
+	transferTimeout = 10 * time.Second
+	idleTimeout     = time.Minute
+	// stopTimeout bounds the time for which open requests are answered at a stop.
+	stopTimeout = time.Second
 )
 
 // Meter holds a latency histogram for each name. Its exported fields are set
@@ -114,13 +120,33 @@
 	if err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
+	return serve(ctx, l, expvar.Handler())
+}
+
+// serve serves until ctx is done, and then gives open requests stopTimeout to finish.
+func serve(ctx context.Context, l net.Listener, variables http.Handler) error {
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	mux.Handle("GET /debug/vars", variables)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: transferTimeout, WriteTimeout: transferTimeout, IdleTimeout: idleTimeout}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	select {
+	case err := <-served:
 		return err
+	case <-ctx.Done():
+	}
+	limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := server.Shutdown(limited)
+	if err != nil {
+		err = server.Close() // of clients that do not take their answers
+	}
+	return errors.Join(err, ignoreClosed(<-served))
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
