--- a/internal/front/runner/stall_test.go
+++ b/internal/front/runner/stall_test.go
@@ -54,10 +54,10 @@
 
 func (b *stallBody) Read(part []byte) (int, error) {
 	pause, text := eventInterval, "x"
-	switch {
-	case b.next == eventTotal:
+	switch b.next {
+	case eventTotal:
 		return 0, io.EOF
-	case b.next == b.stopAfter:
+	case b.stopAfter:
 		pause = 200 * time.Millisecond
 	default:
 		b.next++
