Watch a stream for stalls again after a slow write to its client

Cause: one write of more than 50 ms ended the watch of a stream for good. A host with a fifth of a core pauses for that long now and then, so that a replica that stalled later was waited for until the deadline.

Change: the watch stops while a write is slow. Afterwards the silence and the speed of the stream are measured anew; its times are still not learned.

Result: with a write of 2 s and a replica that stalls after three events, the turn ends within 6 s of a deadline of 20 s; without the change it does not end before the deadline. A client that takes 5 s for its first part makes no stream leave.

--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -39,7 +39,8 @@
 	timer    *time.Timer
 	isOver   bool
 	hasLeft  bool
-	isSlow   bool // the client is slow
+	isPaused bool // a write to the client is slow
+	isSlow   bool // some write to the client was slow
 	// isAsking is set while the replica is asked whether the run goes on, and isGone once
 	// it has said that it does not.
 	isAsking, isGone bool
@@ -80,11 +81,17 @@
 // record records the events with data that the replica has sent, and the tokens that all
 // replicas have generated.
 func (d *departure) record(now time.Time, events int, generated zinniapond.Tokens) {
-	if d == nil || events == 0 {
+	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.isPaused {
+		// The speed of the replica is measured anew.
+		d.isPaused, d.progress.ResumedAt, d.progress.Events = false, now, 0
+	} else if events == 0 {
+		return
+	}
 	if d.progress.Events == 0 {
 		d.progress.FirstEventAt = now
 	}
@@ -99,7 +106,7 @@
 	if d.timer != nil {
 		d.timer.Stop()
 	}
-	if d.isOver || d.hasLeft || d.isAsking {
+	if d.isOver || d.isPaused || d.hasLeft || d.isAsking {
 		return
 	}
 	leave, askAt := d.shouldLeave(now)
@@ -162,7 +169,7 @@
 	defer d.mu.Unlock()
 	now := d.Clock()
 	d.isAsking = false
-	if d.isOver || d.hasLeft {
+	if d.isOver || d.isPaused || d.hasLeft {
 		return
 	}
 	stall := d.pool.migration.Stall(now, d.progress)
@@ -205,15 +212,16 @@
 	return a
 }
 
-// stay keeps the stream at its replica, and its times from being learned. Its events are
-// recorded once the client has taken them, so that a slow client looks like a slow replica.
+// stay keeps the stream at its replica while a write to the client is slow, and its times
+// from being learned. Its events are recorded once the client has taken them, so that a slow
+// client looks like a slow replica.
 func (d *departure) stay() {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.isOver, d.isSlow = true, true
+	d.isPaused, d.isSlow = true, true
 }
 
 // end ends the watch. isDone is set if the attempt has completed the stream.
--- a/internal/front/runner/stall_test.go
+++ b/internal/front/runner/stall_test.go
@@ -122,6 +122,18 @@
 	return took
 }
 
+// pausingClient takes its first part late.
+type pausingClient struct {
+	recorder
+	pause time.Duration
+}
+
+func (c *pausingClient) Write(part []byte) error {
+	time.Sleep(c.pause)
+	c.pause = 0
+	return c.recorder.Write(part)
+}
+
 func TestStalledStreams(t *testing.T) {
 	inBubble(t, "guards against waiting until the deadline for a replica that sends a byte now and then", func(t *testing.T) {
 		c := newStallClient(t, 30, true)
@@ -177,6 +189,28 @@
 		time.AfterFunc(900*time.Millisecond, func() { c.skew.Store(int64(3 * time.Second)) })
 		assertServed(t, c, 1)
 	})
+	inBubble(t, "guards against waiting for a stalled replica as the client was slow once", func(t *testing.T) {
+		c := newStallClient(t, 30, true)
+		c.stopAfter = 3
+		to, begun := &pausingClient{pause: 2 * time.Second}, time.Now()
+		c.Forward(t.Context(), begun, zinniapond.Request{
+			ID: "id", Host: "h", Path: "/r/x", ReceivedAt: begun, MaxGenerated: 10 * eventTotal, ClientTimeout: stallTimeout,
+		}, to)
+		c.background.Wait()
+		assert.True(t, to.ended, "the turn does not end: %v", to.refused)
+		assert.True(t, time.Since(begun) < earlyEnd+2*time.Second, "the turn ends after %s", time.Since(begun))
+		assert.Equal(t, c.lastIDs, []string{"", "3"})
+	})
+	inBubble(t, "guards against leaving a replica as the client is slow", func(t *testing.T) {
+		c := newStallClient(t, 30, true)
+		to, begun := &pausingClient{pause: 5 * time.Second}, time.Now()
+		c.Forward(t.Context(), begun, zinniapond.Request{
+			ID: "id", Host: "h", Path: "/r/x", ReceivedAt: begun, MaxGenerated: 10 * eventTotal, ClientTimeout: stallTimeout,
+		}, to)
+		c.background.Wait()
+		assert.True(t, to.ended, "the turn does not end: %v", to.refused)
+		assert.Equal(t, c.lastIDs, []string{""})
+	})
 	inBubble(t, "guards against many streams that leave a pool that stalls as a whole", func(t *testing.T) {
 		c := newStallClient(t, 30, true)
 		c.stopAfter, c.runsOn = 3, 1000
