Count only whole events of an engine's stream as progress

Cause: each byte of a stream restarted the progress deadline of 10 s, so that an engine that sent a byte now and then was waited for until the bound of the attempt.

Change: within a stream, only complete events restart it. Comments count, as engines send them while they work.

A stream with only comments each 30 ms goes on.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -85,6 +85,8 @@
 	cancelTimeout context.CancelFunc
 	deadlineMode  int
 	bytesRead     int64
+	// countsEvents is set if bytes are no progress.
+	countsEvents bool
 
 	reused atomic.Bool // the connection has carried an earlier request
 
@@ -245,11 +247,23 @@
 	return c
 }
 
-// Read reads the answer's body. It restarts the progress deadline and fails once
-// the body exceeds MaxAnswerBytes.
+// CountEvents makes only complete events count as progress from now on, which the caller
+// reports by RecordEvent. A server that sends a byte now and then makes none.
+func (x *Exchange) CountEvents() {
+	x.countsEvents = true
+	x.resetProgressTimer()
+}
+
+// RecordEvent restarts the progress deadline.
+func (x *Exchange) RecordEvent() { x.resetProgressTimer() }
+
+// Read reads the answer's body. It restarts the progress deadline unless events are
+// counted, and fails once the body exceeds MaxAnswerBytes.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Answer.Body.Read(b)
-	x.resetProgressTimer()
+	if !x.countsEvents {
+		x.resetProgressTimer()
+	}
 	x.bytesRead += int64(n)
 	if x.bytesRead > MaxAnswerBytes {
 		return 0, fmt.Errorf("answer has more than %d bytes", MaxAnswerBytes)
--- a/internal/backend/openai/openai_test.go
+++ b/internal/backend/openai/openai_test.go
@@ -179,6 +179,32 @@
 		first, second := <-addresses, <-addresses
 		assert.True(t, first != second, "the silent connection was used again")
 	})
+	t.Run("guards against waiting for a stream of which a byte comes now and then", func(t *testing.T) {
+		c, server := startEngine(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			writeEvents(w, "data: {}\n\n")
+			for r.Context().Err() == nil {
+				writeEvents(w, "x")
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		begun := time.Now()
+		_, err := c.Do(t.Context(), "a", server, chatCall(true), &recorder{})
+		assert.ErrorIs(t, err, conns.ErrNoProgress)
+		assert.True(t, time.Since(begun) < 2*time.Second, "ended after %s", time.Since(begun))
+	})
+	t.Run("guards against cutting a stream whose events come slowly", func(t *testing.T) {
+		c, server := startEngine(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			for range 10 {
+				writeEvents(w, ": still working\n\n")
+				time.Sleep(30 * time.Millisecond)
+			}
+			writeEvents(w, "data: [DONE]\n\n")
+		})
+		_, err := c.Do(t.Context(), "a", server, chatCall(true), &recorder{})
+		assert.NoError(t, err)
+	})
 	t.Run("guards against waiting on a reused connection without an answer", func(t *testing.T) {
 		var n atomic.Int64
 		c, server := startEngine(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/backend/openai/run.go
+++ b/internal/backend/openai/run.go
@@ -159,9 +159,14 @@
 	r.sinkBegun = true
 	r.parser.pending = nil // discards a partial event of a broken connection
 	buffer := make([]byte, 16<<10)
+	x.CountEvents()
 	for {
 		n, err := x.Read(buffer)
-		for _, event := range r.parser.feed(buffer[:n]) {
+		events := r.parser.feed(buffer[:n])
+		if len(events) > 0 {
+			x.RecordEvent()
+		}
+		for _, event := range events {
 			event, err := r.replay.filter(event)
 			if err != nil {
 				return err
