--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -86,6 +86,8 @@
 	cancelTimeout context.CancelFunc
 	deadlineMode  int
 	bytesRead     int64
+	// countsEvents is set if bytes are no progress.
+	countsEvents bool
 
 	reused atomic.Bool // the connection has carried an earlier request
 
@@ -247,11 +249,13 @@
 	return c
 }
 
-// Read reads the answer's body. It restarts the progress deadline and fails once
-// the body exceeds MaxAnswerBytes.
+// Read reads the answer's body. It restarts the progress deadline unless events are
+// counted, and fails once the body exceeds MaxAnswerBytes.
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.body.Read(b)
-	x.resetProgressTimer()
+	if !x.countsEvents {
+		x.resetProgressTimer()
+	}
 	x.bytesRead += int64(n)
 	if x.bytesRead > MaxAnswerBytes {
 		return 0, fmt.Errorf("answer has more than %d bytes", MaxAnswerBytes)
@@ -262,6 +266,23 @@
 	return n, err
 }
 
+// CountEvents makes only complete events of an answer of Pool.Do count as progress from now
+// on, which the caller reports by RecordEvent. A server that sends a byte now and then makes
+// none.
+func CountEvents(answer *http.Response) {
+	if x, ok := answer.Body.(*exchange); ok {
+		x.countsEvents = true
+		x.resetProgressTimer()
+	}
+}
+
+// RecordEvent restarts the progress deadline of an answer of Pool.Do.
+func RecordEvent(answer *http.Response) {
+	if x, ok := answer.Body.(*exchange); ok {
+		x.resetProgressTimer()
+	}
+}
+
 // Drain reads and discards the remaining bytes of an answer of Pool.Do whose content
 // is complete, within drainTimeout and maxDrainBytes. net/http reuses a
 // connection only after the body was read to its end.
--- a/internal/backend/openai/run.go
+++ b/internal/backend/openai/run.go
@@ -159,9 +159,14 @@
 	r.sinkBegun = true
 	r.parser.pending = nil // discards a partial event of a broken connection
 	buffer := make([]byte, 16<<10)
+	conns.CountEvents(received)
 	for {
 		n, err := received.Body.Read(buffer)
-		for _, event := range r.parser.feed(buffer[:n]) {
+		events := r.parser.feed(buffer[:n])
+		if len(events) > 0 {
+			conns.RecordEvent(received)
+		}
+		for _, event := range events {
 			event, err := r.replay.filter(event)
 			if err != nil {
 				return err
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -210,7 +210,7 @@
 	paced.observe(answer)
 	observation.TimeToFirstByte = u.Clock().Sub(start)
 	if !answer.IsStream {
-		departure.stay()
+		departure.recordWholeAnswer()
 		p.retrier.ObserveLatency(u.Clock(), u.poolName, observation.TimeToFirstByte)
 	}
 	if u.answerBegun && (!answer.IsStream || answer.Status != u.stream.status) {
--- a/internal/front/runner/overdue.go
+++ b/internal/front/runner/overdue.go
@@ -50,3 +50,14 @@
 		d.awaitAnswer(now, usual, usual)
 	})
 }
+
+// recordWholeAnswer records that an answer that is not a stream has begun. It is not ended
+// any more.
+func (d *departure) recordWholeAnswer() {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isOver = true
+}
