Encode large responses without copies and with smaller read buffers

Change: the reply is encoded within its envelope, a large body is written after the header of its frame and not copied into it, and the read buffer has 4 KB. A server can learn when a response has been written. Result: go test -race ./internal/wire/... passes; TestCodec covers bodies around the size of a chunk and above the limit between heartbeats.

--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -31,6 +31,11 @@
 // slow peer is renewed as long as bytes are sent. Larger buffers are not reused.
 const chunkBytes = 64 << 10
 
+// readerBytes is the size of the read buffer of a connection. Control hosts have one
+// connection to each host, and most messages are small; the content of larger ones is
+// not read through the buffer.
+const readerBytes = 4 << 10
+
 // Codec is a client or server codec for net/rpc over one connection.
 type Codec struct {
 	conn              net.Conn
@@ -71,7 +76,7 @@
 	if c.silenceTimeout == 0 {
 		c.silenceTimeout = DefaultSilenceTimeout
 	}
-	c.reader = bufio.NewReaderSize(timeoutReader{c}, 16<<10)
+	c.reader = bufio.NewReaderSize(timeoutReader{c}, readerBytes)
 	go c.sendHeartbeats()
 	return c
 }
@@ -136,9 +141,19 @@
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-func (c *Codec) write(frame []byte) error {
+// write writes a frame, which may consist of several parts.
+func (c *Codec) write(parts ...[]byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, p := range parts {
+		if err := c.writePart(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Codec) writePart(frame []byte) error {
 	for len(frame) > 0 {
 		n := min(len(frame), chunkBytes)
 		err := c.conn.SetWriteDeadline(time.Now().Add(c.silenceTimeout))
@@ -161,7 +176,15 @@
 func (c *Codec) send(seq uint64, text string, body any) error {
 	b := frameBuffers.Get().(*frameBuffer)
 	defer b.release()
-	if err := b.build(c.maxMessageBytes, header{Seq: seq, Text: text}, body); err != nil {
+	h := header{Seq: seq, Text: text}
+	if raw, ok := body.(cbor.RawMessage); ok && len(raw) > chunkBytes {
+		// A large body is not copied.
+		if err := b.build(c.maxMessageBytes, raw, h); err != nil {
+			return err
+		}
+		return c.write(b.bytes(), raw)
+	}
+	if err := b.build(c.maxMessageBytes, nil, h, body); err != nil {
 		return err
 	}
 	return c.write(b.bytes())
@@ -238,10 +261,23 @@
 // *cbor.RawMessage receives the encoded body.
 func (c *Codec) ReadRequestBody(body any) error { return c.decodeBody(body) }
 
+// Envelope is an encoded response of a server.
+type Envelope struct {
+	Data cbor.RawMessage
+	// Written is called once the response has been written or has failed; may be nil.
+	Written func()
+}
+
 // WriteResponse implements rpc.ServerCodec. net/rpc ignores the returned error,
 // so a response that cannot be encoded is replaced by the encoding error:
 // otherwise the caller would wait until its deadline.
 func (c *Codec) WriteResponse(r *rpc.Response, body any) error {
+	if e, ok := body.(*Envelope); ok {
+		if e.Written != nil {
+			defer e.Written()
+		}
+		body = e.Data
+	}
 	if r.Error != "" {
 		body = nil
 	}
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -166,4 +166,31 @@
 		assert.Equal(t, r.Seq, 7)
 		assert.Contains(t, r.Error, "limit 1000")
 	})
+	t.Run("guards against a large response that is cut or mixed with heartbeats, or that counts for ever", func(t *testing.T) {
+		clientConn, serverConn := connectTCP(t)
+		a, b := New(clientConn, 1<<20, time.Millisecond, silenceTimeout), New(serverConn, 1<<20, time.Millisecond, silenceTimeout)
+		defer func() { _ = a.Close() }()
+		defer func() { _ = b.Close() }()
+		for i, size := range []int{100, chunkBytes, chunkBytes + 1, 10 * chunkBytes, 20 * chunkBytes} {
+			want := bytes.Repeat([]byte{byte(i + 1)}, size)
+			data, err := Marshal(want)
+			assert.NoError(t, err)
+			written := make(chan struct{})
+			go func() {
+				_ = b.WriteResponse(&rpc.Response{Seq: uint64(i)}, &Envelope{Data: data, Written: func() { close(written) }})
+			}()
+			var r rpc.Response
+			assert.NoError(t, a.ReadResponseHeader(&r))
+			assert.Equal(t, r.Seq, uint64(i))
+			<-written
+			if size > 1<<20-10 { // above the limit
+				assert.Contains(t, r.Error, "limit")
+				assert.NoError(t, a.ReadResponseBody(nil))
+				continue
+			}
+			var got []byte
+			assert.NoError(t, a.ReadResponseBody(&got))
+			assert.True(t, bytes.Equal(got, want), "a body of %d bytes differs", size)
+		}
+	})
 }
--- a/internal/wire/codec/fault.go
+++ b/internal/wire/codec/fault.go
@@ -127,17 +127,21 @@
 	Reply cbor.RawMessage
 }
 
+// replyEnvelope is an envelope with a reply that is not encoded yet, which saves a copy of
+// it. A nil reply is encoded as null, as in an envelope.
+type replyEnvelope struct {
+	_     struct{} `cbor:",toarray"`
+	Fault *wireError
+	Reply any
+}
+
 // EncodeResult encodes the envelope of a method: err unless it is nil,
 // otherwise reply.
 func EncodeResult(reply any, err error) (cbor.RawMessage, error) {
 	if err != nil {
 		return encodingMode.Marshal(envelope{Fault: newWireError(err)})
 	}
-	data, err := encodingMode.Marshal(reply)
-	if err != nil {
-		return nil, err
-	}
-	return encodingMode.Marshal(envelope{Reply: data})
+	return encodingMode.Marshal(replyEnvelope{Reply: reply})
 }
 
 // DecodeResult decodes an envelope that EncodeResult has encoded: it returns
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -76,7 +76,7 @@
 func AppendFrame(buf []byte, limit int, v any) ([]byte, error) {
 	b := frameBuffers.Get().(*frameBuffer)
 	defer b.release()
-	if err := b.build(limit, v); err != nil {
+	if err := b.build(limit, nil, v); err != nil {
 		return nil, err
 	}
 	return append(buf, b.bytes()...), nil
@@ -85,7 +85,9 @@
 // frameBuffer is a buffer in which one frame is encoded.
 type frameBuffer struct{ buf bytes.Buffer }
 
-func (b *frameBuffer) build(limit int, parts ...any) error {
+// build encodes the parts of a frame. The length of the frame includes rest, which is
+// written after the parts.
+func (b *frameBuffer) build(limit int, rest []byte, parts ...any) error {
 	b.buf.Reset()
 	b.buf.Write(make([]byte, lengthBytes))
 	for _, p := range parts {
@@ -97,7 +99,7 @@
 			return err
 		}
 	}
-	n := b.buf.Len() - lengthBytes
+	n := b.buf.Len() - lengthBytes + len(rest)
 	if n > limit {
 		return sizeError(n, limit)
 	}
