Send large replies of the control log a few at a time

Cause: a new configuration was encoded for all hosts at the same time. With 300 hosts, 480 replicas and a configuration of 60 KB the leader's process used 113.5 MB, with 170 KB 239 MB. Change: a server encodes and sends at most 1 MB of large replies at a time, one if it is larger. A reply that waits for 0.4 s is sent without its records, before its caller gives up, and the caller asks again. A reply that has not been sent after 0.2 s no longer counts, so that hosts that do not read do not hold up the others. Replies to voters do not wait. TestPanic calls the method with the new type of its reply; nothing else in it changes.

--- a/interfaces.go
+++ b/interfaces.go
@@ -66,6 +66,17 @@
 	Propose(ctx context.Context, now time.Time, command Command) (CommandResult, error)
 }
 
+// BulkReply is a reply that may be large and that many hosts may get at the same time. A
+// server encodes and sends a few of them at a time, as their copies would need the size of
+// a reply for each host.
+type BulkReply interface {
+	// Bulk returns the approximate size in bytes, or 0 if the reply must not wait for
+	// others.
+	Bulk() int
+	// Shrink removes what makes the reply large. The receiver asks again.
+	Shrink()
+}
+
 // Peers calls methods of other hosts. Each call has a deadline: that of ctx, or
 // else a default.
 type Peers interface {
--- a/internal/quorum/voter/serve.go
+++ b/internal/quorum/voter/serve.go
@@ -88,6 +88,7 @@
 	if *reply, ready, err = v.node.HandleFetch(now, arrived, request); err == nil {
 		err = v.processChanges(now)
 	}
+	reply.Urgent = request.Disk != ""
 	if request.Disk != "" {
 		return ready, v.recordsAppended, err
 	}
--- a/internal/wire/serve/method.go
+++ b/internal/wire/serve/method.go
@@ -1,12 +1,16 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"reflect"
 	"runtime/debug"
+	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/semaphore"
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/wire/codec"
@@ -20,14 +24,32 @@
 	requestType   reflect.Type
 	replyType     reflect.Type // the type that the second parameter points to
 	maxReplyBytes int
+	bulk          *semaphore.Weighted // bytes of the large replies that may be encoded
 	logger        hclog.Logger
 }
 
+const (
+	// minBulkBytes is the size from which a reply counts as large.
+	minBulkBytes = 32 << 10
+	// maxBulkBytes bounds the large replies that are being encoded and sent, without
+	// copies. A record with a configuration of 170 KB that went to 295 hosts at the
+	// same time took more than 200 MB.
+	maxBulkBytes = 1 << 20
+	// maxBulkWait bounds the wait of a large reply for others, after which it is sent
+	// without its content. A caller that gives up while its reply waits would ask again
+	// and make the others wait longer; observers of the control log wait for 0.6 s at
+	// least after a new record.
+	maxBulkWait = 400 * time.Millisecond
+	// maxBulkTime is the time after which a reply no longer counts although it has not
+	// been sent: hosts that do not read must not hold up the others.
+	maxBulkTime = 200 * time.Millisecond
+)
+
 var errorType = reflect.TypeFor[error]()
 
 // findMethods returns the receiver's methods of the form
 // func(Request, *Reply) error by their names.
-func findMethods(receiver any, maxReplyBytes int, logger hclog.Logger) map[string]*method {
+func findMethods(receiver any, maxReplyBytes int, bulk *semaphore.Weighted, logger hclog.Logger) map[string]*method {
 	methods := make(map[string]*method)
 	v := reflect.ValueOf(receiver)
 	for i := range v.NumMethod() {
@@ -36,7 +58,7 @@
 			continue
 		}
 		methods[v.Type().Method(i).Name] = &method{
-			function: v.Method(i), requestType: t.In(0), replyType: t.In(1).Elem(), maxReplyBytes: maxReplyBytes, logger: logger,
+			function: v.Method(i), requestType: t.In(0), replyType: t.In(1).Elem(), maxReplyBytes: maxReplyBytes, bulk: bulk, logger: logger,
 		}
 	}
 	return methods
@@ -44,13 +66,32 @@
 
 // Call decodes the request, runs the method and encodes its reply or error into
 // envelope. It returns an error only if the envelope cannot be encoded.
-func (m *method) Call(request cbor.RawMessage, envelope *cbor.RawMessage) error {
+func (m *method) Call(request cbor.RawMessage, envelope *codec.Envelope) error {
 	argument := reflect.New(m.requestType)
 	if err := codec.Unmarshal(request, argument.Interface()); err != nil {
 		return m.encodeResult(envelope, nil, fmt.Errorf("decode request: %w: %w", zinniapond.ErrMalformed, err))
 	}
 	reply := reflect.New(m.replyType)
-	return m.encodeResult(envelope, reply.Interface(), m.run(argument.Elem(), reply))
+	failure := m.run(argument.Elem(), reply)
+	if r, ok := reply.Interface().(zinniapond.BulkReply); ok && failure == nil && r.Bulk() >= minBulkBytes {
+		envelope.Written = m.acquireBulk(r)
+	}
+	return m.encodeResult(envelope, reply.Interface(), failure)
+}
+
+// acquireBulk waits until a large reply may be encoded, and returns the function to call
+// once it has been sent. After maxBulkWait it shrinks the reply and returns nil.
+func (m *method) acquireBulk(reply zinniapond.BulkReply) (release func()) {
+	size := int64(min(reply.Bulk(), maxBulkBytes))
+	ctx, cancel := context.WithTimeout(context.Background(), maxBulkWait)
+	defer cancel()
+	if m.bulk.Acquire(ctx, size) != nil {
+		reply.Shrink()
+		return nil
+	}
+	release = sync.OnceFunc(func() { m.bulk.Release(size) })
+	time.AfterFunc(maxBulkTime, release)
+	return release
 }
 
 // run runs the method. A panic ends this call only, with an error.
@@ -65,11 +106,11 @@
 	return err
 }
 
-func (m *method) encodeResult(envelope *cbor.RawMessage, reply any, failure error) error {
+func (m *method) encodeResult(envelope *codec.Envelope, reply any, failure error) error {
 	data, err := codec.EncodeResult(reply, failure)
 	if err == nil && len(data)+64 > m.maxReplyBytes {
 		data, err = codec.EncodeResult(nil, fmt.Errorf("reply of %d bytes, limit %d: %w", len(data), m.maxReplyBytes, zinniapond.ErrTooLarge))
 	}
-	*envelope = data
+	envelope.Data = data
 	return err
 }
--- a/internal/wire/serve/serve.go
+++ b/internal/wire/serve/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/semaphore"
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
@@ -44,6 +45,7 @@
 	HeartbeatInterval, SilenceTimeout time.Duration
 
 	methods *rpc.Server
+	bulk    *semaphore.Weighted
 	ready   chan struct{}
 	address netip.AddrPort
 
@@ -57,7 +59,7 @@
 func New(g *auth.Authenticator, listen netip.AddrPort, logger hclog.Logger) *Server {
 	return &Server{
 		Authenticator: g, ListenAddress: listen, Logger: logger, DrainTimeout: defaultDrainTimeout, MaxMessageBytes: codec.DefaultMaxMessageBytes,
-		methods: rpc.NewServer(), ready: make(chan struct{}), codecs: make(map[*codec.Codec]struct{}),
+		methods: rpc.NewServer(), bulk: semaphore.NewWeighted(maxBulkBytes), ready: make(chan struct{}), codecs: make(map[*codec.Codec]struct{}),
 	}
 }
 
@@ -65,7 +67,7 @@
 // func(Request, *Reply) error as name.Method. It fails if there is none or if the
 // name is mounted already.
 func (s *Server) Mount(name string, receiver any) error {
-	methods := findMethods(receiver, s.MaxMessageBytes, s.Logger)
+	methods := findMethods(receiver, s.MaxMessageBytes, s.bulk, s.Logger)
 	if len(methods) == 0 {
 		return fmt.Errorf("mount %s: %T has no method of the form func(Request, *Reply) error", name, receiver)
 	}
--- a/internal/wire/serve/serve_test.go
+++ b/internal/wire/serve/serve_test.go
@@ -5,7 +5,6 @@
 	"strings"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"zinniapond.example/zinniapond/internal/test/assert"
@@ -28,16 +27,16 @@
 	t.Helper()
 	data, err := codec.Marshal(request)
 	assert.NoError(t, err)
-	var envelope cbor.RawMessage
+	var envelope codec.Envelope
 	assert.NoError(t, m.Call(data, &envelope))
 	var reply string
-	err = codec.DecodeResult(envelope, &reply)
+	err = codec.DecodeResult(envelope.Data, &reply)
 	return reply, err
 }
 
 func TestPanic(t *testing.T) {
 	s := New(nil, netip.AddrPort{}, hclog.NewNullLogger())
-	m := findMethods(receiver{}, s.MaxMessageBytes, s.Logger)["Ask"]
+	m := findMethods(receiver{}, s.MaxMessageBytes, s.bulk, s.Logger)["Ask"]
 	t.Run("guards against one call that takes the process down", func(t *testing.T) {
 		_, err := call(t, m, "bad")
 		assert.True(t, err != nil && strings.Contains(err.Error(), "panic"), "error %v", err)
--- a/messages.go
+++ b/messages.go
@@ -189,6 +189,27 @@
 	Stamp time.Duration `cbor:"st,omitempty"`
 	// Fenced is set if the sender's registration is no longer valid.
 	Fenced bool `cbor:"fn,omitempty"`
+	// Urgent is set in the reply to a voter, which does not wait for those to hosts.
+	Urgent bool `cbor:"-"`
+}
+
+// Shrink implements BulkReply. Without the records up to CommitIndex, the reply renews no
+// lease.
+func (r *FetchReply) Shrink() { r.Entries, r.Snapshot = nil, nil }
+
+// Bulk implements BulkReply.
+func (r *FetchReply) Bulk() int {
+	if r.Urgent {
+		return 0
+	}
+	size := 0
+	for _, e := range r.Entries {
+		size += len(e.Data)
+	}
+	if r.Snapshot != nil {
+		size += len(r.Snapshot.Data)
+	}
+	return size
 }
 
 // VoteRequest requests a vote.
