Pack sums of loads without copies of them

Change: sums are packed from the map in which they are added up, which has room for as many entries as the last reply. BenchmarkExchange runs with and without the list of replicas.

--- a/internal/fleet/loads/loads.go
+++ b/internal/fleet/loads/loads.go
@@ -113,7 +113,6 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, relayInterval)
 	defer cancel()
-	loads := listLoads(sums)
 	request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(l.Address.String()), Relayed: true, Hosts: reporting, Limits: l.Limits.News(now, l.relayedAt), Blame: l.Blame.News(now, l.relayedAt.Add(-newsOverlap))}
 	request.ListIndex = l.lists.Update(l.ControlHosts.Directory.View())
 	l.relayedAt = now
@@ -123,7 +122,7 @@
 			continue
 		}
 		group.Go(func() {
-			if err := l.relayTo(callCtx, address, request, loads); err != nil {
+			if err := l.relayTo(callCtx, address, request, sums); err != nil {
 				l.Logger.Debug("loads not relayed", "host", address, "error", err)
 			}
 		})
@@ -134,9 +133,9 @@
 // relayTo sends sums to another control host. They are packed in the order of the list
 // that this host named in its last reply: until it has replied, and after a failure, it
 // may have none.
-func (l *Loads) relayTo(ctx context.Context, address netip.AddrPort, request zinniapond.LoadsRequest, loads []zinniapond.Load) error {
+func (l *Loads) relayTo(ctx context.Context, address netip.AddrPort, request zinniapond.LoadsRequest, sums map[netip.AddrPort]zinniapond.Load) error {
 	request.PackedIndex, _ = l.peerLists.Get(address)
-	request.Packed, request.Loads = l.lists.Pack(request.PackedIndex, loads)
+	request.Packed, request.Loads = l.lists.Pack(request.PackedIndex, sums)
 	var reply zinniapond.LoadsReply
 	if err := l.Peers.Call(ctx, address, "Loads.Exchange", request, &reply); err != nil {
 		l.peerLists.Delete(address)
@@ -161,10 +160,10 @@
 	}
 	previous, _ := l.reports.Get(request.Sender)
 	l.reports.Set(request.Sender, report{now, 1, request.Loads})
-	sums := make(map[netip.AddrPort]zinniapond.Load)
+	sums := make(map[netip.AddrPort]zinniapond.Load, l.entries.Load())
 	reply.Hosts, reply.ReportInterval = l.addReports(now, sums)
 	reply.Hosts += addValid(&l.relayed, now, validPauses*relayInterval, sums)
-	reply.Packed, reply.Loads = l.lists.Pack(request.ListIndex, listLoads(sums))
+	reply.Packed, reply.Loads = l.lists.Pack(request.ListIndex, sums)
 	reply.Limits = l.Limits.All(now)
 	reply.Blame = l.Blame.News(now, previous.received.Add(-newsOverlap))
 	l.entries.Store(int64(len(sums) + countAnswered(sums) + limitEntries*len(reply.Limits) + reply.Blame.Size()))
@@ -234,12 +233,3 @@
 	}
 	return count
 }
-
-func listLoads(sums map[netip.AddrPort]zinniapond.Load) []zinniapond.Load {
-	loads := make([]zinniapond.Load, 0, len(sums))
-	for replica, sum := range sums {
-		sum.Replica = replica
-		loads = append(loads, sum)
-	}
-	return loads
-}
--- a/internal/fleet/loads/loads_test.go
+++ b/internal/fleet/loads/loads_test.go
@@ -131,25 +131,38 @@
 }
 
 // BenchmarkExchange measures one report at the size to design for: 390 hosts
-// before 600 replicas, with 13 requests under way at each host.
+// before 600 replicas, with 13 requests under way at each host. Hosts get the sums with
+// addresses, or in the order of the replica list.
 func BenchmarkExchange(b *testing.B) {
-	now := time.Unix(1000, 0)
-	l := &Loads{Limits: newBook(), Blame: new(blame.Book), Clock: func() time.Time { return now }}
-	report := func(i int) {
-		request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(fmt.Sprint("front-", i%390))}
-		for n := range 13 {
-			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte((i*13 + n) % 600 / 250), byte((i*13 + n) % 600 % 250)}), 80)
-			request.Loads = append(request.Loads, zinniapond.Load{Replica: at, Count: 1})
-		}
-		var reply zinniapond.LoadsReply
-		if err := l.Exchange(request, &reply); err != nil {
-			b.Fatal(err)
-		}
-	}
-	for i := range 390 {
-		report(i)
-	}
-	for i := 0; b.Loop(); i++ {
-		report(i)
+	const hostCount = 390
+	for name, listIndex := range map[string]zinniapond.Index{"addresses": 0, "packed": 5} {
+		b.Run(name, func(b *testing.B) {
+			_, one, _ := newGroup()
+			l := one.loads
+			one.view.Backends = nil
+			for n := range 600 {
+				one.view.Backends = append(one.view.Backends, zinniapond.Backend{Address: benchmarkAddress(n)})
+			}
+			report := func(i int) {
+				request := zinniapond.LoadsRequest{Sender: zinniapond.HostName(fmt.Sprint("front-", i%hostCount)), ListIndex: listIndex}
+				for n := range 13 {
+					request.Loads = append(request.Loads, zinniapond.Load{Replica: benchmarkAddress((i*13 + n) % 600), Count: 1})
+				}
+				var reply zinniapond.LoadsReply
+				if err := l.Exchange(request, &reply); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for i := range hostCount {
+				report(i)
+			}
+			for i := 0; b.Loop(); i++ {
+				report(i)
+			}
+		})
 	}
 }
+
+func benchmarkAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 250), byte(n % 250)}), 80)
+}
--- a/internal/fleet/packed/packed.go
+++ b/internal/fleet/packed/packed.go
@@ -63,24 +63,26 @@
 
 // Pack encodes the loads of the replicas on the list with the given index and returns
 // the other loads. It encodes nothing if the list is unknown here or if the loads are
-// smaller with their addresses.
-func (l *Lists) Pack(index zinniapond.Index, loads []zinniapond.Load) (data []byte, others []zinniapond.Load) {
+// smaller with their addresses. The keys of loads are the addresses; the field Replica is
+// not used.
+func (l *Lists) Pack(index zinniapond.Index, loads map[netip.AddrPort]zinniapond.Load) (data []byte, others []zinniapond.Load) {
 	replicas, ok := l.find(index)
 	if !ok || len(loads)*plainBytes < len(replicas) {
-		return nil, loads
+		return nil, listExcept(loads, nil)
 	}
-	byAddress := make(map[netip.AddrPort]zinniapond.Load, len(loads))
-	for _, load := range loads {
-		byAddress[load.Replica] = load
-	}
-	data = make([]byte, 0, 2*len(replicas))
+	data = make([]byte, 0, len(replicas)+len(replicas)/4)
+	packedCount := 0
+	previous := netip.AddrPort{}
 	for _, b := range replicas {
-		load := byAddress[b.Address]
-		if load.Count < 0 || load.Good < 0 || load.Bad < 0 {
+		load, loaded := loads[b.Address]
+		// Lists are sorted by address. One that is on the list twice has its load at the
+		// first place.
+		if !loaded || b.Address == previous || !isPackable(load) {
 			data = append(data, 0)
 			continue
 		}
-		delete(byAddress, b.Address) // an address may be on the list twice
+		previous = b.Address
+		packedCount++
 		if !load.HasAnswers() {
 			data = binary.AppendUvarint(data, uint64(load.Count)<<1)
 			continue
@@ -89,12 +91,30 @@
 		data = binary.AppendUvarint(data, uint64(load.Good))
 		data = binary.AppendUvarint(data, uint64(load.Bad))
 	}
-	for _, load := range byAddress {
-		others = append(others, load)
+	if packedCount < len(loads) {
+		others = listExcept(loads, replicas)
 	}
 	return data, others
 }
 
+func isPackable(l zinniapond.Load) bool { return l.Count >= 0 && l.Good >= 0 && l.Bad >= 0 }
+
+// listExcept returns the loads that are not packed with the given replicas.
+func listExcept(loads map[netip.AddrPort]zinniapond.Load, replicas []zinniapond.Backend) []zinniapond.Load {
+	packed := make(map[netip.AddrPort]bool, len(replicas))
+	for _, b := range replicas {
+		packed[b.Address] = isPackable(loads[b.Address])
+	}
+	list := make([]zinniapond.Load, 0, max(len(loads)-len(replicas), 0))
+	for replica, load := range loads {
+		if !packed[replica] {
+			load.Replica = replica
+			list = append(list, load)
+		}
+	}
+	return list
+}
+
 // Unpack decodes what Pack has encoded and appends others. The error wraps ErrNotFound
 // if the list is unknown here, and ErrMalformed if the data do not fit it.
 func (l *Lists) Unpack(index zinniapond.Index, data []byte, others []zinniapond.Load) ([]zinniapond.Load, error) {
--- a/internal/fleet/packed/packed_test.go
+++ b/internal/fleet/packed/packed_test.go
@@ -28,9 +28,17 @@
 	return loads
 }
 
+func byAddress(loads []zinniapond.Load) map[netip.AddrPort]zinniapond.Load {
+	m := make(map[netip.AddrPort]zinniapond.Load, len(loads))
+	for _, l := range loads {
+		m[l.Replica] = l
+	}
+	return m
+}
+
 func assertCopied(t assert.TB, from, to *Lists, index zinniapond.Index, loads []zinniapond.Load) (size int) {
 	t.Helper()
-	data, others := from.Pack(index, loads)
+	data, others := from.Pack(index, byAddress(loads))
 	got, err := to.Unpack(index, data, others)
 	assert.NoError(t, err)
 	assert.Equal(t, sorted(got), sorted(slices.Clone(loads)))
@@ -73,10 +81,10 @@
 		from.Update(view(7, 3))
 		to.Update(view(8, 3))
 		loads := []zinniapond.Load{{Replica: address(0), Count: 4}}
-		data, _ := from.Pack(7, loads)
+		data, _ := from.Pack(7, byAddress(loads))
 		_, err := to.Unpack(7, data, nil)
 		assert.ErrorIs(t, err, zinniapond.ErrNotFound)
-		data, others := from.Pack(8, loads)
+		data, others := from.Pack(8, byAddress(loads))
 		assert.Equal(t, len(data), 0)
 		assert.Equal(t, others, loads)
 	})
