--- a/internal/front/runner/overdue.go
+++ b/internal/front/runner/overdue.go
@@ -21,14 +21,14 @@
 	d := &departure{run: u, pool: p, ctx: ctx, cancel: cancel, mayRunAgain: true}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.awaitAnswer(now, max(usual, u.route.TargetLatency), usual)
+	d.awaitAnswer(now, u.possibleRuns+1, max(usual, u.route.TargetLatency), usual)
 	return ctx, d
 }
 
 // awaitAnswer ends the attempt after a time without an answer, if another replica can
 // still answer in its usual time. While the budget allows no further attempt, or requests
 // wait for room, it asks again after the usual time. The caller holds the lock.
-func (d *departure) awaitAnswer(now time.Time, after, usual time.Duration) {
+func (d *departure) awaitAnswer(now time.Time, tries int, after, usual time.Duration) {
 	if d.deadline.Sub(now) <= after+usual {
 		return
 	}
@@ -41,13 +41,13 @@
 		now := d.Clock()
 		// The request has waited for longer than a pause between attempts.
 		if d.pool.waiters.queue.Len() == 0 {
-			if _, isAllowed := d.pool.retrier.AllowRetry(now, d.possibleRuns+1); isAllowed {
+			if _, isAllowed := d.pool.retrier.AllowRetry(now, tries); isAllowed {
 				d.Stats.Add("front.overdue", 1)
 				d.endAttempt(errLeft)
 				return
 			}
 		}
-		d.awaitAnswer(now, usual, usual)
+		d.awaitAnswer(now, tries, usual, usual)
 	})
 }
 
