--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -16,6 +16,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"zinniapond.example/zinniapond/internal/wire/result"
+
 	"zinniapond.example/zinniapond"
 )
 
@@ -292,18 +294,11 @@
 // *cbor.RawMessage receives the encoded body.
 func (c *Codec) ReadRequestBody(body any) error { return c.decodeBody(body) }
 
-// Envelope is an encoded response of a server.
-type Envelope struct {
-	Data cbor.RawMessage
-	// Written is called once the response has been written or has failed; may be nil.
-	Written func()
-}
-
 // WriteResponse implements rpc.ServerCodec. net/rpc ignores the returned error,
 // so a response that cannot be encoded is replaced by the encoding error:
 // otherwise the caller would wait until its deadline.
 func (c *Codec) WriteResponse(r *rpc.Response, body any) error {
-	if e, ok := body.(*Envelope); ok {
+	if e, ok := body.(*result.Envelope); ok {
 		if e.Written != nil {
 			defer e.Written()
 		}
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -20,6 +20,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/test/assert"
+	"zinniapond.example/zinniapond/internal/wire/result"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -208,7 +209,7 @@
 			assert.NoError(t, err)
 			written := make(chan struct{})
 			go func() {
-				_ = b.WriteResponse(&rpc.Response{Seq: uint64(i)}, &Envelope{Data: data, Written: func() { close(written) }})
+				_ = b.WriteResponse(&rpc.Response{Seq: uint64(i)}, &result.Envelope{Data: data, Written: func() { close(written) }})
 			}()
 			var r rpc.Response
 			assert.NoError(t, a.ReadResponseHeader(&r))
--- a/internal/wire/serve/bulk_test.go
+++ b/internal/wire/serve/bulk_test.go
@@ -10,6 +10,7 @@
 
 	"zinniapond.example/zinniapond/internal/test/assert"
 	"zinniapond.example/zinniapond/internal/wire/codec"
+	"zinniapond.example/zinniapond/internal/wire/result"
 )
 
 // bulkReply is a reply that states its size.
@@ -30,12 +31,12 @@
 type reader struct {
 	t       *testing.T
 	method  *method
-	replies chan *codec.Envelope
+	replies chan *result.Envelope
 }
 
 func newReader(t *testing.T) *reader {
 	s := New(nil, netip.AddrPort{}, hclog.NewNullLogger())
-	return &reader{t: t, method: findMethods(library{}, s.MaxMessageBytes, s.bulk, s.Logger)["Read"], replies: make(chan *codec.Envelope, 100)}
+	return &reader{t: t, method: findMethods(library{}, s.MaxMessageBytes, s.bulk, s.Logger)["Read"], replies: make(chan *result.Envelope, 100)}
 }
 
 // read calls the method, as net/rpc does, and adds the reply once it is encoded.
@@ -44,7 +45,7 @@
 	assert.NoError(r.t, err)
 	for range calls {
 		go func() {
-			e := new(codec.Envelope)
+			e := new(result.Envelope)
 			if err := r.method.Call(request, e); err != nil {
 				r.t.Error(err)
 			}
--- a/internal/wire/serve/method.go
+++ b/internal/wire/serve/method.go
@@ -14,6 +14,7 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/wire/codec"
+	"zinniapond.example/zinniapond/internal/wire/result"
 )
 
 // method is the net/rpc receiver of one mounted method. Its only exported method
@@ -66,7 +67,7 @@
 
 // Call decodes the request, runs the method and encodes its reply or error into
 // envelope. It returns an error only if the envelope cannot be encoded.
-func (m *method) Call(request cbor.RawMessage, envelope *codec.Envelope) error {
+func (m *method) Call(request cbor.RawMessage, envelope *result.Envelope) error {
 	argument := reflect.New(m.requestType)
 	if err := codec.Unmarshal(request, argument.Interface()); err != nil {
 		return m.encodeResult(envelope, nil, fmt.Errorf("decode request: %w: %w", zinniapond.ErrMalformed, err))
@@ -106,7 +107,7 @@
 	return err
 }
 
-func (m *method) encodeResult(envelope *codec.Envelope, reply any, failure error) error {
+func (m *method) encodeResult(envelope *result.Envelope, reply any, failure error) error {
 	data, err := codec.EncodeResult(reply, failure)
 	if err == nil && len(data)+64 > m.maxReplyBytes {
 		data, err = codec.EncodeResult(nil, fmt.Errorf("reply of %d bytes, limit %d: %w", len(data), m.maxReplyBytes, zinniapond.ErrTooLarge))
--- a/internal/wire/serve/serve_test.go
+++ b/internal/wire/serve/serve_test.go
@@ -9,6 +9,7 @@
 
 	"zinniapond.example/zinniapond/internal/test/assert"
 	"zinniapond.example/zinniapond/internal/wire/codec"
+	"zinniapond.example/zinniapond/internal/wire/result"
 )
 
 // receiver has a method that panics for one argument.
@@ -27,7 +28,7 @@
 	t.Helper()
 	data, err := codec.Marshal(request)
 	assert.NoError(t, err)
-	var envelope codec.Envelope
+	var envelope result.Envelope
 	assert.NoError(t, m.Call(data, &envelope))
 	var reply string
 	err = codec.DecodeResult(envelope.Data, &reply)
