Log the pool of a request and its wait for plan tokens

Cause: limited= was to be the time of waiting for permissions and tokens, but had only that of permissions of limited replicas. A request that was late as it waited for a token of its plan's limit looked like one at a slow replica. The lines had no pool either.

The new fields are the last ones of a line.

--- a/internal/front/runner/allowance.go
+++ b/internal/front/runner/allowance.go
@@ -30,6 +30,8 @@
 	if u.allowance.held && u.allowance.runs == u.possibleRuns && now.Before(u.allowance.permit.ExpiresAt) {
 		return nil
 	}
+	start := now
+	defer func() { u.tokenTime += u.Clock().Sub(start) }()
 	for range maxPermits {
 		u.returnAllowance(now)
 		permit, err := u.Allowances.Acquire(ctx, now, u.plan, u.begins())
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -69,6 +69,9 @@
 	// limitTime is the time for which the request has waited for permissions of
 	// limited replicas.
 	limitTime time.Duration
+	// tokenTime is the time for which the request has waited for tokens of its plan's
+	// request limit.
+	tokenTime time.Duration
 	// prepareTime is the time for preparing the turn, firstByteTime that from the
 	// receipt of the request to the first byte of the answer, and keepTime that for
 	// storing the turn.
--- a/internal/front/runner/log.go
+++ b/internal/front/runner/log.go
@@ -22,13 +22,15 @@
 		if u.firstByteTime > u.route.TargetLatency {
 			u.Stats.Add("front.late", 1)
 			u.Logger.Info("served late", "id", u.request.ID, "program", u.request.Program, "route", name, "target", u.route.TargetLatency,
-				"restored", u.prepareTime, "first", u.firstByteTime, "kept", u.keepTime, "limited", u.limitTime, "took", elapsed, "tried", u.attemptList())
+				"restored", u.prepareTime, "first", u.firstByteTime, "kept", u.keepTime, "limited", u.limitTime+u.tokenTime, "took", elapsed, "tried", u.attemptList(),
+				"pool", u.poolName, "tokens", u.tokenTime)
 		}
 		return
 	}
 	u.Stats.Add("front.failed", 1)
 	u.Logger.Info("not served", "id", u.request.ID, "program", u.request.Program, "route", name, "version", u.version,
-		"restored", u.prepareTime, "limited", u.limitTime, "took", elapsed, "tried", u.attemptList(), "begun", u.answerBegun, "error", err)
+		"restored", u.prepareTime, "limited", u.limitTime, "took", elapsed, "tried", u.attemptList(), "begun", u.answerBegun, "error", err,
+		"pool", u.poolName, "tokens", u.tokenTime)
 }
 
 func (u *run) attemptList() string {
