Name the replicas that stand out

Cause: a slow replica shows as many requests of many fronts, none of which stands out.

Change: causes that are at a replica are counted by the replica of the first attempt, and replicas are listed by the same rule as hosts. Waits for disks and tokens are not, although their lines name a replica too.

--- a/causes.go
+++ b/causes.go
@@ -1,6 +1,9 @@
 package zinniapond
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Cause is why a request was not served, or was served late.
 type Cause string
@@ -77,6 +80,8 @@
 	// of limited replicas, and First that to the first byte of the response. All but
 	// First are parts of it.
 	Restored, Tokens, Permits, First time.Duration
+	// Replica is that of the first attempt; invalid if there was none.
+	Replica netip.AddrPort
 	// Tried has the attempts with their outcomes, and Reason the error.
 	Tried, Reason string
 }
@@ -89,16 +94,21 @@
 	ProgramsLate      int `json:"programsLate"`
 }
 
-// CauseRow has the counts of one cause, in total or of one span, pool or host.
+// Requests returns the number of requests.
+func (c CauseCounts) Requests() int { return c.RequestsNotServed + c.RequestsLate }
+
+// CauseRow has the counts of one cause, in total or of one span, pool, host or replica.
 type CauseRow struct {
 	Cause Cause      `json:"cause"`
 	At    *time.Time `json:"at,omitempty"` // begin of the span
 	Pool  PoolName   `json:"pool,omitempty"`
 	Route string     `json:"route,omitempty"` // set where the pool is not known
 	Host  HostName   `json:"host,omitempty"`
+	// Replica is the one of the first attempt, for causes that are at a replica.
+	Replica netip.AddrPort `json:"replica,omitzero"`
 	CauseCounts
-	// OthersMean is the mean number of requests over all other hosts, for a host that
-	// stands out.
+	// OthersMean is the mean number of requests over all others, for a host or replica
+	// that stands out.
 	OthersMean float64 `json:"othersMean,omitempty"`
 }
 
@@ -122,7 +132,8 @@
 	Causes []CauseRow `json:"causes"`
 	Spans  []CauseRow `json:"spans"`
 	Pools  []CauseRow `json:"pools"`
-	// Hosts are those that stand out.
-	Hosts   []CauseRow    `json:"hosts"`
-	Unknown []ReasonCount `json:"unknown"`
+	// Hosts and Replicas are those that stand out.
+	Hosts    []CauseRow    `json:"hosts"`
+	Replicas []CauseRow    `json:"replicas"`
+	Unknown  []ReasonCount `json:"unknown"`
 }
--- a/internal/files/logs/logs.go
+++ b/internal/files/logs/logs.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,9 @@
 	"stopping": zinniapond.LogHostStopping, "stopping at once": zinniapond.LogHostStopping, "host stopped": zinniapond.LogHostStopped,
 }
 
+// attempt matches the address of a replica in a list of attempts.
+var attempt = regexp.MustCompile(`@(\[[0-9a-f:.]+\]:\d+|[0-9.]+:\d+):`)
+
 // Parse decodes one line without its line end. The error wraps ErrMalformed and has no
 // part of the line.
 func (p Parser) Parse(text []byte) (zinniapond.LogEvent, error) {
@@ -178,6 +183,11 @@
 			e.Tokens = limited // an earlier version, which does not tell them apart
 		}
 		e.Permits = limited - e.Tokens
+		if m := attempt.FindStringSubmatch(e.Tried); m != nil {
+			if e.Replica, err = netip.ParseAddrPort(m[1]); err != nil {
+				return e, malformed("parse log line: field tried")
+			}
+		}
 	}
 	return e, nil
 }
--- a/internal/logcmd/causes/causes_test.go
+++ b/internal/logcmd/causes/causes_test.go
@@ -82,7 +82,7 @@
 		assert.Equal(t, got, `{"lines":1,"unparsed":0,"untimed":0,"spanMs":2000,"total":{"requestsNotServed":1,"programsNotServed":0,"requestsLate":0,"programsLate":0},`+
 			`"causes":[{"cause":"route not found","requestsNotServed":1,"programsNotServed":0,"requestsLate":0,"programsLate":0}],`+
 			`"spans":[{"cause":"route not found","at":"2026-08-18T22:06:12Z","requestsNotServed":1,"programsNotServed":0,"requestsLate":0,"programsLate":0}],`+
-			`"pools":[{"cause":"route not found","requestsNotServed":1,"programsNotServed":0,"requestsLate":0,"programsLate":0}],"hosts":[],"unknown":[]}`+"\n")
+			`"pools":[{"cause":"route not found","requestsNotServed":1,"programsNotServed":0,"requestsLate":0,"programsLate":0}],"hosts":[],"replicas":[],"unknown":[]}`+"\n")
 	})
 	t.Run("guards against a span that is not used", func(t *testing.T) {
 		r := runJSON(t, Options{Span: time.Hour}, lostLine)
--- a/internal/logcmd/causes/print.go
+++ b/internal/logcmd/causes/print.go
@@ -59,6 +59,9 @@
 	p.table("HOST THAT STANDS OUT\tCAUSE\tMEAN OF OTHERS", r.Hosts, func(c zinniapond.CauseRow) string {
 		return fmt.Sprintf("%s\t%s\t%.1f", printable(string(c.Host)), c.Cause, c.OthersMean)
 	})
+	p.table("REPLICA THAT STANDS OUT\tCAUSE\tMEAN OF OTHERS", r.Replicas, func(c zinniapond.CauseRow) string {
+		return fmt.Sprintf("%s\t%s\t%.1f", c.Replica, c.Cause, c.OthersMean)
+	})
 	if len(r.Unknown) > 0 {
 		p.line("\nREQUESTS\tUNKNOWN CAUSE")
 	}
--- a/internal/policy/cause/cause.go
+++ b/internal/policy/cause/cause.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"hash/maphash"
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -16,8 +17,8 @@
 	defaultSpan = 2 * time.Second
 	// maxSpanRows bounds the table of spans. Beyond it the span is doubled.
 	maxSpanRows = 4096
-	// maxNames bounds the names of hosts, and those of pools and routes. Those beyond
-	// are counted under otherNames.
+	// maxNames bounds the hosts, the replicas, and the pools and routes. Those beyond are
+	// counted under otherNames.
 	maxNames   = 1024
 	otherNames = "(others)"
 	// maxReasons bounds the forms of errors without a cause, and maxReasonBytes each.
@@ -42,6 +43,8 @@
 	groups   map[group]struct{}
 	known    map[zinniapond.HostName]struct{} // hosts with requests that were not served or late
 	stopping map[zinniapond.HostName]struct{}
+	replicas map[replicaKey]*zinniapond.CauseCounts
+	tried    map[netip.AddrPort]struct{} // replicas at which there was a cause
 	programs map[programKey]meeting
 	reasons  map[string]int
 }
@@ -67,6 +70,11 @@
 	host  zinniapond.HostName
 }
 
+type replicaKey struct {
+	cause   zinniapond.Cause
+	replica netip.AddrPort
+}
+
 // programKey identifies a program by the hash of its identifier, so that the size of an
 // entry does not depend on the client.
 type programKey struct {
@@ -79,7 +87,8 @@
 type meeting struct {
 	at time.Time
 	group
-	host zinniapond.HostName
+	host    zinniapond.HostName
+	replica netip.AddrPort
 }
 
 func (b *Book) initialise() {
@@ -92,6 +101,7 @@
 	}
 	b.spans, b.pools, b.hosts = make(map[spanKey]*zinniapond.CauseCounts), make(map[poolKey]*zinniapond.CauseCounts), make(map[hostKey]*zinniapond.CauseCounts)
 	b.groups, b.known, b.stopping = make(map[group]struct{}), make(map[zinniapond.HostName]struct{}), make(map[zinniapond.HostName]struct{})
+	b.replicas, b.tried = make(map[replicaKey]*zinniapond.CauseCounts), make(map[netip.AddrPort]struct{})
 	b.programs, b.reasons = make(map[programKey]meeting), make(map[string]int)
 }
 
@@ -119,6 +129,13 @@
 	g = bounded(b.groups, g, group{route: otherNames}, maxNames)
 	addRequests(b.pools, poolKey{cause, g}, late, e.Requests)
 	addRequests(b.hosts, hostKey{cause, e.Host}, late, e.Requests)
+	if !isAtReplica(cause) {
+		e.Replica = netip.AddrPort{}
+	}
+	if e.Replica.IsValid() {
+		e.Replica = bounded(b.tried, e.Replica, netip.AddrPort{}, maxNames)
+		addRequests(b.replicas, replicaKey{cause, e.Replica}, late, e.Requests)
+	}
 	if e.At.IsZero() {
 		b.untimed += e.Requests
 	} else {
@@ -135,7 +152,7 @@
 	}
 	key := programKey{maphash.String(b.seed, string(e.Program)), cause, late}
 	if m, ok := b.programs[key]; !ok || e.At.Before(m.at) {
-		b.programs[key] = meeting{e.At, g, e.Host}
+		b.programs[key] = meeting{e.At, g, e.Host, e.Replica}
 	}
 }
 
@@ -224,14 +241,17 @@
 	b.initialise()
 	r := zinniapond.CauseReport{
 		SpanMS: zinniapond.Milliseconds(b.span), Untimed: b.untimed, Causes: []zinniapond.CauseRow{}, Spans: []zinniapond.CauseRow{},
-		Pools: []zinniapond.CauseRow{}, Hosts: []zinniapond.CauseRow{}, Unknown: []zinniapond.ReasonCount{},
+		Pools: []zinniapond.CauseRow{}, Hosts: []zinniapond.CauseRow{}, Replicas: []zinniapond.CauseRow{}, Unknown: []zinniapond.ReasonCount{},
 	}
 	totals := make(map[zinniapond.Cause]*zinniapond.CauseCounts)
-	spans, pools, hosts := copyOf(b.spans), copyOf(b.pools), copyOf(b.hosts)
+	spans, pools, hosts, replicas := copyOf(b.spans), copyOf(b.pools), copyOf(b.hosts), copyOf(b.replicas)
 	seen := make(map[programKey]bool)
 	for k, m := range b.programs {
 		addProgram(rowOf(pools, poolKey{k.cause, m.group}), k.late)
 		addProgram(rowOf(hosts, hostKey{k.cause, m.host}), k.late)
+		if m.replica.IsValid() {
+			addProgram(rowOf(replicas, replicaKey{k.cause, m.replica}), k.late)
+		}
 		if !m.at.IsZero() {
 			addProgram(rowOf(spans, spanKey{b.spanIndex(m.at), k.cause}), k.late)
 		}
@@ -254,10 +274,19 @@
 		r.Spans = append(r.Spans, zinniapond.CauseRow{Cause: k.cause, At: &at, CauseCounts: *c})
 	}
 	for k, c := range hosts {
-		if mean, ok := b.standsOut(totals[k.cause], c); ok {
+		if mean, ok := standsOut(totals[k.cause].Requests(), c.Requests(), len(b.known)); ok {
 			r.Hosts = append(r.Hosts, zinniapond.CauseRow{Cause: k.cause, Host: k.host, CauseCounts: *c, OthersMean: mean})
 		}
 	}
+	atReplicas := make(map[zinniapond.Cause]int)
+	for k, c := range replicas {
+		atReplicas[k.cause] += c.Requests()
+	}
+	for k, c := range replicas {
+		if mean, ok := standsOut(atReplicas[k.cause], c.Requests(), len(b.tried)); ok && k.replica.IsValid() {
+			r.Replicas = append(r.Replicas, zinniapond.CauseRow{Cause: k.cause, Replica: k.replica, CauseCounts: *c, OthersMean: mean})
+		}
+	}
 	for reason, n := range b.reasons {
 		r.Unknown = append(r.Unknown, zinniapond.ReasonCount{Reason: reason, Requests: n})
 	}
@@ -273,16 +302,15 @@
 	return c
 }
 
-// standsOut reports whether a host has clearly more requests of a cause than the others,
-// and the mean of those. Four standard deviations above a Poisson mean keep one of 390
-// equal hosts from standing out by chance.
-func (b *Book) standsOut(total, host *zinniapond.CauseCounts) (othersMean float64, ok bool) {
-	if len(b.known) < 2 {
+// standsOut reports whether one of several hosts or replicas has clearly more requests of
+// a cause than the others, and the mean of those. Four standard deviations above a
+// Poisson mean keep one of 390 equal hosts from standing out by chance.
+func standsOut(total, own, count int) (othersMean float64, ok bool) {
+	if count < 2 {
 		return 0, false
 	}
-	n := host.RequestsNotServed + host.RequestsLate
-	mean := float64(total.RequestsNotServed+total.RequestsLate-n) / float64(len(b.known)-1)
-	return mean, n >= minOutlier && float64(n) > 2*mean && float64(n) > mean+4*math.Sqrt(mean)
+	n, mean := float64(own), float64(total-own)/float64(count-1)
+	return mean, own >= minOutlier && n > 2*mean && n > mean+4*math.Sqrt(mean)
 }
 
 func sortReport(r *zinniapond.CauseReport) {
@@ -295,9 +323,9 @@
 		if x.At != nil && y.At != nil {
 			at = x.At.Compare(*y.At)
 		}
-		return cmp.Or(at, cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.Route, y.Route), cmp.Compare(rank[x.Cause], rank[y.Cause]), cmp.Compare(x.Host, y.Host))
+		return cmp.Or(at, cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.Route, y.Route), cmp.Compare(rank[x.Cause], rank[y.Cause]), cmp.Compare(x.Host, y.Host), x.Replica.Compare(y.Replica))
 	}
-	for _, rows := range [][]zinniapond.CauseRow{r.Causes, r.Spans, r.Pools, r.Hosts} {
+	for _, rows := range [][]zinniapond.CauseRow{r.Causes, r.Spans, r.Pools, r.Hosts, r.Replicas} {
 		slices.SortFunc(rows, compare)
 	}
 	slices.SortFunc(r.Unknown, func(x, y zinniapond.ReasonCount) int {
--- a/internal/policy/cause/cause_test.go
+++ b/internal/policy/cause/cause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -201,6 +202,30 @@
 	})
 }
 
+func TestReplicas(t *testing.T) {
+	at := func(reason string, i byte) zinniapond.LogEvent {
+		e := failed(reason)
+		e.Replica = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 80)
+		return e
+	}
+	var b Book
+	for i := range byte(20) {
+		b.Add(at("read stream: context deadline exceeded", i))
+		for range 20 { // the disks are the cause, not the replica
+			b.Add(at("keep turn x: no majority", 7))
+		}
+		b.Add(at("read stream: context deadline exceeded", 3))
+	}
+	t.Run("guards against a replica that is not shown, or is blamed for the disks", func(t *testing.T) {
+		r := b.Report()
+		assert.Equal(t, len(r.Replicas), 1)
+		assert.Equal(t, r.Replicas[0], zinniapond.CauseRow{
+			Cause: zinniapond.CauseDeadline, Replica: at("", 3).Replica, OthersMean: 1,
+			CauseCounts: zinniapond.CauseCounts{RequestsNotServed: 21},
+		})
+	})
+}
+
 func TestHosts(t *testing.T) {
 	spread := func(hosts, each, most int) zinniapond.CauseReport {
 		var b Book
--- a/internal/policy/cause/classify.go
+++ b/internal/policy/cause/classify.go
@@ -72,6 +72,15 @@
 	return zinniapond.CauseUnknown
 }
 
+// isAtReplica reports whether a cause is at the replicas of a request.
+func isAtReplica(c zinniapond.Cause) bool {
+	switch c {
+	case zinniapond.CauseNoRoom, zinniapond.CauseSlowReplica, zinniapond.CauseInterrupted, zinniapond.CauseDeadline:
+		return true
+	}
+	return false
+}
+
 // classifyLate returns what took most of the time to the first byte. If that is the time
 // at replicas, attempts that failed before the last one are the cause, if there are any.
 func classifyLate(e zinniapond.LogEvent) zinniapond.Cause {
