Bound the names that log causes keeps

Change: names are copied and cut to 128 bytes.

Result: TestMemory has a route of 128 KB; it fails without the cut.

--- a/internal/policy/cause/cause.go
+++ b/internal/policy/cause/cause.go
@@ -21,6 +21,8 @@
 	// counted under otherNames.
 	maxNames   = 1024
 	otherNames = "(others)"
+	// maxNameBytes bounds each name. Those of configurations are shorter.
+	maxNameBytes = 128
 	// maxReasons bounds the forms of errors without a cause, and maxReasonBytes each.
 	maxReasons     = 64
 	maxReasonBytes = 160
@@ -108,6 +110,7 @@
 // Add counts an event. Those of one host are added in the order of its log.
 func (b *Book) Add(e zinniapond.LogEvent) {
 	b.initialise()
+	e.Host = name(e.Host)
 	switch e.Kind {
 	case zinniapond.LogHostStopping:
 		bounded(b.stopping, e.Host, otherNames, maxNames)
@@ -122,9 +125,9 @@
 
 func (b *Book) count(e zinniapond.LogEvent, cause zinniapond.Cause) {
 	late := e.Kind == zinniapond.LogServedLate
-	g := group{pool: e.Pool}
+	g := group{pool: name(e.Pool)}
 	if g.pool == "" {
-		g.route = e.Route
+		g.route = name(e.Route)
 	}
 	g = bounded(b.groups, g, group{route: otherNames}, maxNames)
 	addRequests(b.pools, poolKey{cause, g}, late, e.Requests)
@@ -156,19 +159,25 @@
 	}
 }
 
-// bounded enters a name into a table of a limited size and returns it, or rest if there
-// is no room for the name.
-func bounded[K comparable, V any](table map[K]V, name, rest K, limit int) K {
-	if _, ok := table[name]; !ok {
+// name returns a copy of a name, cut to its maximum length. The name itself is a part of
+// its line, which would stay in memory as a whole.
+func name[T ~string](text T) T {
+	return T(strings.ToValidUTF8(strings.Clone(string(text[:min(len(text), maxNameBytes)])), ""))
+}
+
+// bounded enters a key into a table of a limited size and returns it, or rest if there is
+// no room for the key.
+func bounded[K comparable, V any](table map[K]V, key, rest K, limit int) K {
+	if _, ok := table[key]; !ok {
 		if len(table) >= limit {
-			name = rest
+			key = rest
 		}
 		var zero V
-		if _, ok := table[name]; !ok {
-			table[name] = zero
+		if _, ok := table[key]; !ok {
+			table[key] = zero
 		}
 	}
-	return name
+	return key
 }
 
 // rowOf returns the counts of a row, which it adds if there is none.
--- a/internal/policy/cause/cause_test.go
+++ b/internal/policy/cause/cause_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -196,6 +197,14 @@
 		assert.Equal(t, r.SpanMS.Duration(), 128*time.Second)
 		assert.Equal(t, r.Spans[0].At.Truncate(128*time.Second), *r.Spans[0].At)
 	})
+	t.Run("guards against names of any length that stay in memory", func(t *testing.T) {
+		long := strings.Repeat("é", 1<<16)
+		e := failed(long)
+		e.Host, e.Route = zinniapond.HostName(long), long
+		r := report(e)
+		assert.Equal(t, r.Pools[0].Route, long[:maxNameBytes])
+		assert.True(t, len(r.Unknown[0].Reason) <= maxReasonBytes, "reason of %d bytes", len(r.Unknown[0].Reason))
+	})
 	t.Run("guards against identifiers in the errors without cause", func(t *testing.T) {
 		r := report(failed("read turn X5eiAGv8SK58g_sH.46344c8f53cc8556: not found"), failed("read turn 9-wK95fjP9NIihk9.23055e1ec20beb61: not found"))
 		assert.Equal(t, r.Unknown, []zinniapond.ReasonCount{{Reason: "read turn #: not found", Requests: 2}})
