--- a/internal/front/quota/balance.go
+++ b/internal/front/quota/balance.go
@@ -202,7 +202,8 @@
 			}
 			return false
 		}
-		w.result <- outcome{wait: wait}
+		// A shorter time has turned out to be wrong.
+		w.result <- outcome{wait: max(wait, minWait)}
 		return true
 	})
 	return next
