Make the runner usable before its start

Cause: a request that came before Run made its channels closed a channel that was nil, and panicked; the race detector showed the access in a run of the check script (TestReplicaOverLimit, once). Beside it the race detector itself crashed in a timer that was due as it was made (front/quota, once). Change: the look-up of the configuration initialises the runner; the exchange of tokens makes its timer with a time and signals its first round itself. Result: TestEarlyRequest panicked before. The crash is being repeated.

--- a/internal/front/quota/exchange.go
+++ b/internal/front/quota/exchange.go
@@ -87,9 +87,11 @@
 	c.initialise()
 	// The timers call functions and have no channels. The race detector of Go 1.26
 	// crashes if goroutines of a synctest bubble receive at the same time from channels of
-	// timers that have become due while nobody waited for them.
-	timer := time.AfterFunc(0, func() { signal(c.wake) })
+	// timers that have become due while nobody waited for them, and now and then if a timer
+	// is due as it is made.
+	timer := time.AfterFunc(messageInterval, func() { signal(c.wake) })
 	defer timer.Stop()
+	signal(c.wake)
 	sweep := make(chan struct{}, 1)
 	sweepTimer := time.AfterFunc(sweepInterval, func() { signal(sweep) })
 	defer sweepTimer.Stop()
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+func TestEarlyRequest(t *testing.T) {
+	t.Run("guards against a request that ends the host because it comes before the start of the runner", func(t *testing.T) {
+		w := newKeyedRunner(t, zinniapond.Route{Kind: zinniapond.RequestSafe, MaxAttempts: 2}, refusesRequest)
+		r := &Runner{Directory: w, Access: w.Access, MaxApplyTime: w.MaxApplyTime, Logger: hclog.NewNullLogger(), Clock: time.Now}
+		q := withKey(blueKey)
+		q.Host, q.Path = "h", "/r/x"
+		assert.NoError(t, r.Authenticate(time.Now(), q))
+		<-r.configured
+	})
+}
+
 func TestAccess(t *testing.T) {
 	safe := zinniapond.Route{Kind: zinniapond.RequestSafe, MaxAttempts: 2}
 	turn := zinniapond.Route{Kind: zinniapond.RequestStream, MaxAttempts: 1, Retained: true, Retention: time.Minute}
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -200,6 +200,7 @@
 // currentTable returns the table of the configuration that is known to this host; nil
 // before the first. A configuration is never replaced by an older one.
 func (r *Runner) currentTable() *table.Table {
+	r.initialise() // requests may come before Run
 	routing := r.Directory.View().Routing
 	current := r.table.Load()
 	if routing == nil || current != nil && routing.Version <= current.Routing().Version {
