--- a/backends.go
+++ b/edits.go
@@ -28,3 +28,11 @@
 	ID          string         `cbor:"7,keyasint,omitempty"`
 	Slots       int            `cbor:"8,keyasint,omitempty"`
 }
+
+// ListEdit is the difference between a list and its previous version: the part
+// of the text between a common beginning and a common end.
+type ListEdit struct {
+	KeptHeadBytes int    `cbor:"h,omitempty"` // length of the common beginning in bytes
+	KeptTailBytes int    `cbor:"t,omitempty"` // length of the common end in bytes
+	Text          string `cbor:"x,omitempty"` // new text between them
+}
--- a/messages.go
+++ b/messages.go
@@ -61,14 +61,6 @@
 	BackendsEdit *BackendsEdit `cbor:"be,omitempty"`
 }
 
-// ListEdit is the difference between a list and its previous version: the part
-// of the text between a common beginning and a common end.
-type ListEdit struct {
-	KeptHeadBytes int    `cbor:"h,omitempty"` // length of the common beginning in bytes
-	KeptTailBytes int    `cbor:"t,omitempty"` // length of the common end in bytes
-	Text          string `cbor:"x,omitempty"` // new text between them
-}
-
 // CommandResult is the outcome of a committed command.
 type CommandResult struct {
 	Index    Index       `cbor:"i" json:"index"`
