Keep contact with the leader while a sync takes long

Cause: a voter sends no fetch before the leader's records are durable. Change: after 0.2 s without a fetch the voter sends a request that proves only that it follows the leader and gets no records; term and vote are durable then.

--- a/internal/quorum/raft/core_test.go
+++ b/internal/quorum/raft/core_test.go
@@ -56,6 +56,20 @@
 }
 
 func TestLeader(t *testing.T) {
+	t.Run("guards against a leader that resigns while the disks of its voters stall, and counts records that are not durable", func(t *testing.T) {
+		c := newCore(1)
+		now := electLeader(t, c)
+		end := now.Add(3 * contact)
+		for ; now.Before(end); now = now.Add(contact / 3) {
+			request := fetchRequest(c, 2, c.Term(), now.Sub(c.CampaignStart()))
+			request.IsContact = true
+			reply, ready := c.HandleFetch(now, now, request)
+			assert.True(t, ready && reply.Accepted && len(reply.Entries) == 0, "reply %v", reply)
+			c.Tick(now)
+		}
+		assert.True(t, c.IsLeader(now), "the leader has resigned")
+		assert.Equal(t, c.CommitIndex(), 0)
+	})
 	t.Run("guards against committing a record of an earlier term by counting its copies", func(t *testing.T) {
 		c := newCore(3, 1, 2)
 		now := electLeader(t, c)
@@ -148,6 +162,36 @@
 		assert.Equal(t, c.HandleVote(afterContact, voteRequest("c", 9)).Granted, false)
 		assert.Equal(t, c.Term(), 1)
 	})
+	t.Run("guards against a voter that takes its leader for lost while its disk stalls", func(t *testing.T) {
+		c := newCore(1)
+		peer, request, _ := c.NextFetch()
+		reply := zinniapond.FetchReply{Term: 1, Accepted: true, Entries: []zinniapond.LogEntry{{Index: 1, Term: 1}}}
+		assert.NoError(t, c.HandleFetchReply(begin, peer, request, reply))
+		_, _, fetches := c.NextFetch()
+		assert.True(t, !fetches, "the voter fetches before its records are durable")
+		for now := begin; now.Before(afterContact); now = now.Add(contact / 3) {
+			c.Tick(now)
+			to, request, ok := c.NextContact()
+			assert.True(t, ok && to == peer && request.IsContact, "no contact with %s at %s", peer, now)
+			c.HandleContactReply(now, to, request, zinniapond.FetchReply{Term: 1, Accepted: true, Stamp: now.Sub(begin)})
+		}
+		assert.Equal(t, c.Leader(), peer)
+		assert.Equal(t, c.HandleVote(afterContact, voteRequest("c", 9)).Granted, false)
+		saveAll(c, afterContact)
+		_, _, ok := c.NextContact()
+		assert.True(t, !ok, "a contact in place of a fetch")
+	})
+	t.Run("guards against the contact of an earlier term that keeps a voter from electing", func(t *testing.T) {
+		c := newCore(1)
+		peer, request, _ := c.NextFetch()
+		reply := zinniapond.FetchReply{Term: 1, Accepted: true, Entries: []zinniapond.LogEntry{{Index: 1, Term: 1}}}
+		assert.NoError(t, c.HandleFetchReply(begin, peer, request, reply))
+		_, request, _ = c.NextContact()
+		c.HandleContactReply(afterContact, peer, request, zinniapond.FetchReply{Term: 2})
+		assert.Equal(t, c.Leader(), "")
+		c.HandleContactReply(afterContact, peer, request, zinniapond.FetchReply{Term: 1, Accepted: true, Stamp: time.Second})
+		assert.Equal(t, c.Leader(), "")
+	})
 	t.Run("guards against a save begun before a truncation that marks the records after it as saved", func(t *testing.T) {
 		c := newCore(1, 1)
 		handleReply := func(reply zinniapond.FetchReply) {
--- a/internal/quorum/raft/follow.go
+++ b/internal/quorum/raft/follow.go
@@ -23,6 +23,32 @@
 	}, ok
 }
 
+// NextContact returns a request that only shows the leader that this voter follows it, and
+// whether there is a reason for it: records of the leader that are not durable. A voter
+// does not fetch before they are, and with a slow disk the leader and this voter would
+// take each other for lost.
+func (c *Core) NextContact() (zinniapond.HostName, zinniapond.FetchRequest, bool) {
+	if c.role != follower || c.leaderName == "" || c.leaderName == c.Self.Name || c.hardStateDirty || !c.log.isDirty() {
+		return "", zinniapond.FetchRequest{}, false
+	}
+	return c.leaderName, zinniapond.FetchRequest{
+		Sender: c.Self.Name, Disk: c.Self.Disk, Term: c.term, Stamp: c.stamp,
+		NextIndex: c.log.savedIndex + 1, AppliedIndex: c.commitIndex, IsContact: true,
+	}, true
+}
+
+// HandleContactReply handles the reply to a request of NextContact. The log is unchanged.
+func (c *Core) HandleContactReply(now time.Time, peer zinniapond.HostName, request zinniapond.FetchRequest, reply zinniapond.FetchReply) {
+	switch {
+	case reply.Term > c.term:
+		c.becomeFollower(now, reply.Term, "")
+	case reply.Term < c.term || request.Term != c.term || !reply.Accepted || c.role != follower || c.leaderName != peer || reply.Stamp < c.stamp:
+	default:
+		c.lastLeaderReply, c.stamp = now, reply.Stamp
+		c.resetElectionDeadline(now)
+	}
+}
+
 // fetchSource returns the voter to fetch from: the leader, else the candidate
 // that has this voter's vote, else the other voters in rotation.
 func (c *Core) fetchSource() (zinniapond.HostName, bool) {
--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -194,12 +194,15 @@
 		Term: c.term, Leader: c.Self.Name, Accepted: true, CommitIndex: c.commitIndex,
 		CommittedOwnTerm: c.HasCommittedOwnTerm(), Stamp: now.Sub(c.campaignStart), QuorumAge: arrived.Sub(c.quorumContact(now)),
 	}
+	if request.IsContact {
+		return reply, true
+	}
 	ready := c.fillReply(request, &reply) || waitOver || request.Term < c.term
 	return reply, ready
 }
 
 // recordProgress takes the sender's last durable record and its latest contact
-// from a fetch. A request of an earlier term is ignored: its sender may have
+// from a fetch, of a contact only the latter. A request of an earlier term is ignored: its sender may have
 // truncated its log since.
 func (c *Core) recordProgress(now time.Time, request zinniapond.FetchRequest) {
 	if request.Term != c.term {
@@ -214,7 +217,7 @@
 	if at := c.campaignStart.Add(request.Stamp); request.Stamp > 0 && at.After(p.lastContact) && !at.After(now) {
 		p.lastContact = at
 	}
-	if match := request.NextIndex - 1; match > p.match && match <= c.log.lastIndex() && c.log.term(match) == request.PrevTerm {
+	if match := request.NextIndex - 1; !request.IsContact && match > p.match && match <= c.log.lastIndex() && c.log.term(match) == request.PrevTerm {
 		p.match = match
 		c.advanceCommit(now)
 	}
--- a/internal/quorum/raft/world_test.go
+++ b/internal/quorum/raft/world_test.go
@@ -116,6 +116,7 @@
 	syncRunning    bool
 	pendingFetch   int // number of the fetch in flight, 0 for none
 	fetchCount     int
+	contactAt      time.Time // of the next contact during a slow sync
 	timerAt        time.Time
 	dutiesRunning  bool             // scheduleDuties repeats
 	checkedIndex   zinniapond.Index // last committed record that the oracle has checked
@@ -169,7 +170,7 @@
 		Planner: plan.Planner{Replicas: 2, FirstAssignmentDelay: time.Second, ReplacementDelay: session, MaxHandovers: 2},
 	}}
 	n.checkError(n.node.Start(n.sim.now, n.durable))
-	n.syncRunning, n.pendingFetch, n.timerAt, n.dutiesRunning = false, 0, time.Time{}, false
+	n.syncRunning, n.pendingFetch, n.timerAt, n.dutiesRunning, n.contactAt = false, 0, time.Time{}, false, time.Time{}
 	n.waitingFetches, n.pendingVotes, n.checkedIndex = nil, nil, n.core.CommitIndex()
 	n.processChanges()
 }
@@ -244,7 +245,11 @@
 		return
 	}
 	n.syncRunning = true
-	n.sim.schedule(time.Duration(n.sim.random.Int64N(int64(8*time.Millisecond))), n.whileAlive(func() {
+	longest := 8 * time.Millisecond
+	if n.sim.random.IntN(50) == 0 {
+		longest = 3 * contact // a disk that stalls
+	}
+	n.sim.schedule(time.Duration(n.sim.random.Int64N(int64(longest))), n.whileAlive(func() {
 		n.syncRunning = false
 		mergeChange(&n.durable, change)
 		n.node.MarkSaved(n.sim.now, change)
@@ -269,9 +274,38 @@
 	})
 }
 
+// keepContact shows the leader that the node follows it while a sync takes long.
+func (n *node) keepContact() {
+	if n.contactAt.After(n.sim.now) {
+		return
+	}
+	n.contactAt = n.sim.now.Add(contact / 3)
+	n.sim.schedule(contact/3, n.whileAlive(func() {
+		peer, request, ok := n.core.NextContact()
+		if !ok {
+			return
+		}
+		n.sim.send(n.name, peer, func() {
+			n.sim.findNode(peer).serveFetch(request, func(reply zinniapond.FetchReply) {
+				n.sim.send(peer, n.name, n.whileAlive(func() {
+					n.core.HandleContactReply(n.sim.now, peer, request, reply)
+					n.processChanges()
+				}))
+			})
+		})
+		n.keepContact()
+	}))
+}
+
 func (n *node) sendFetch() {
 	peer, request, ok := n.core.NextFetch()
-	if !ok || n.pendingFetch > 0 {
+	if !ok {
+		if _, _, isDue := n.core.NextContact(); isDue {
+			n.keepContact()
+		}
+		return
+	}
+	if n.pendingFetch > 0 {
 		return
 	}
 	n.fetchCount++
--- a/internal/quorum/voter/drive.go
+++ b/internal/quorum/voter/drive.go
@@ -8,8 +8,13 @@
 	"zinniapond.example/zinniapond"
 )
 
-// fetchRetryInterval is the time between a failed fetch and the next one.
-const fetchRetryInterval = 50 * time.Millisecond
+const (
+	// fetchRetryInterval is the time between a failed fetch and the next one.
+	fetchRetryInterval = 50 * time.Millisecond
+	// fetchesPerTimeout is the time-out of a leader divided by the longest time without a
+	// request to it.
+	fetchesPerTimeout = 3
+)
 
 // processChanges is called after each change of the node, with mu held. It wakes
 // the goroutines that wait for the change and sends the vote requests of the core.
@@ -122,7 +127,8 @@
 }
 
 // fetchRecords fetches from the leader, or asks other hosts for the leader, while
-// the core has something to fetch.
+// the core has something to fetch. While a sync takes long, it only keeps contact with the
+// leader.
 func (v *Voter) fetchRecords(ctx context.Context) error {
 	for ctx.Err() == nil {
 		fetchCtx, cancel := context.WithCancel(ctx)
@@ -135,10 +141,7 @@
 		if ok {
 			err = v.sendFetch(ctx, fetchCtx, peer, request)
 		} else {
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
+			err = v.keepContact(ctx, fetchCtx, changed)
 		}
 		cancel()
 		if err != nil {
@@ -148,6 +151,36 @@
 	return nil
 }
 
+// keepContact waits for a change. If there is none for as long as a fetch may be held, it
+// shows the leader that this voter follows it. fetchCtx is cancelled as soon as there is
+// something to fetch.
+func (v *Voter) keepContact(ctx, fetchCtx context.Context, changed <-chan struct{}) error {
+	timer := time.NewTimer(v.Settings.Control.LeaderTimeout / fetchesPerTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-changed:
+		return nil
+	case <-timer.C:
+	}
+	v.mu.Lock()
+	peer, request, ok := v.node.Core.NextContact()
+	v.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	var reply zinniapond.FetchReply
+	if err := v.callVoter(fetchCtx, peer, "Control.Fetch", request, &reply, v.Settings.Control.LeaderTimeout/2); err != nil {
+		v.Logger.Debug("contact failed", "error", err)
+		return nil
+	}
+	return v.updateNode(func(now time.Time) error {
+		v.node.Core.HandleContactReply(now, peer, request, reply)
+		return nil
+	})
+}
+
 // sendFetch sends one fetch and handles the reply. fetchCtx is cancelled if the
 // core wants to fetch from another voter. This does not shorten the pause after a
 // failure: each failure selects another voter, so that there would be no pause at
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -146,7 +146,7 @@
 		LeaderTimeout: c.LeaderTimeout, ElectionDelay: c.ElectionDelay, QuorumTimeout: c.LeaderTimeout,
 		// A third of the time after which a silent leader counts as failed, so
 		// that one lost reply does not end a leadership.
-		FetchWait: c.LeaderTimeout / 3,
+		FetchWait: c.LeaderTimeout / fetchesPerTimeout,
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, p := range c.Voters {
