--- a/internal/quorum/raft/leader.go
+++ b/internal/quorum/raft/leader.go
@@ -202,8 +202,8 @@
 }
 
 // recordProgress takes the sender's last durable record and its latest contact
-// from a fetch, of a contact only the latter. A request of an earlier term is ignored: its sender may have
-// truncated its log since.
+// from a fetch, and only the latter from a contact. A request of an earlier term is
+// ignored: its sender may have truncated its log since.
 func (c *Core) recordProgress(now time.Time, request zinniapond.FetchRequest) {
 	if request.Term != c.term {
 		return
