Measure the silence of a connection on the monotonic clock

Cause: the time of the last byte was kept as wall time, so that a step of the clock by more than 1.5 s would have made each connection between hosts silent, and a new one would have closed it with its calls. Found by reading. Change: the time since the connection was opened. Result: codec and peers pass with the race detector; no test steps the clock.

--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -50,7 +50,8 @@
 	maxMessageBytes   int
 	heartbeatInterval time.Duration
 	silenceTimeout    time.Duration
-	lastRead          atomic.Int64 // Unix time of the last byte from the peer, in nanoseconds
+	opened            time.Time
+	lastRead          atomic.Int64 // time.Duration from opened until the last byte from the peer
 
 	mu          sync.Mutex // serialises the writes of messages and heartbeats
 	readBuffer  []byte     // last frame read; reused unless larger than chunkBytes
@@ -90,7 +91,7 @@
 	if c.silenceTimeout == 0 {
 		c.silenceTimeout = DefaultSilenceTimeout
 	}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.opened = time.Now()
 	c.reader = bufio.NewReaderSize(timeoutReader{c}, readerBytes)
 	go c.sendHeartbeats()
 	return c
@@ -116,7 +117,7 @@
 	}
 	n, err := c.conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(time.Since(c.opened)))
 	}
 	c.missing, c.isBegun = c.missing-n, c.isBegun || n > 0
 	if err == nil || n > 0 {
@@ -148,9 +149,10 @@
 
 // IsSilent reports whether a heartbeat of the peer is overdue at now. The connection is
 // still open then: a slow peer may go on, but after a loss of power it would be reset only
-// when the system repeats a packet, for which it pauses longer each time.
+// when the system repeats a packet, for which it pauses longer each time. now is a time
+// with a monotonic clock reading: a step of the clock is no silence.
 func (c *Codec) IsSilent(now time.Time) bool {
-	return now.UnixNano()-c.lastRead.Load() > int64(c.heartbeatInterval*3/2)
+	return now.Sub(c.opened)-time.Duration(c.lastRead.Load()) > c.heartbeatInterval*3/2
 }
 
 // Done returns a channel that is closed when the connection is closed.
