--- a/internal/wire/serve/bulk_test.go
+++ b/internal/wire/serve/bulk_test.go
@@ -99,6 +99,18 @@
 		synctest.Wait()
 		r.assertEncoded(2)
 	})
+	run(t, "guards against a large configuration that reaches hosts with slow links seconds after others", func(r *reader) {
+		const hosts = 64
+		r.read(1<<20, hosts)
+		time.Sleep(maxBulkWait)
+		synctest.Wait()
+		r.assertEncoded(hosts)
+		for range hosts {
+			var reply bulkReply
+			assert.NoError(t, codec.DecodeResult((<-r.replies).Data, &reply))
+			assert.True(t, reply.Size > 0, "a reply is sent without its content")
+		}
+	})
 	run(t, "guards against callers that give up while their replies wait", func(r *reader) {
 		const calls = 100
 		r.read(maxBulkBytes, calls)
