Send large replies of the control log 4 MB at a time

Replies of 4 MB at a time, each for up to 25 ms, leave at the same 160 MB/s at least, so that a configuration of 1,400 routes does not wait longer.

--- a/internal/wire/serve/method.go
+++ b/internal/wire/serve/method.go
@@ -36,7 +36,7 @@
 	// copies. A record with a configuration of 170 KB that went to 295 hosts at the
 	// same time took more than 200 MB. With 1 MB in 200 ms a configuration of 1,400 routes
 	// was not in force at 51 hosts within 2.5 s; 160 MB/s are more than a link of 1 Gbit/s.
-	maxBulkBytes = 16 << 20
+	maxBulkBytes = 4 << 20
 	// maxBulkWait bounds the wait of a large reply for others, after which it is sent
 	// without its content. A caller that gives up while its reply waits would ask again
 	// and make the others wait longer; observers of the control log wait for 0.6 s at
@@ -44,7 +44,7 @@
 	maxBulkWait = 400 * time.Millisecond
 	// maxBulkTime is the time after which a reply no longer counts although it has not
 	// been sent: hosts that do not read must not hold up the others.
-	maxBulkTime = 100 * time.Millisecond
+	maxBulkTime = 25 * time.Millisecond
 )
 
 var errorType = reflect.TypeFor[error]()
