--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,7 @@
 	ErrCorrupt         = errors.New("corrupt record")
 	ErrNotSent         = errors.New("no byte reached the peer")
 	ErrUnavailable     = errors.New("no backend server available")
+	ErrWarnings        = errors.New("configuration has warnings")
 )
 
 // Error is an error with the step that failed and the peer involved.
--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -41,7 +41,7 @@
 }
 
 type configCommands struct {
-	Check check.Options `cmd:"" help:"Look for faults in lists and settings, without a host."`
+	Check check.Options `cmd:"" help:"Look for faults in lists, settings and configurations. Nothing is sent."`
 	Apply apply.Options `cmd:"" help:"Put changed lists into force."`
 	Show  show.Options  `cmd:"" help:"Read the lists in force."`
 }
@@ -65,7 +65,8 @@
 	exitUsage    = 2
 	exitNoAnswer = 3 // the host cannot be reached or cannot answer now; a retry may succeed
 	exitConflict = 4 // the lists were changed by someone else in the meantime
-	exitRefused  = 5 // the lists or settings have faults
+	exitRefused  = 5 // the lists, the settings or the configuration have faults
+	exitWarnings = 6 // the configuration would be accepted, but has warnings
 )
 
 // Main runs the command line and returns the exit code.
@@ -117,6 +118,7 @@
 	}{
 		{exitConflict, []error{zinniapond.ErrConflict}},
 		{exitRefused, []error{zinniapond.ErrMalformed, zinniapond.ErrCorrupt}},
+		{exitWarnings, []error{zinniapond.ErrWarnings}},
 		{exitNoAnswer, []error{
 			zinniapond.ErrNotSent, zinniapond.ErrOverload, zinniapond.ErrStaleConfig,
 			zinniapond.ErrNoQuorum, zinniapond.ErrNotLeader, zinniapond.ErrUnavailable, zinniapond.ErrOutcomeUnknown,
