--- a/internal/rootcmd/root/root.go
+++ b/internal/rootcmd/root/root.go
@@ -15,6 +15,7 @@
 	"zinniapond.example/zinniapond/internal/configcmd/check"
 	"zinniapond.example/zinniapond/internal/configcmd/show"
 	"zinniapond.example/zinniapond/internal/core/inject"
+	"zinniapond.example/zinniapond/internal/logcmd/causes"
 	"zinniapond.example/zinniapond/internal/nodecmd/drain"
 	"zinniapond.example/zinniapond/internal/nodecmd/start"
 	"zinniapond.example/zinniapond/internal/nodecmd/status"
@@ -28,6 +29,7 @@
 type Root struct {
 	Node    nodeCommands    `cmd:"" help:"Run and inspect hosts."`
 	Config  configCommands  `cmd:"" help:"Check, change and read the lists."`
+	Log     logCommands     `cmd:"" help:"Read logs."`
 	Program programCommands `cmd:"" help:"Inspect programs."`
 	Standin standinCommands `cmd:"" help:"Run stand-ins for outside systems."`
 	Bench   benchCommands   `cmd:"" help:"Measure the policies."`
@@ -46,6 +48,10 @@
 	Show  show.Options  `cmd:"" help:"Read the lists in force."`
 }
 
+type logCommands struct {
+	Causes causes.Options `cmd:"" help:"Count why requests and programs were not served, or were late."`
+}
+
 type programCommands struct {
 	View view.Options `cmd:"" help:"Show a program's history."`
 }
