--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -28,6 +28,7 @@
 	keepsQueued bool
 
 	mu      sync.Mutex
+	slow    int            // how many times as long it works; 0 for once
 	running map[string]int // events made, by request
 	waiting int
 	places  chan struct{}
@@ -43,6 +44,20 @@
 	start, end time.Time
 }
 
+// setSlow makes the replica work a number of times as long.
+func (e *engine) setSlow(factor int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = factor
+	record("replica %s works %d times as long", e.id, factor)
+}
+
+func (e *engine) eventPause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pause * time.Duration(max(e.slow, 1))
+}
+
 func hashOf(body []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(body)
@@ -176,9 +191,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := w.(http.Flusher)
 	for n := first + 1; n <= e.events; n++ {
-		if e.pause > 0 {
-			time.Sleep(e.pause)
-		}
+		time.Sleep(e.eventPause())
 		if time.Now().After(until) || !e.keepsQueued && r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
--- a/review/standin-2/queued.go
+++ b/review/standin-2/queued.go
@@ -12,6 +12,7 @@
 	// times as long a slow replica takes.
 	normalPause = 75 * time.Millisecond
 	slowFactor  = 4
+	slowTime    = 6500 * time.Millisecond
 	// overlap is the time after which a replica must not work any more on a request that
 	// goes on at another one.
 	overlap = 400 * time.Millisecond
@@ -37,10 +38,6 @@
 	var engines []*engine
 	for i := range queuedReplicas {
 		e := &engine{id: fmt.Sprintf("i-%d", i+1), slots: queuedSlots, queue: 12, events: 10, pause: normalPause, text: "some words", keepsQueued: true}
-		if trouble && i == 0 {
-			e.pause *= slowFactor
-			record("replica %s works %d times as long", e.id, slowFactor)
-		}
 		if err := e.listen(fmt.Sprintf("%s.8.%d:8080", c.network, i+1)); err != nil {
 			return false, err
 		}
@@ -58,6 +55,10 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
+	if trouble {
+		engines[0].setSlow(slowFactor)
+		defer time.AfterFunc(slowTime, func() { engines[0].setSlow(1) }).Stop()
+	}
 	var group sync.WaitGroup
 	client := newConsumer(false)
 	fronts := c.of("front")
