Measure review cases 8 and 9 with prompts of the sheet

Cause: the consumers of the scripts named as many tokens as a quarter of the bytes of their input, which for inputs of 3.5 MB is more than a replica of the sheet holds.

Change: all turns have prompts of 14,280 tokens.

--- a/review/standin-2/consumer.go
+++ b/review/standin-2/consumer.go
@@ -14,6 +14,13 @@
 	"time"
 )
 
+// Tokens of a prompt, as in the users' smallest deployment. An input may have many bytes a
+// token, such as a scanned document.
+const (
+	sharedTokens = 12_600
+	ownTokens    = 1_680
+)
+
 func newID() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
@@ -67,8 +74,8 @@
 	}
 	if t.most > 0 {
 		h.Set("X-Model", "m")
-		h.Set("X-Token-Usage", strconv.Itoa(max(len(t.body)/4, 1))+","+strconv.Itoa(t.most))
-		h.Set("X-Prompt-Prefix", "5c1e07a2:800,"+t.session+":200")
+		h.Set("X-Token-Usage", strconv.Itoa(sharedTokens+ownTokens)+","+strconv.Itoa(t.most))
+		h.Set("X-Prompt-Prefix", "5c1e07a2:"+strconv.Itoa(sharedTokens)+","+t.session+":"+strconv.Itoa(ownTokens))
 	}
 	if t.previous != "" {
 		h.Set("X-Previous-Turn", t.previous)
