--- a/review/standin-2/retire.go
+++ b/review/standin-2/retire.go
@@ -38,10 +38,10 @@
 // deployment, one in each zone.
 const (
 	addedStores   = 4
-	retireWorkers = 10
+	retireWorkers = 6
 	// smallBody and bodyStep give each consumer inputs of another size, all far below
 	// maxBodyBytes of the configuration.
-	smallBody, bodyStep = 1_000_000, 100_000
+	smallBody, bodyStep = 1_900_000, 40_000
 	// catchUp is the time after which a machine that is back no longer counts as lost.
 	catchUp = 4700 * time.Millisecond
 )
