Log what a host was sent while its control state was behind

Change: internal/quorum/delay counts fetches, late ones, records, bytes and the time for applying them from the time a host was last up to date. No logic changes.

--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -89,6 +89,7 @@
 	if err := w.Peers.Call(callCtx, address, "Control.Fetch", request, &reply); err != nil {
 		if ctx.Err() == nil { // a request that was cancelled says nothing about the voter
 			w.noteLeader(name, "")
+			w.recordLate(callCtx)
 		}
 		return zinniapond.Wrap("Control.Fetch", address, err)
 	}
@@ -119,5 +120,37 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.publish()
-	return w.holder.ApplyReply(sent, request, reply)
+	begun := w.Clock()
+	if err := w.holder.ApplyReply(sent, request, reply); err != nil {
+		return err
+	}
+	if reply.Accepted {
+		w.recordAnswer(begun, reply)
+	}
+	return nil
+}
+
+// recordLate counts a fetch whose time limit has passed.
+func (w *Watcher) recordLate(call context.Context) {
+	if call.Err() == nil {
+		return
+	}
+	w.Stats.Add("control.fetch.late", 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay.RecordLate()
+}
+
+// recordAnswer counts what the leader has sent, and logs it once this host has caught up.
+// The caller holds mu.
+func (w *Watcher) recordAnswer(begun time.Time, reply zinniapond.FetchReply) {
+	now := w.Clock()
+	size := reply.Bulk()
+	w.Stats.Add("control.fetch.bytes", int64(size))
+	w.Stats.Add("control.fetch.records", int64(len(reply.Entries)))
+	behind, report := w.delay.RecordAnswer(now, len(reply.Entries), size, now.Sub(begun), w.holder.State.View().Index >= reply.CommitIndex)
+	if report {
+		w.Logger.Info("control state was behind the leader", "for", now.Sub(behind.Since), "fetches", behind.Fetches, "late", behind.Late,
+			"records", behind.Records, "bytes", behind.Bytes, "applying", behind.ApplyTime)
+	}
 }
--- a/internal/quorum/watch/watcher.go
+++ b/internal/quorum/watch/watcher.go
@@ -18,8 +18,10 @@
 
 	"zinniapond.example/zinniapond"
 	"zinniapond.example/zinniapond/internal/core/kernel"
+	"zinniapond.example/zinniapond/internal/core/stats"
 	"zinniapond.example/zinniapond/internal/files/lists"
 	"zinniapond.example/zinniapond/internal/fleet/state"
+	"zinniapond.example/zinniapond/internal/quorum/delay"
 	"zinniapond.example/zinniapond/internal/quorum/lease"
 )
 
@@ -45,10 +47,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Watcher{
+	w := &Watcher{
 		Settings: k.Settings, Peers: peers, Clock: k.Clock, Logger: k.Logger.Named("watch"),
 		Parse: new(lists.Parser).Parse,
-	}, nil
+	}
+	return w, kernel.FindInto(k, &w.Stats)
 }
 
 // Watcher holds one host's view of the control log. It is safe for concurrent
@@ -58,6 +61,7 @@
 	Peers    zinniapond.Peers
 	Clock    func() time.Time
 	Logger   hclog.Logger
+	Stats    *stats.Set[string] // may be nil
 	// Parse parses lists; nil accepts all lists.
 	Parse func(version zinniapond.Version, plans, usage string) (*zinniapond.Catalog, []zinniapond.ListFault)
 
@@ -67,6 +71,7 @@
 
 	mu        sync.Mutex
 	holder    lease.Holder
+	delay     delay.Meter
 	leader    zinniapond.HostName // last known leader, empty if unknown
 	nextVoter int
 	// leaderChanged is closed and replaced when leader becomes another host, not when it
