Wait for a large reply of the control log while it arrives

What callers saw: requests were refused with 404, or run by the service of before, by a configuration that had been replaced up to 14 s earlier. Cause: a host gave a fetch up after 1.1 s and sent it again, although its reply was arriving. Over a link of 22 to 75 Mbit/s that many hosts press on at once, a record of 0.8 MB takes longer, and the reply that was given up delays the next. Hosts that looked for the leader asked for the records each 50 ms too. Change: a fetch ends once no part of a large reply has arrived for its time limit (Peers.CallBulk), and a host that looks for the leader gets no records. A silent leader is given up as soon as before.

--- a/interfaces.go
+++ b/interfaces.go
@@ -83,6 +83,14 @@
 	Call(ctx context.Context, peer netip.AddrPort, method string, request, reply any) error
 }
 
+// BulkPeers is implemented by Peers that can wait for a large reply while it arrives.
+type BulkPeers interface {
+	// CallBulk is Call with a limit for the time without progress in place of a deadline:
+	// it fails once no part of a large reply has come from the peer for that time, or
+	// after a multiple of it in all.
+	CallBulk(ctx context.Context, limit time.Duration, peer netip.AddrPort, method string, request, reply any) error
+}
+
 // Mounter makes methods callable by other hosts. The methods of the receiver
 // have the signature that net/rpc requires.
 type Mounter interface {
--- a/internal/quorum/watch/follow.go
+++ b/internal/quorum/watch/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -55,7 +56,8 @@
 		asked, from := name, address
 		group.Go(func() {
 			request := w.nextRequest()
-			request.MaxWait = 0
+			// The records come with the first fetch from the leader, and only once.
+			request.MaxWait, request.IsContact = 0, true
 			if err := w.fetch(ctx, asked, from, request, w.Settings.Control.LeaderTimeout/2); err != nil {
 				w.Logger.Debug("leader not found", "error", err)
 				return
@@ -82,14 +84,12 @@
 // fetch sends one request to a voter and applies the reply. It returns an error if the
 // voter neither is the leader nor names it.
 func (w *Watcher) fetch(ctx context.Context, name zinniapond.HostName, address netip.AddrPort, request zinniapond.FetchRequest, limit time.Duration) error {
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	var reply zinniapond.FetchReply
 	sent := w.Clock()
-	if err := w.Peers.Call(callCtx, address, "Control.Fetch", request, &reply); err != nil {
+	if err := w.callVoter(ctx, limit, address, request, &reply); err != nil {
 		if ctx.Err() == nil { // a request that was cancelled says nothing about the voter
 			w.noteLeader(name, "")
-			w.recordLate(callCtx)
+			w.recordLate(err)
 		}
 		return zinniapond.Wrap("Control.Fetch", address, err)
 	}
@@ -110,6 +110,17 @@
 	return nil
 }
 
+// callVoter sends one request to a voter. The limit is for the time without progress if
+// the reply is large.
+func (w *Watcher) callVoter(ctx context.Context, limit time.Duration, address netip.AddrPort, request zinniapond.FetchRequest, reply *zinniapond.FetchReply) error {
+	if bulk, ok := w.Peers.(zinniapond.BulkPeers); ok {
+		return bulk.CallBulk(ctx, limit, address, "Control.Fetch", request, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return w.Peers.Call(ctx, address, "Control.Fetch", request, reply)
+}
+
 func (w *Watcher) nextRequest() zinniapond.FetchRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -131,8 +142,8 @@
 }
 
 // recordLate counts a fetch whose time limit has passed.
-func (w *Watcher) recordLate(call context.Context) {
-	if call.Err() == nil {
+func (w *Watcher) recordLate(err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
 	w.Stats.Add("control.fetch.late", 1)
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -52,11 +53,16 @@
 	silenceTimeout    time.Duration
 	opened            time.Time
 	lastRead          atomic.Int64 // time.Duration from opened until the last byte from the peer
+	// lastBulkRead is the same for the last byte of a message larger than chunkBytes; zero
+	// if there was none.
+	lastBulkRead atomic.Int64
 
 	mu          sync.Mutex // serialises the writes of messages and heartbeats
 	readBuffer  []byte     // last frame read; reused unless larger than chunkBytes
 	pendingBody []byte     // encoded body of the last frame read
 
+	readsBulk bool // a message larger than chunkBytes is being read
+
 	// missing is the number of bytes that are still to arrive before the read timeout
 	// begins again: zero at the beginning of a message, one for its first bytes, and
 	// minProgressBytes within it. It is used by the goroutine that reads.
@@ -117,7 +123,11 @@
 	}
 	n, err := c.conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(int64(time.Since(c.opened)))
+		at := int64(time.Since(c.opened))
+		c.lastRead.Store(at)
+		if c.readsBulk {
+			c.lastBulkRead.Store(at)
+		}
 	}
 	c.missing, c.isBegun = c.missing-n, c.isBegun || n > 0
 	if err == nil || n > 0 {
@@ -155,6 +165,16 @@
 	return now.Sub(c.opened)-time.Duration(c.lastRead.Load()) > c.heartbeatInterval*3/2
 }
 
+// LastBulkRead returns when the last byte of a large message arrived; zero if none has. The
+// time has a monotonic clock reading.
+func (c *Codec) LastBulkRead() time.Time {
+	at := c.lastBulkRead.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return c.opened.Add(time.Duration(at))
+}
+
 // Done returns a channel that is closed when the connection is closed.
 func (c *Codec) Done() <-chan struct{} { return c.done }
 
@@ -232,7 +252,7 @@
 	}
 	for {
 		c.missing, c.isBegun = 0, false
-		frame, err := ReadFrame(c.reader, c.maxMessageBytes, c.readBuffer)
+		frame, err := c.readFrame()
 		if err == nil && len(frame) == 0 {
 			continue
 		}
@@ -247,6 +267,15 @@
 	}
 }
 
+// readFrame reads the next frame, which may be a heartbeat.
+func (c *Codec) readFrame() ([]byte, error) {
+	if size, err := c.reader.Peek(lengthBytes); err == nil {
+		c.readsBulk = binary.BigEndian.Uint32(size) > chunkBytes
+	}
+	defer func() { c.readsBulk = false }()
+	return ReadFrame(c.reader, c.maxMessageBytes, c.readBuffer)
+}
+
 // decodeBody decodes the body of the last frame into body, or copies it encoded if
 // body is a *cbor.RawMessage. A nil body is discarded.
 func (c *Codec) decodeBody(body any) error {
--- a/internal/wire/peers/connection.go
+++ b/internal/wire/peers/connection.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// acquireWithin is acquire with a time limit, if that is above zero.
+func (v *peer) acquireWithin(ctx context.Context, limit time.Duration) (*connection, error) {
+	if limit <= 0 {
+		return v.acquire(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return v.acquire(ctx)
+}
+
 // selectConnection returns the open connection with the fewest pending calls and
 // increments their count, or the dial to wait for if none is open. It removes
 // closed connections and starts a dial if all connections are busy. Silent connections
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -37,6 +37,9 @@
 	// from which another one is opened. It is high because each connection adds
 	// heartbeats, also between idle hosts.
 	defaultCallsPerConnection = 16
+	// maxBulkLimits bounds a call with a large reply, as a multiple of the time that it may
+	// be without progress.
+	maxBulkLimits = 20
 	// defaultIdleTimeout is how long an unused connection is kept. A status request
 	// opens a connection to every host, whose heartbeats would otherwise never end.
 	defaultIdleTimeout = 30 * time.Second
@@ -76,6 +79,8 @@
 	}
 }
 
+var _ zinniapond.BulkPeers = (*Pool)(nil)
+
 // Run closes all connections once ctx is done. Calls before Run are allowed.
 // Calls after it has returned fail with ErrNotSent.
 func (p *Pool) Run(ctx context.Context) error {
@@ -100,6 +105,21 @@
 		ctx, cancel = context.WithTimeout(ctx, p.CallTimeout)
 		defer cancel()
 	}
+	return p.call(ctx, address, method, request, reply, 0)
+}
+
+// CallBulk calls a method whose reply may be large. It fails once no part of a large reply
+// has arrived for limit, and after maxBulkLimits times limit. A call that is given up and
+// repeated while its reply arrives would transfer it twice, or never to the end.
+func (p *Pool) CallBulk(ctx context.Context, limit time.Duration, address netip.AddrPort, method string, request, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, maxBulkLimits*limit)
+	defer cancel()
+	return p.call(ctx, address, method, request, reply, limit)
+}
+
+// call calls a method. A limit above zero bounds the time to establish a connection and
+// the time without progress of a large reply.
+func (p *Pool) call(ctx context.Context, address netip.AddrPort, method string, request, reply any, limit time.Duration) error {
 	data, err := codec.Marshal(request)
 	if err != nil {
 		return wrapNotSent(method, address, err)
@@ -107,11 +127,11 @@
 	p.Stats.Add("peers.calls", 1)
 	v := p.byAddress.GetOrCreate(address, func() *peer { return newPeer(p, address) })
 	for {
-		l, err := v.acquire(ctx)
+		l, err := v.acquireWithin(ctx, limit)
 		if err != nil {
 			return wrapNotSent(method, address, err)
 		}
-		err = l.call(ctx, method, data, reply)
+		err = l.call(ctx, method, data, reply, limit)
 		v.release(l)
 		if errors.Is(err, rpc.ErrShutdown) {
 			// The connection was lost before the request was written. Closing the
@@ -137,17 +157,42 @@
 // call sends one request and waits for its reply. The reply is decoded here
 // instead of in the goroutine that reads the connection, so that a reply after
 // the deadline does not overwrite a variable that the caller has reused.
-func (l *connection) call(ctx context.Context, method string, request cbor.RawMessage, reply any) error {
+func (l *connection) call(ctx context.Context, method string, request cbor.RawMessage, reply any, limit time.Duration) error {
 	envelope := new(cbor.RawMessage)
 	call := l.client.Go(method+"."+codec.CallMethod, request, envelope, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-ctx.Done():
+	if err := l.await(ctx, call, limit); err != nil {
 		l.stats.Add("peers.late", 1)
-		return fmt.Errorf("no answer: %w", ctx.Err())
+		return fmt.Errorf("no answer: %w", err)
 	}
 	if call.Error != nil {
 		return call.Error
 	}
 	return codec.DecodeResult(*envelope, reply)
 }
+
+// await waits for the end of a call: until ctx is done, or until no part of a large reply
+// has arrived for limit, if that is above zero.
+func (l *connection) await(ctx context.Context, call *rpc.Call, limit time.Duration) error {
+	var stalled <-chan time.Time
+	begun := time.Now()
+	if limit > 0 {
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
+		stalled = timer.C
+	}
+	for {
+		select {
+		case <-call.Done:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stalled:
+		}
+		lastRead := l.codec.LastBulkRead()
+		left := limit - time.Since(lastRead)
+		if !lastRead.After(begun) || left <= 0 {
+			return context.DeadlineExceeded
+		}
+		stalled = time.After(left)
+	}
+}
--- a/messages.go
+++ b/messages.go
@@ -130,8 +130,9 @@
 	// Stamp is the Stamp of the last reply of the same term. It proves to the
 	// leader that the sender followed it at that instant of the leader's clock.
 	Stamp time.Duration `cbor:"st,omitempty"`
-	// IsContact is set by a voter that has records which are not durable. The request only
-	// proves that it follows the leader, and gets no records.
+	// IsContact is set by a voter that has records which are not durable, and by a host that
+	// looks for the leader. The request only proves that its sender follows the leader, and
+	// gets no records.
 	IsContact bool `cbor:"co,omitempty"`
 }
 
