--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/record"
 )
 
 // defaultMaxOutcomes is the number of changes of the lists whose outcome is kept.
@@ -101,7 +102,7 @@
 	}
 	var command zinniapond.Command
 	if len(entry.Data) > 0 {
-		if err := cbor.Unmarshal(entry.Data, &command); err != nil {
+		if err := new(record.Codec).Decode(entry.Data, &command); err != nil {
 			return zinniapond.CommandResult{}, fmt.Errorf("decode record %d: %w", entry.Index, err)
 		}
 	}
@@ -286,7 +287,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode control state: %w", err)
 	}
-	data, err := mode.Marshal(i)
+	data, err := new(record.Codec).Encode(mode, i)
 	if err != nil {
 		return nil, fmt.Errorf("encode control state: %w", err)
 	}
@@ -300,7 +301,7 @@
 		return nil
 	}
 	var i snapshot
-	if err := cbor.Unmarshal(data, &i); err != nil {
+	if err := new(record.Codec).Decode(data, &i); err != nil {
 		return fmt.Errorf("decode control state: %w", err)
 	}
 	if i.Index <= s.View().Index {
--- a/internal/quorum/node/node.go
+++ b/internal/quorum/node/node.go
@@ -7,9 +7,8 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/fleet/record"
 	"zinniapond.example/zinniapond/internal/fleet/state"
 	"zinniapond.example/zinniapond/internal/quorum/duty"
 	"zinniapond.example/zinniapond/internal/quorum/raft"
@@ -208,7 +207,7 @@
 }
 
 func (n *Node) append(now time.Time, command zinniapond.Command) (zinniapond.Index, zinniapond.Term, error) {
-	data, err := cbor.Marshal(command)
+	data, err := new(record.Codec).Encode(nil, command)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/internal/quorum/node/node_test.go
+++ b/internal/quorum/node/node_test.go
@@ -60,11 +60,14 @@
 	return n, now
 }
 
-// proposeRouting puts a configuration of the given size in force.
+// proposeRouting puts a configuration of the given size in force, whose document cannot be
+// compressed.
 func proposeRouting(t *testing.T, n *Node, now time.Time, version, size int) {
 	t.Helper()
+	source := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{byte(version)}).Read(source) // never fails
 	n.Propose(now, zinniapond.Command{Kind: zinniapond.CommandRouting, Routing: &zinniapond.Routing{
-		Version: uint64(version), Source: make([]byte, size),
+		Version: uint64(version), Source: source,
 	}}, func(zinniapond.ProposeReply) {})
 	applyAndSave(t, n, now)
 }
