Refuse unknown routes only by a confirmed configuration

What callers saw: "refused with 404 as an older version says; version 59 was acked more than 2500 ms before". A 404 ends a client's program. Cause: a host answered 404 by the newest configuration that it had, however long ago the control leader had confirmed it. Unknown keys had been refused with 503 in that case, unknown routes not. Evidence: TestUnconfirmedConfiguration failed before in two of four cases. Change: a route that is not found is 503 with a time to come back if the configuration was not confirmed within [platform] apply. Known routes are served as before, also without control hosts. Result: TestUnconfirmedConfiguration and the tests of internal/front and platform/front pass.

--- a/internal/front/runner/access.go
+++ b/internal/front/runner/access.go
@@ -30,14 +30,21 @@
 	}
 	route, ok := t.Find(request.Host, request.Path)
 	if !ok {
-		return notFoundError(&request, t)
+		return r.notFoundError(now, &request, t, confirmedAt)
 	}
 	_, err := r.checkKey(now, t, route, request.KeyHash, confirmedAt)
 	return err
 }
 
-// notFoundError returns the error for a request that matches no route.
-func notFoundError(request *zinniapond.Request, t *table.Table) error {
+// notFoundError returns the error for a request that matches no route. The route may be in a
+// configuration that this host has not learned of, and a client does not come back after
+// ErrNotFound. confirmedAt has the meaning of checkKey.
+func (r *Runner) notFoundError(now time.Time, request *zinniapond.Request, t *table.Table, confirmedAt time.Time) error {
+	if age := now.Sub(confirmedAt); r.MaxApplyTime > 0 && age >= r.MaxApplyTime {
+		r.Stats.Add("front.unconfirmed", 1)
+		return retryableError("find route", staleRetryAfter, fmt.Errorf("no route of %s%s in version %d, confirmed %s ago: %w",
+			request.Host, request.Path, t.Routing().Version, age.Round(time.Millisecond), zinniapond.ErrStaleConfig))
+	}
 	return fmt.Errorf("find route of %s%s in version %d: %w", request.Host, request.Path, t.Routing().Version, zinniapond.ErrNotFound)
 }
 
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -206,6 +206,7 @@
 
 // resolveRoute sets the route, the service and the deadline of a request.
 func (u *run) resolveRoute(now time.Time) error {
+	confirmedAt := u.Directory.ConfirmedAt()
 	t := u.currentTable()
 	if t == nil {
 		return retryableError("find route", shortRetryAfter, fmt.Errorf("no configuration yet: %w", zinniapond.ErrStaleConfig))
@@ -213,7 +214,7 @@
 	u.version = t.Routing().Version
 	route, ok := t.Find(u.request.Host, u.request.Path)
 	if !ok {
-		return notFoundError(u.request, t)
+		return u.notFoundError(now, u.request, t, confirmedAt)
 	}
 	if maxBody := t.Routing().Limits.MaxBodyBytes; maxBody > 0 && int64(len(u.request.Body)) > maxBody {
 		return fmt.Errorf("body of %d bytes: %w", len(u.request.Body), zinniapond.ErrTooLarge)
