Carry the software version of replicas and log take-ups of streams

Cause: the list of replicas names the software version of each, but it was only checked to be there, and Resumes was not read. Change: Backend.Version in the list and in the control log, Request.Resumes, the version in the entries of tried=, a line and a counter for each take-up. The choice of replicas is unchanged.

--- a/edits.go
+++ b/edits.go
@@ -19,14 +19,15 @@
 
 // AddedBackend is a Backend in its shortest encoding: an edit goes to each host.
 type AddedBackend struct {
-	Address     netip.AddrPort `cbor:"1,keyasint"`
-	Kind        BackendKind    `cbor:"2,keyasint,omitempty"`
-	Pool        PoolName       `cbor:"3,keyasint,omitempty"`
-	DataCentre  DataCentre     `cbor:"4,keyasint,omitempty"`
-	State       BackendState   `cbor:"5,keyasint,omitempty"`
-	ChecksFence bool           `cbor:"6,keyasint,omitempty"`
-	ID          string         `cbor:"7,keyasint,omitempty"`
-	Slots       int            `cbor:"8,keyasint,omitempty"`
+	Address     netip.AddrPort  `cbor:"1,keyasint"`
+	Kind        BackendKind     `cbor:"2,keyasint,omitempty"`
+	Pool        PoolName        `cbor:"3,keyasint,omitempty"`
+	DataCentre  DataCentre      `cbor:"4,keyasint,omitempty"`
+	State       BackendState    `cbor:"5,keyasint,omitempty"`
+	ChecksFence bool            `cbor:"6,keyasint,omitempty"`
+	ID          string          `cbor:"7,keyasint,omitempty"`
+	Slots       int             `cbor:"8,keyasint,omitempty"`
+	Version     SoftwareVersion `cbor:"9,keyasint,omitempty"`
 }
 
 // ListEdit is the difference between a list and its previous version: the part
--- a/fleet.go
+++ b/fleet.go
@@ -180,6 +180,9 @@
 	// Slots is the number of requests that the server runs concurrently; 0 if
 	// unknown.
 	Slots int `json:"slots,omitempty"`
+	// Version is the version of the server's software. A stream goes on only at the version
+	// that has begun it.
+	Version SoftwareVersion `json:"version,omitempty"`
 }
 
 // Compare orders replicas by address and id.
--- a/internal/front/runner/log.go
+++ b/internal/front/runner/log.go
@@ -11,6 +11,10 @@
 	if u.route != nil {
 		name = u.route.Name
 	}
+	if u.request.LastEventID != "" {
+		u.Stats.Add("front.resumed", 1)
+		u.Logger.Info("stream taken up", "id", u.request.ID, "route", name, "resumes", u.request.Resumes, "after", u.request.LastEventID, "tried", u.attemptList(), "error", err)
+	}
 	if err == nil {
 		u.Stats.Add("front.served", 1)
 		u.Meter.Observe("front.answer."+string(u.route.Kind), elapsed)
@@ -36,7 +40,7 @@
 func (u *run) attemptList() string {
 	text := ""
 	for _, t := range u.attempted {
-		text += fmt.Sprintf("%s@%s:%s;", t.replica.ID, t.replica.Address, t.outcome)
+		text += fmt.Sprintf("%s@%s/%s:%s;", t.replica.ID, t.replica.Address, t.replica.Version, t.outcome)
 	}
 	return text
 }
--- a/request.go
+++ b/request.go
@@ -34,6 +34,9 @@
 	PromptTokens Tokens       // size of the prompt
 	MaxGenerated Tokens       // largest number of tokens to generate
 	LastEventID  string       // event after which to resume; empty for the whole stream
+	// Resumes is the attempt that brought the client the first event of the stream that it
+	// resumes; empty if it does not say.
+	Resumes AttemptID
 
 	// The following fields are set for requests of agent programs only.
 	Program      ProgramID
--- a/types.go
+++ b/types.go
@@ -37,6 +37,10 @@
 // PoolName names a group of equal backend servers: a model or a service.
 type PoolName string
 
+// SoftwareVersion names the version of a backend server's software. Versions have no
+// order. It is empty if it is not known.
+type SoftwareVersion string
+
 // ShardID is the number of a shard of programs, from 0 up to, but not including,
 // the number of shards of the cluster.
 type ShardID uint32
