Continue streams only at the software version that began them

What callers saw: streams joined from two software versions, within one answer and over a client's take-ups, with nothing in the answer that shows it. Cause: the choice of a replica did not know versions, and nobody knew the version of a stream once the front that had relayed it was gone. Change: the reservation of a turn, which is on all disks before the turn runs, has the version if the pool has only one. Else the version is recorded before the first event. A take-up finds it by Resumes, and all choices are restricted to it. Without a record a stream goes on if only one version can have begun it; the control log remembers versions that have left the list. If no replica of the version is left, the take-up is refused at once with 503. Pools of one version get no message more.

--- a/fleet.go
+++ b/fleet.go
@@ -213,6 +213,9 @@
 	// BackendsIndex is the index of the record that contains it.
 	Backends      []Backend `json:"backends"`
 	BackendsIndex Index     `json:"backendsIndex"`
+	// PastVersions are the software versions that the list has had within VersionMemory and
+	// has no more.
+	PastVersions []PastVersion `json:"pastVersions,omitempty"`
 }
 
 // OrderKind is the kind of an order to an engine.
--- a/interfaces.go
+++ b/interfaces.go
@@ -188,10 +188,15 @@
 	// if connections are not limited.
 	CanConnect func(netip.AddrPort) bool
 	Exclude    []netip.AddrPort // servers that this call has already tried
+	// Version is the only software version that may get the call; empty for any.
+	Version SoftwareVersion
 	// RemainingTime is the time until the deadline of the call; zero if it has none.
 	RemainingTime time.Duration
 }
 
+// Fits reports whether a server has the software version that the call needs.
+func (i PickInfo) Fits(server Backend) bool { return i.Version == "" || server.Version == i.Version }
+
 // Choice is a routing decision with its reason.
 type Choice struct {
 	Backend      netip.AddrPort
--- a/internal/backend/listed/listed.go
+++ b/internal/backend/listed/listed.go
@@ -267,6 +267,6 @@
 	boundedCtx, cancel = context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	// The list is compared again at the next refresh if the command is refused.
-	result, err := r.Control.Propose(boundedCtx, now, state.NewBackendsCommand(view, list))
+	result, err := r.Control.Propose(boundedCtx, now, state.NewBackendsCommand(now, view, list))
 	r.Logger.Info("replica list changed", "replicas", len(list), "index", result.Index, "accepted", result.Accepted, "reason", result.Reason, "error", err)
 }
--- a/internal/core/plugs/plugs.go
+++ b/internal/core/plugs/plugs.go
@@ -32,6 +32,7 @@
 	_ "zinniapond.example/zinniapond/internal/policy/least"
 	_ "zinniapond.example/zinniapond/internal/policy/leave"
 	_ "zinniapond.example/zinniapond/internal/policy/limit"
+	_ "zinniapond.example/zinniapond/internal/policy/origin"
 	_ "zinniapond.example/zinniapond/internal/policy/pace"
 	_ "zinniapond.example/zinniapond/internal/policy/place"
 	_ "zinniapond.example/zinniapond/internal/policy/prefix"
--- a/internal/fleet/state/backends.go
+++ b/internal/fleet/state/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"zinniapond.example/zinniapond"
 )
@@ -10,8 +11,8 @@
 // difference, so that a record, the log and the traffic to each host grow with the change
 // and not with the list. It has the whole list if that is the first one, or if the
 // difference does not restore it or has more entries.
-func NewBackendsCommand(view *zinniapond.ControlView, list []zinniapond.Backend) zinniapond.Command {
-	whole := zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list, BackendsIndex: view.BackendsIndex}
+func NewBackendsCommand(readAt time.Time, view *zinniapond.ControlView, list []zinniapond.Backend) zinniapond.Command {
+	whole := zinniapond.Command{Kind: zinniapond.CommandBackends, Backends: list, BackendsIndex: view.BackendsIndex, ReadAt: readAt}
 	if view.BackendsIndex == 0 {
 		return whole
 	}
@@ -21,7 +22,7 @@
 	if !ok || !slices.Equal(restored, list) || len(edit.Added)+len(edit.Removed) > len(list) {
 		return whole
 	}
-	return zinniapond.Command{Kind: zinniapond.CommandBackendsEdit, BackendsEdit: edit}
+	return zinniapond.Command{Kind: zinniapond.CommandBackendsEdit, BackendsEdit: edit, ReadAt: readAt}
 }
 
 // newBackendsEdit returns the difference between two lists that are sorted by
@@ -101,7 +102,8 @@
 // applyBackendsEdit changes the list of replicas if it is the one that the edit was made
 // from. Otherwise the list was changed between the proposal and the record, and the
 // proposer finds the difference again when it next reads the platform's list.
-func applyBackendsEdit(view *zinniapond.ControlView, edit *zinniapond.BackendsEdit) zinniapond.CommandResult {
+func applyBackendsEdit(view *zinniapond.ControlView, command zinniapond.Command) zinniapond.CommandResult {
+	edit := command.BackendsEdit
 	switch {
 	case edit == nil:
 		return refusedResult("no edit given")
@@ -112,6 +114,6 @@
 	if !ok {
 		return refusedResult("the edit does not fit the list of replicas")
 	}
-	view.Backends, view.BackendsIndex = list, view.Index
+	setBackends(view, list, command.ReadAt)
 	return acceptedResult()
 }
--- a/internal/fleet/state/backends_test.go
+++ b/internal/fleet/state/backends_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
@@ -29,7 +30,7 @@
 // commitList records a change of the list.
 func commitList(t assert.TB, list []zinniapond.Backend, leader *State, followers ...*State) zinniapond.LogEntry {
 	t.Helper()
-	return commit(t, NewBackendsCommand(leader.View(), list), leader, followers...)
+	return commit(t, NewBackendsCommand(time.Unix(1000, 0), leader.View(), list), leader, followers...)
 }
 
 // newReplicas returns a list of replicas that are live.
@@ -91,7 +92,7 @@
 	t.Run("guards against an edit of another list", func(t *testing.T) {
 		s := new(State)
 		commitList(t, newReplicas(3), s)
-		late := NewBackendsCommand(s.View(), newReplicas(2))
+		late := NewBackendsCommand(time.Unix(1000, 0), s.View(), newReplicas(2))
 		commitList(t, newReplicas(4), s)
 		commit(t, late, s)
 		assert.Equal(t, s.View().Backends, newReplicas(4))
--- a/internal/fleet/state/routing.go
+++ b/internal/fleet/state/routing.go
@@ -25,7 +25,7 @@
 	if command.BackendsIndex > 0 && command.BackendsIndex < view.BackendsIndex {
 		return refusedResult(fmt.Sprintf("the list has changed in record %d", view.BackendsIndex))
 	}
-	view.Backends, view.BackendsIndex = command.Backends, view.Index
+	setBackends(view, command.Backends, command.ReadAt)
 	return acceptedResult()
 }
 
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -140,7 +140,7 @@
 	case zinniapond.CommandBackends:
 		return applyBackends(view, command)
 	case zinniapond.CommandBackendsEdit:
-		return applyBackendsEdit(view, command.BackendsEdit)
+		return applyBackendsEdit(view, command)
 	case zinniapond.CommandEmpty, "":
 		if command.Shards > 0 && view.Shards == 0 {
 			view.Shards = command.Shards
@@ -256,6 +256,7 @@
 	Retired     []zinniapond.Disk               `cbor:"rt,omitempty"`
 	Backends    []zinniapond.Backend            `cbor:"b,omitempty"`
 	BackendsAt  zinniapond.Index                `cbor:"bi,omitempty"`
+	Past        []zinniapond.PastVersion        `cbor:"pv,omitempty"`
 }
 
 // Encode returns a snapshot of the state, with the same bytes on all hosts.
@@ -265,7 +266,7 @@
 		Index: view.Index, Shards: view.Shards, Lists: view.Lists,
 		Outcomes: s.outcomes, Order: s.changeOrder, Voters: s.voters,
 		Routing: view.Routing, DisksIndex: view.DisksIndex,
-		Backends: view.Backends, BackendsAt: view.BackendsIndex,
+		Backends: view.Backends, BackendsAt: view.BackendsIndex, Past: view.PastVersions,
 	}
 	for _, id := range slices.Sorted(maps.Keys(view.Disks)) {
 		i.Disks = append(i.Disks, view.Disks[id])
@@ -322,7 +323,7 @@
 		putInCopy(&view.Orders, o.Backend, o)
 	}
 	view.Routing, view.DisksIndex = i.Routing, i.DisksIndex
-	view.Backends, view.BackendsIndex = i.Backends, i.BackendsAt
+	view.Backends, view.BackendsIndex, view.PastVersions = i.Backends, i.BackendsAt, i.Past
 	for _, d := range i.Disks {
 		putInCopy(&view.Disks, d.ID, d)
 	}
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -50,6 +50,11 @@
 		if err := u.checkStanding(now, p); err != nil {
 			return u.overLimitError(zinniapond.Join(err, lastErr))
 		}
+		need.Version = u.neededVersion(p)
+		if need.Version != "" && !p.serves(need.Version) {
+			return u.versionGoneError(need.Version, lastErr)
+		}
+		wait.passMisfit(now, p, need)
 		replica, err := candidate{}, zinniapond.ErrUnavailable
 		if !wait.isOver() {
 			need.RemainingTime = u.deadline.Sub(now)
@@ -148,7 +153,7 @@
 	if u.suspected {
 		defer p.beginSuspect(replica.Address)()
 	}
-	u.replica = replica.Address
+	u.replica, u.replicaVersion = replica.Address, replica.Version
 	p.recordStart(start, replica.Address, need)
 	paced := u.beginPaced(p, start, replica, cached)
 	observation := zinniapond.Observation{Cancelled: true}
--- a/internal/front/runner/choose.go
+++ b/internal/front/runner/choose.go
@@ -152,7 +152,7 @@
 func (u *run) soonestLimited(now time.Time, p *pool, need zinniapond.PickInfo) (replica zinniapond.Backend, wait time.Duration, ok bool) {
 	for _, b := range *p.replicas.Load() {
 		w, limited := u.Throttle.Limited(now, b)
-		if !limited || slices.Contains(need.Exclude, b.Address) {
+		if !limited || !need.Fits(b) || slices.Contains(need.Exclude, b.Address) {
 			continue
 		}
 		if !ok || w < wait {
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -18,6 +18,7 @@
 	"zinniapond.example/zinniapond/internal/fleet/limits"
 	"zinniapond.example/zinniapond/internal/policy/blame"
 	"zinniapond.example/zinniapond/internal/policy/leave"
+	"zinniapond.example/zinniapond/internal/policy/origin"
 	"zinniapond.example/zinniapond/internal/policy/retry"
 	"zinniapond.example/zinniapond/internal/policy/robin"
 	"zinniapond.example/zinniapond/internal/policy/urgent"
@@ -147,6 +148,8 @@
 	reserve  error
 	keepErr  error
 	settled  []zinniapond.Spend
+	begun    []zinniapond.Spend
+	beginErr error
 	asked    []zinniapond.TurnID // turns whose chains were read
 	// onReserve is called during each reservation; may be nil.
 	onReserve func()
@@ -172,6 +175,13 @@
 	return f.others, f.reserve
 }
 
+func (f *fakeTurns) Begin(_ context.Context, _ time.Time, s zinniapond.Spend) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, s)
+	return f.beginErr
+}
+
 func (f *fakeTurns) Settle(_ context.Context, _ time.Time, s zinniapond.Spend) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,7 +252,7 @@
 	}
 	w.Runner = &Runner{
 		Directory: w, Roster: w, Turns: &w.turns, Client: w, Stats: new(stats.Set[string]), Logger: hclog.NewNullLogger(),
-		Clock: time.Now, Urgency: urgent.Policy{}, Limits: &limits.Book{Logger: hclog.NewNullLogger()}, Blame: &blame.Book{Logger: hclog.NewNullLogger()}, Throttle: &fakeThrottle{}, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
+		Clock: time.Now, Urgency: urgent.Policy{}, Limits: &limits.Book{Logger: hclog.NewNullLogger()}, Blame: &blame.Book{Logger: hclog.NewNullLogger()}, Origins: origin.Policy{}, Throttle: &fakeThrottle{}, NewRouter: func() (zinniapond.Router, error) { return new(robin.Router), nil },
 		NewWaitQueue: func() (zinniapond.WaitQueue, error) { return new(wait.Queue), nil },
 		NewMigration: func() (zinniapond.Migration, error) { return new(leave.Policy), nil },
 		NewRetrier:   func() (zinniapond.Retrier, error) { return new(retry.Budget), nil },
--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -37,35 +37,41 @@
 // run is the state of one request.
 type run struct {
 	*Runner
-	request      *zinniapond.Request
-	responder    zinniapond.Responder
-	client       context.Context  // done when the client has gone
-	relay        *ahead.Relay     // of the answer to the current attempt
-	plan         *zinniapond.Plan // of the client; nil if the route needs no key
-	withoutKeys  bool             // the configuration has had no plans
-	isPublic     bool             // the configuration has plans, but the route needs no key
-	route        *zinniapond.Route
-	service      *zinniapond.Service
-	poolName     zinniapond.PoolName
-	deadline     time.Time // deadline of the client or the route, the earlier one
-	version      uint64
-	body         []byte
-	chain        []zinniapond.Turn
-	allowance    allowance
-	spend        zinniapond.Spend         // of a turn with a budget
-	home         zinniapond.CacheLocation // replica that processed the conversation last
-	replica      netip.AddrPort           // replica of the last attempt
-	attempted    []attemptRecord
-	possibleRuns int // number of attempts that may have run
-	answerBegun  bool
-	answerRead   bool // the answer to the current attempt was read to its end
-	stream       stream
-	keyUntil     time.Time  // when the lease on the key expires; zero if it does not
-	sendUntil    time.Time  // when the permits of the current attempt expire
-	departure    *departure // watches the current attempt
-	held         int64      // bytes of memory taken
-	digest       zinniapond.Digest
-	suspected    bool // a replica may have ended while the request was running there
+	request     *zinniapond.Request
+	responder   zinniapond.Responder
+	client      context.Context  // done when the client has gone
+	relay       *ahead.Relay     // of the answer to the current attempt
+	plan        *zinniapond.Plan // of the client; nil if the route needs no key
+	withoutKeys bool             // the configuration has had no plans
+	isPublic    bool             // the configuration has plans, but the route needs no key
+	route       *zinniapond.Route
+	service     *zinniapond.Service
+	poolName    zinniapond.PoolName
+	deadline    time.Time // deadline of the client or the route, the earlier one
+	version     uint64
+	body        []byte
+	chain       []zinniapond.Turn
+	allowance   allowance
+	spend       zinniapond.Spend   // of a turn with a budget
+	others      []zinniapond.Spend // other spends of the program
+	// origin is the software version that has begun the stream; empty while none has, and
+	// for streams that do not go on at other replicas.
+	origin  zinniapond.SoftwareVersion
+	home    zinniapond.CacheLocation // replica that processed the conversation last
+	replica netip.AddrPort           // replica of the last attempt
+	// replicaVersion is the software version of that replica.
+	replicaVersion zinniapond.SoftwareVersion
+	attempted      []attemptRecord
+	possibleRuns   int // number of attempts that may have run
+	answerBegun    bool
+	answerRead     bool // the answer to the current attempt was read to its end
+	stream         stream
+	keyUntil       time.Time  // when the lease on the key expires; zero if it does not
+	sendUntil      time.Time  // when the permits of the current attempt expire
+	departure      *departure // watches the current attempt
+	held           int64      // bytes of memory taken
+	digest         zinniapond.Digest
+	suspected      bool // a replica may have ended while the request was running there
 	// limitTime is the time for which the request has waited for permissions of
 	// limited replicas.
 	limitTime time.Duration
@@ -141,7 +147,13 @@
 		return err
 	}
 	now = u.Clock()
+	if u.route.Resumable {
+		u.spend.Version = p.onlyVersion()
+	}
 	err = u.prepareWithRetry(callCtx, now)
+	if err == nil {
+		err = u.resolveOrigin(callCtx, u.Clock(), p)
+	}
 	u.prepareTime = u.Clock().Sub(now)
 	if err != nil {
 		return err
@@ -250,7 +262,7 @@
 		// compare their spends by second.
 		u.spend = zinniapond.Spend{
 			Program: zinniapond.ProgramID(u.scoped(string(u.request.Program))), Turn: u.request.ID, Reserved: u.request.MaxGenerated, ReservedAt: now.Truncate(time.Second),
-			Retention: u.turnRetention() + u.route.Timeout,
+			Retention: u.turnRetention() + u.route.Timeout, Version: u.spend.Version,
 		}
 		go func() {
 			reserved <- u.contain("reserve tokens", func() (err error) {
@@ -274,6 +286,7 @@
 		}
 		return err
 	}
+	u.others = others
 	u.home = findHome(u.request, others)
 	u.spend.CacheLocation = zinniapond.CacheLocation{SessionID: u.request.SessionID, TurnNumber: len(others) + 1}
 	if len(u.chain) > 0 {
--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -138,7 +138,7 @@
 // again. A stream stays where it is while requests wait, because no other replica has room
 // then.
 func (d *departure) shouldLeave(now time.Time) (leave bool, askAt time.Time) {
-	if !d.mayRunAgain || d.pool.waiters.queue.Len() > 0 {
+	if !d.mayRunAgain || d.pool.waiters.queue.Len() > 0 || !d.pool.hasOtherOf(d.replica) {
 		return false, time.Time{}
 	}
 	return d.pool.migration.ShouldLeave(now, d.progress)
--- a/internal/front/runner/pick.go
+++ b/internal/front/runner/pick.go
@@ -87,7 +87,7 @@
 	replicas := *p.replicas.Load()
 	choice, ok := p.router.Pick(now, need, func(a netip.AddrPort) bool {
 		b, live := replicas[a]
-		return live && allowed(b) && (need.CanConnect == nil || need.CanConnect(a))
+		return live && need.Fits(b) && allowed(b) && (need.CanConnect == nil || need.CanConnect(a))
 	})
 	if !ok {
 		return candidate{}, false
--- a/internal/front/runner/runner.go
+++ b/internal/front/runner/runner.go
@@ -42,7 +42,7 @@
 			return nil, err
 		}
 		return r, errors.Join(
-			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances), kernel.FindInto(k, &r.Sharing),
+			kernel.FindInto(k, &r.Directory), kernel.FindInto(k, &r.Roster), kernel.FindInto(k, &r.Turns), kernel.FindInto(k, &r.Client), kernel.FindInto(k, &r.Urgency), kernel.FindInto(k, &r.Limits), kernel.FindInto(k, &r.Blame), kernel.FindInto(k, &r.Origins), kernel.FindInto(k, &r.Throttle), kernel.FindInto(k, &r.Allowances), kernel.FindInto(k, &r.Sharing),
 			kernel.FindInto(k, &r.Meter), kernel.FindInto(k, &r.Stats), kernel.FindInto(k, &r.Memory), kernel.FindInto(k, &r.LoadExchange.Peers), kernel.FindInto(k, &r.LoadExchange.ControlHosts.Directory),
 		)
 	})
@@ -62,6 +62,7 @@
 	Urgency      zinniapond.Urgency
 	Limits       zinniapond.LimitBook
 	Blame        zinniapond.Blame
+	Origins      zinniapond.OriginPolicy
 	Throttle     zinniapond.Throttle
 	// Pace bounds the requests at new replicas; nil if the settings do not name one.
 	Pace zinniapond.Pace
@@ -114,6 +115,7 @@
 	// retrier bounds the second attempts of requests whose answers are overdue.
 	retrier  zinniapond.Retrier
 	replicas atomic.Pointer[map[netip.AddrPort]zinniapond.Backend]
+	versions atomic.Pointer[versions]
 	// inFlight has the number of this host's running requests at each replica.
 	inFlight shard.Map[netip.AddrPort, *atomic.Int64]
 	doubts   doubts.Book
@@ -274,6 +276,7 @@
 	return r.pools.GetOrCreate(name, func() *pool {
 		p := &pool{router: router, pace: r.Pace, waiters: newWaiters(queue, r.Clock), migration: migration, retrier: retrier}
 		p.replicas.Store(&map[netip.AddrPort]zinniapond.Backend{})
+		p.versions.Store(new(versions))
 		return p
 	}), nil
 }
@@ -285,6 +288,7 @@
 	for _, b := range live {
 		replicas[b.Address] = b
 	}
+	p.versions.Store(newVersions(list))
 	old := p.replicas.Swap(&replicas)
 	p.router.Update(now, live)
 	p.offerListed(now, *old, replicas, hosts)
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -53,6 +53,7 @@
 		u.answerBegun = true
 		u.stream.status = answer.Status
 		u.skipReceived()
+		u.recordOrigin(ctx)
 		if err := u.responder.Begin(answer.Status, answer.Fields, -1); err != nil {
 			return verdictFailed, err
 		}
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -116,7 +116,7 @@
 	var best zinniapond.Backend
 	bestRank := uint64(0)
 	for a, b := range *p.replicas.Load() {
-		if excluded[a] || !allowed(b) || need.CanConnect != nil && !need.CanConnect(a) || p.doubts.Has(now, b) || p.suspectsAt(a) > 0 {
+		if excluded[a] || !need.Fits(b) || !allowed(b) || need.CanConnect != nil && !need.CanConnect(a) || p.doubts.Has(now, b) || p.suspectsAt(a) > 0 {
 			continue
 		}
 		if rank := xxhash.Sum64String(fmt.Sprint(u.digest, a)); rank >= bestRank {
--- /dev/null
+++ b/internal/front/runner/version.go
@@ -0,0 +1,162 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"zinniapond.example/zinniapond"
+)
+
+// beginTimeout bounds the time for recording the software version of a stream, which is
+// part of the time to its first event. A stream without a record may not be resumed.
+const beginTimeout = 250 * time.Millisecond
+
+// versions are the software versions of a pool's replicas.
+type versions struct {
+	listed []zinniapond.SoftwareVersion       // of live and leaving replicas
+	live   map[zinniapond.SoftwareVersion]int // number of live replicas
+}
+
+func newVersions(list []zinniapond.Backend) *versions {
+	v := &versions{live: make(map[zinniapond.SoftwareVersion]int)}
+	for _, b := range list {
+		if b.Version != "" && !slices.Contains(v.listed, b.Version) {
+			v.listed = append(v.listed, b.Version)
+		}
+		if b.State == zinniapond.BackendLive {
+			v.live[b.Version]++
+		}
+	}
+	return v
+}
+
+// onlyVersion returns the software version that all replicas of the pool have; empty if
+// they have several.
+func (p *pool) onlyVersion() zinniapond.SoftwareVersion {
+	if listed := p.versions.Load().listed; len(listed) == 1 {
+		return listed[0]
+	}
+	return ""
+}
+
+// serves reports whether a live replica has a software version.
+func (p *pool) serves(version zinniapond.SoftwareVersion) bool {
+	return p.versions.Load().live[version] > 0
+}
+
+// hasOtherOf reports whether a stream of a replica may go on at another one: it does if all
+// have one version.
+func (p *pool) hasOtherOf(replica zinniapond.Backend) bool {
+	v := p.versions.Load()
+	return len(v.listed) <= 1 || v.live[replica.Version] > 1
+}
+
+// neededVersion returns the software version that may run the request; empty for any.
+func (u *run) neededVersion(p *pool) zinniapond.SoftwareVersion {
+	if u.origin != "" {
+		return u.origin
+	}
+	// Another version than the one on record needs a new record.
+	if u.spend.Version != "" && p.serves(u.spend.Version) {
+		return u.spend.Version
+	}
+	return ""
+}
+
+// versionGoneError returns the error for a stream that no replica can continue. The client
+// may run the request again from its beginning.
+func (u *run) versionGoneError(version zinniapond.SoftwareVersion, last error) error {
+	u.Stats.Add("front.versiongone", 1)
+	return u.overLimitError(zinniapond.Join(fmt.Errorf("no replica of version %s is left: %w", version, zinniapond.ErrUnavailable), last))
+}
+
+// resolveOrigin finds the software version that has begun a stream which the client
+// resumes.
+func (u *run) resolveOrigin(ctx context.Context, now time.Time, p *pool) error {
+	if !u.route.IsStream() || !u.route.Resumable || u.request.LastEventID == "" {
+		return nil
+	}
+	origin := zinniapond.StreamOrigin{Listed: p.versions.Load().listed}
+	for _, past := range u.Directory.View().PastVersions {
+		if past.Pool == u.poolName {
+			origin.Past = append(origin.Past, past)
+		}
+	}
+	spends := u.others
+	if u.needsOwnRecord() && u.request.Resumes != "" && len(origin.Listed)+len(origin.Past) > 1 {
+		var err error
+		if spends, err = u.Turns.Reserve(ctx, now, u.originSpend(now, u.request.Resumes), 0); err != nil {
+			return retryableError("find beginning of stream", shortRetryAfter, err)
+		}
+	}
+	for _, s := range spends {
+		if u.request.Resumes != "" && s.Turn == u.request.Resumes {
+			origin.Recorded = s.Version
+		}
+	}
+	version, err := u.Origins.Resolve(now, origin)
+	if err != nil {
+		u.Stats.Add("front.originunknown", 1)
+		return retryableError("find beginning of stream", 0, err)
+	}
+	u.origin = version
+	return nil
+}
+
+// needsOwnRecord reports whether the stream has no reservation that could have its version.
+func (u *run) needsOwnRecord() bool { return u.request.Program == "" || u.request.TokenBudget <= 0 }
+
+// originSpend returns the record of the version of a stream without a budget. It has no
+// tokens, and is kept in an account of its own.
+func (u *run) originSpend(now time.Time, first zinniapond.AttemptID) zinniapond.Spend {
+	return zinniapond.Spend{
+		Program: zinniapond.ProgramID("stream/" + u.scoped(string(first))), Turn: u.request.ID, ReservedAt: now.Truncate(time.Second), Retention: u.route.Timeout,
+	}
+}
+
+// recordOrigin records the software version at which a stream begins, before the client
+// has the first event. It does nothing if the reservation has the version, or if a stream
+// without a record can only have begun at this one.
+func (u *run) recordOrigin(ctx context.Context) {
+	if !u.route.Resumable || u.origin != "" {
+		return
+	}
+	u.origin = u.replicaVersion
+	if u.replicaVersion == "" || u.spend.Version == u.replicaVersion {
+		return
+	}
+	now := u.Clock()
+	spend := u.spend
+	if u.needsOwnRecord() {
+		p, err := u.pool(u.poolName)
+		if err != nil || p.onlyVersion() == u.replicaVersion {
+			return
+		}
+		spend = u.originSpend(now, u.request.ID)
+	}
+	spend.Version, spend.Begun = u.replicaVersion, true
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	if err := u.Turns.Begin(ctx, now, spend); err != nil {
+		u.Stats.Add("front.unrecorded", 1)
+		u.Logger.Warn("version of stream not recorded", "id", u.request.ID, "version", u.replicaVersion, "error", err)
+	}
+	if !u.needsOwnRecord() {
+		u.spend.Version, u.spend.Begun = spend.Version, true
+	}
+}
+
+// passMisfit offers the room that the request was woken for to the next request, if its
+// replica has another software version than the request needs.
+func (w *waitState) passMisfit(now time.Time, p *pool, need zinniapond.PickInfo) {
+	if !w.isUnused || !w.only.IsValid() {
+		return
+	}
+	if b, live := (*p.replicas.Load())[w.only]; live && need.Fits(b) {
+		return
+	}
+	w.isUnused = false
+	w.waiters.pass(now, wake{replica: w.only, passes: w.passes})
+}
--- a/internal/front/runner/version_test.go
+++ b/internal/front/runner/version_test.go
@@ -43,4 +43,99 @@
 		assert.Equal(t, len(sent), 2)
 		assert.Equal(t, sent[1], sent[0])
 	})
+	turn := zinniapond.Request{Program: "p", SessionID: "s", TokenBudget: 100, MaxGenerated: 50, Body: []byte("in"), ClientTimeout: time.Second}
+	takeUp := turn
+	takeUp.LastEventID, takeUp.Resumes = "1", "first"
+	begunAt := func(version zinniapond.SoftwareVersion) []zinniapond.Spend {
+		return []zinniapond.Spend{{Turn: "before", Version: "v9"}, {Turn: "first", Version: version, Begun: true}}
+	}
+	t.Run("guards against a client's take-up at another version than the recorded one", func(t *testing.T) {
+		for _, version := range []zinniapond.SoftwareVersion{"v1", "v2", "v3"} {
+			w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+			w.setVersions(t, "v1", "v2", "v3")
+			w.turns.others = begunAt(version)
+			assert.True(t, w.forward(takeUp).ended, "the stream is not complete")
+			assert.Equal(t, w.sentVersions(), []zinniapond.SoftwareVersion{version})
+		}
+	})
+	t.Run("guards against a take-up at another version while replicas of its own are full", func(t *testing.T) {
+		w := newTestRunner(t, resumable, refusesRequest)
+		w.setVersions(t, "v1", "v2", "v2", "v1")
+		w.turns.others = begunAt("v1")
+		w.forward(takeUp)
+		for _, v := range w.sentVersions() {
+			assert.Equal(t, v, "v1")
+		}
+	})
+	refusedUnsent := func(t *testing.T, w *testRunner, q zinniapond.Request) {
+		t.Helper()
+		start := time.Now()
+		assert.ErrorIs(t, w.forward(q).refused, zinniapond.ErrUnavailable)
+		assert.True(t, time.Since(start) < 100*time.Millisecond, "refused after %s", time.Since(start))
+		assert.Equal(t, len(w.sent), 0)
+	}
+	t.Run("guards against a take-up that waits for a version whose last replica has left", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v2", "v2")
+		w.turns.others = begunAt("v1")
+		refusedUnsent(t, w, takeUp)
+	})
+	t.Run("guards against a guess for a stream without a record", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v1", "v2")
+		refusedUnsent(t, w, takeUp)
+		w.setVersions(t, "v2", "v2")
+		w.view.PastVersions = []zinniapond.PastVersion{{Pool: "pool", Version: "v1", GoneAt: time.Now()}}
+		refusedUnsent(t, w, takeUp)
+	})
+	t.Run("guards against refusing take-ups in a pool of one version", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v1", "v1")
+		w.view.PastVersions = []zinniapond.PastVersion{{Pool: "other", Version: "v2", GoneAt: time.Now()}}
+		plain := zinniapond.Request{LastEventID: "1", Resumes: "first"}
+		assert.True(t, w.forward(takeUp).ended, "the turn is not complete")
+		assert.True(t, w.forward(plain).ended, "the stream without a program is not complete")
+	})
+	t.Run("guards against a write more for each stream in a pool of one version", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
+		w.setVersions(t, "v1", "v1")
+		w.forward(turn)
+		assert.Equal(t, w.turns.reserved.Version, "v1")
+		w.forward(zinniapond.Request{})
+		assert.Equal(t, len(w.turns.begun), 0)
+	})
+	t.Run("guards against a first event whose version is not recorded", func(t *testing.T) {
+		for _, q := range []zinniapond.Request{turn, {}} {
+			w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
+			w.setVersions(t, "v1", "v2")
+			assert.True(t, w.forward(q).ended, "the stream is not complete")
+			assert.Equal(t, w.turns.reserved.Version, "")
+			assert.Equal(t, len(w.turns.begun), 1)
+			begun := w.turns.begun[0]
+			assert.Equal(t, begun.Version, w.sent[0].Replica.Version)
+			assert.True(t, begun.Begun && !begun.Settled && begun.Turn == "id" && begun.Program != "", "recorded %+v", begun)
+		}
+	})
+	t.Run("guards against a record of the version that the reservation has though another begins the stream", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
+		w.setVersions(t, "v1")
+		w.turns.onReserve = func() { w.setVersions(t, "v2") }
+		assert.True(t, w.forward(turn).ended, "the stream is not complete")
+		assert.Equal(t, w.turns.reserved.Version, "v1")
+		assert.Equal(t, w.turns.begun[0].Version, "v2")
+	})
+	t.Run("guards against versions of streams that never go on elsewhere", func(t *testing.T) {
+		w := newTestRunner(t, zinniapond.Route{Kind: zinniapond.RequestStream, MaxAttempts: 1}, answersWith(200, wholeText, true, nil))
+		w.setVersions(t, "v1", "v2")
+		assert.True(t, w.forward(turn).ended, "the stream is not complete")
+		assert.Equal(t, len(w.turns.begun), 0)
+	})
+	t.Run("guards against a stream that leaves the only replica of its version", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v1", "v2", "v2")
+		p, err := w.pool("pool")
+		assert.NoError(t, err)
+		assert.True(t, !p.hasOtherOf(w.list[0]), "the only replica of v1 has another one")
+		assert.True(t, p.hasOtherOf(w.list[1]), "one of two replicas of v2 has no other one")
+	})
 }
--- /dev/null
+++ b/internal/policy/origin/origin.go
@@ -0,0 +1,51 @@
+// Package origin decides at which software version a stream goes on that a client resumes.
+// It answers the load after the loss of hosts during a release: clients take up streams of
+// several versions at hosts that have not seen their beginnings.
+package origin
+
+import (
+	"fmt"
+	"time"
+
+	"zinniapond.example/zinniapond"
+	"zinniapond.example/zinniapond/internal/core/kernel"
+)
+
+func init() {
+	kernel.Register("default", func(*kernel.Kernel) (zinniapond.OriginPolicy, error) { return Policy{}, nil })
+}
+
+// Policy continues a stream at the version that is on record. Without a record it continues
+// it if only one version can have begun it.
+type Policy struct{}
+
+var _ zinniapond.OriginPolicy = Policy{}
+
+// Resolve implements zinniapond.OriginPolicy.
+func (Policy) Resolve(now time.Time, origin zinniapond.StreamOrigin) (zinniapond.SoftwareVersion, error) {
+	if origin.Recorded != "" {
+		return origin.Recorded, nil
+	}
+	only := zinniapond.SoftwareVersion("")
+	isOther := func(v zinniapond.SoftwareVersion) bool {
+		if only == "" {
+			only = v
+		}
+		return v != only
+	}
+	for _, v := range origin.Listed {
+		if isOther(v) {
+			return "", unknownError(only, v)
+		}
+	}
+	for _, p := range origin.Past {
+		if now.Sub(p.GoneAt) < zinniapond.VersionMemory && isOther(p.Version) {
+			return "", unknownError(only, p.Version)
+		}
+	}
+	return only, nil
+}
+
+func unknownError(a, b zinniapond.SoftwareVersion) error {
+	return fmt.Errorf("no record of whether version %s or %s has begun the stream: %w", a, b, zinniapond.ErrUnavailable)
+}
--- a/internal/turns/client/budget.go
+++ b/internal/turns/client/budget.go
@@ -85,10 +85,10 @@
 	return spends, err
 }
 
-// addSpends adds spends that are not yet known as settled.
+// addSpends adds spends that are not yet known in the same or a later state.
 func addSpends(spends map[zinniapond.AttemptID]zinniapond.Spend, added []zinniapond.Spend) {
 	for _, s := range added {
-		if !spends[s.Turn].Settled {
+		if known, ok := spends[s.Turn]; !ok || s.Supersedes(known) {
 			spends[s.Turn] = s
 		}
 	}
--- a/internal/turns/client/client.go
+++ b/internal/turns/client/client.go
@@ -205,15 +205,27 @@
 	return nil
 }
 
+// Begin records the software version at which the stream of a turn begins, in addition to
+// its reservation if it has one.
+func (c *Client) Begin(ctx context.Context, _ time.Time, spend zinniapond.Spend) error {
+	spend.Begun = true
+	return c.writeSpend(ctx, "begin", spend)
+}
+
 // Settle replaces a reservation by the number of tokens used.
 func (c *Client) Settle(ctx context.Context, _ time.Time, spend zinniapond.Spend) error {
 	spend.Settled = true
+	return c.writeSpend(ctx, "settle", spend)
+}
+
+// writeSpend writes a later state of a spend to enough disks.
+func (c *Client) writeSpend(ctx context.Context, step string, spend zinniapond.Spend) error {
 	err := c.retryOnViewChange(ctx, func(view zinniapond.Index, set quorum.Set) error {
 		request := zinniapond.KeepRequest{DisksIndex: view, Spends: []zinniapond.Spend{spend}, Retention: spend.KeepTime()}
 		return c.writeCopies(ctx, set, set.PreferenceOrder(zinniapond.TurnID(spend.Turn), c.DataCentre), request)
 	})
 	if err != nil {
-		return fmt.Errorf("settle %s: %w", spend.Turn, err)
+		return fmt.Errorf("%s %s: %w", step, spend.Turn, err)
 	}
 	return nil
 }
--- a/internal/turns/client/client_test.go
+++ b/internal/turns/client/client_test.go
@@ -216,6 +216,23 @@
 		c.releases.Wait()
 		reserve(t, f.client(1), zinniapond.Spend{Program: "p", Turn: "two", Reserved: 100}, 100)
 	})
+	t.Run("guards against a software version that is lost with a disk, or hidden by one that has only the reservation", func(t *testing.T) {
+		for _, lost := range []zinniapond.DiskID{"a", "b", "c"} {
+			f := newFleet("a", "b", "c")
+			c := f.client(1)
+			reserved := zinniapond.Spend{Program: "p", Turn: "1", Reserved: 10, Version: "v1"}
+			_, err := c.Reserve(shortContext(t), now, reserved, 100)
+			assert.NoError(t, err)
+			begun := reserved
+			begun.Version = "v2"
+			assert.NoError(t, c.Begin(shortContext(t), now, begun))
+			f.stop(lost)
+			others, err := c.Reserve(shortContext(t), now, zinniapond.Spend{Program: "p", Turn: "2", Reserved: 10}, 100)
+			assert.NoError(t, err)
+			assert.Equal(t, len(others), 1)
+			assert.Equal(t, others[0].Version, "v2")
+		}
+	})
 	t.Run("guards against spends without the replica that ran the turn", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		place := zinniapond.CacheLocation{SessionID: "s", Replica: netip.MustParseAddrPort("10.0.0.1:80"), Tokens: 90, TurnNumber: 1}
--- a/internal/turns/client/fakes_test.go
+++ b/internal/turns/client/fakes_test.go
@@ -137,7 +137,7 @@
 		if d.spends[s.Program] == nil {
 			d.spends[s.Program] = make(map[zinniapond.AttemptID]zinniapond.Spend)
 		}
-		if !d.spends[s.Program][s.Turn].Settled {
+		if known, ok := d.spends[s.Program][s.Turn]; !ok || s.Supersedes(known) {
 			d.spends[s.Program][s.Turn] = s
 		}
 	}
--- a/internal/turns/keeper/account.go
+++ b/internal/turns/keeper/account.go
@@ -23,7 +23,7 @@
 	segment uint32
 }
 
-// merge adds or replaces a spend. A settled spend is never replaced, as it is final.
+// merge adds a spend, or replaces one that it supersedes.
 func (a *account) merge(s zinniapond.Spend, segment uint32, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -34,7 +34,7 @@
 		a.expiry = until
 	}
 	existing, known := a.spends[s.Turn]
-	if known && (existing.Settled || !s.Settled) {
+	if known && !s.Supersedes(existing.Spend) {
 		existing.segment = max(existing.segment, segment)
 		a.spends[s.Turn] = existing
 		return
@@ -48,7 +48,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	have, known := a.spends[s.Turn]
-	return !known || have.segment == 0 || s.Settled && !have.Settled
+	return !known || have.segment == 0 || s.Supersedes(have.Spend)
 }
 
 func (a *account) listSpends() []zinniapond.Spend {
--- a/messages.go
+++ b/messages.go
@@ -59,6 +59,9 @@
 	BackendsIndex Index     `cbor:"bx,omitempty"`
 	// BackendsEdit is the difference from the list in force.
 	BackendsEdit *BackendsEdit `cbor:"be,omitempty"`
+	// ReadAt is when the list of replicas was read, by the clock of the host that has read
+	// it.
+	ReadAt time.Time `cbor:"ra,omitzero"`
 }
 
 // CommandResult is the outcome of a committed command.
--- a/request.go
+++ b/request.go
@@ -201,6 +201,9 @@
 	// returns the spends of its other turns. The error wraps ErrBudgetExhausted
 	// if too little is left; nothing stays reserved then.
 	Reserve(ctx context.Context, now time.Time, spend Spend, budget Tokens) ([]Spend, error)
+	// Begin records the software version of a spend at which the turn's stream begins. It
+	// returns once the record is durable.
+	Begin(ctx context.Context, now time.Time, spend Spend) error
 	// Settle replaces a reservation by the tokens that were used.
 	Settle(ctx context.Context, now time.Time, spend Spend) error
 	// Keep returns once the turn, and the spend if it has a program, are durable.
--- a/turns.go
+++ b/turns.go
@@ -50,6 +50,12 @@
 	// Used is the number of tokens that the turn has generated; valid if Settled.
 	Used    Tokens `cbor:"u,omitempty"`
 	Settled bool   `cbor:"s,omitempty"`
+	// Version is the software version that begins the turn's stream, if the turn may be
+	// resumed. Until Begun or Settled it is the only one that the replicas had at the
+	// reservation; empty if they had several.
+	Version SoftwareVersion `cbor:"w,omitempty"`
+	// Begun is set once the version is certain, before the client has the first event.
+	Begun bool `cbor:"b,omitempty"`
 	// CacheLocation is the replica that ran the turn; valid if Settled.
 	CacheLocation CacheLocation `cbor:"l,omitzero"`
 	// Retention is the time from the reservation for which the program may go on
@@ -57,6 +63,15 @@
 	Retention time.Duration `cbor:"n,omitempty"`
 }
 
+// Supersedes reports whether the spend is a later state of the same turn's spend than o. A
+// spend goes from reserved to begun, which may be left out, and to settled, which is final.
+func (s Spend) Supersedes(o Spend) bool {
+	if s.Settled || o.Settled {
+		return !o.Settled
+	}
+	return s.Begun && !o.Begun
+}
+
 // KeepTime returns the time for which the spend is kept. A program that can go on
 // must not have its budget anew.
 func (s Spend) KeepTime() time.Duration { return max(SpendRetention, s.Retention) }
