Take an unframed answer for incomplete after a reset during the upload

Cause: a replica answers a long upload early, without a length, and resets the connection. The goroutine that writes the upload gets the reset, which the operating system reports only once; reads then end as after an orderly close. Change: the end of an answer without length counts only once the request was written. Answers with a length or in chunks are not concerned.

--- a/internal/backend/links/body.go
+++ b/internal/backend/links/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,6 +25,9 @@
 	idleMargin = time.Second
 )
 
+// errResetDuringUpload reports that an answer without length may not be whole.
+var errResetDuringUpload = fmt.Errorf("connection was reset while the request was written: %w", io.ErrUnexpectedEOF)
+
 // body is the body of an answer. It implements io.ReadCloser.
 type body struct {
 	answer           *http.Response
@@ -43,6 +47,9 @@
 // Read reads the body. It returns io.EOF at the end of a complete body only.
 func (b *body) Read(part []byte) (int, error) {
 	n, err := b.decoded.Read(part)
+	if errors.Is(err, io.EOF) && !b.isFramed() {
+		err = b.awaitOrderlyEnd()
+	}
 	if errors.Is(err, io.EOF) {
 		b.complete = true
 	} else if err != nil && b.ctx.Err() != nil {
@@ -51,6 +58,26 @@
 	return n, err
 }
 
+// isFramed reports whether the answer says where its body ends.
+func (b *body) isFramed() bool {
+	return b.answer.ContentLength >= 0 || len(b.answer.TransferEncoding) > 0
+}
+
+// awaitOrderlyEnd returns io.EOF if the connection of an unframed answer was closed in
+// order. The operating system reports a reset only once: if the goroutine that writes the
+// request gets it, reads end as after an orderly close.
+func (b *body) awaitOrderlyEnd() error {
+	select {
+	case <-b.writeDone:
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+	if !b.connection.written.Load() {
+		return errResetDuringUpload
+	}
+	return io.EOF
+}
+
 // Close returns the connection to the pool if the request was written, the
 // answer was read to its end and nothing else was received. Otherwise it closes
 // the connection.
@@ -65,7 +92,7 @@
 		l.refused = append(l.refused, b.id)
 		l.refused = l.refused[max(len(l.refused)-maxRefusedIDs, 0):]
 	}
-	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || b.answer.ContentLength < 0 && len(b.answer.TransferEncoding) == 0 ||
+	if !notCancelled || !b.connection.written.Load() || !b.complete || b.copies > 0 || b.answer.Close || !b.isFramed() ||
 		l.reader.Buffered() > 0 {
 		err := l.abort(b.closeReason(notCancelled))
 		<-b.writeDone // the close ends the write; the request is in memory until then
