Refuse answers whose status is no HTTP status

Here they waited until their deadline, or got a status from 600 on. Cause: net/http accepts any three digits. Those below 200 were skipped as interim answers, so that the client waited for another header on the connection. Evidence: TestStatus failed before for 000, 001 and 099 (nothing for 5 s) and for 600 and 999 (passed on). Change: a status that is not from 100 to 599 ends the attempt at once. Result: TestStatus and the tests of links and replica pass.

--- a/internal/backend/links/answer.go
+++ b/internal/backend/links/answer.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"zinniapond.example/zinniapond"
 )
 
 const (
@@ -14,6 +16,8 @@
 	// skipped before an answer, and the body of one.
 	maxCopies    = 4
 	maxCopyBytes = 1 << 20
+	// maxStatus is the highest HTTP status.
+	maxStatus = 599
 	// maxErrorBytes bounds the text of an error about a header.
 	maxErrorBytes = 200
 )
@@ -77,14 +81,18 @@
 	}
 }
 
-// readHead reads the header of the final answer and skips interim answers (1xx).
+// readHead reads the header of the final answer and skips interim answers (1xx). net/http
+// accepts any three digits as a status.
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		answer, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
 			return nil, shorten(err)
 		}
-		if answer.StatusCode >= http.StatusOK {
+		switch status := answer.StatusCode; {
+		case status < http.StatusContinue || status > maxStatus:
+			return nil, fmt.Errorf("answer with status %03d: %w", status, zinniapond.ErrBackendFailed)
+		case status >= http.StatusOK:
 			return answer, nil
 		}
 	}
