--- a/internal/quorum/delay/delay_test.go
+++ b/internal/quorum/delay/delay_test.go
@@ -9,7 +9,7 @@
 
 func TestMeter(t *testing.T) {
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	t.Run("guards against a host that is behind without a trace", func(t *testing.T) {
 		m := Meter{Since: start}
 		_, report := m.RecordAnswer(at(time.Second), 1, 100, 10*time.Millisecond, false)
