Write to the same segment again after a failed first write

Other operators reported hosts that did not recover from full disks. Cause: each append that failed began a new segment with an open file. A full disk fails at once, so that a busy storage host opens a file for each group of appends until unused ones are removed, each 7.5 s, and may then have no descriptors left for connections. Evidence: TestFullDisk failed before with 1,000 segments after 1,000 appends. Change: a segment without records is emptied and used again. Result: TestFullDisk and the tests of internal/turns pass with the race detector.

--- a/internal/turns/disk/log.go
+++ b/internal/turns/disk/log.go
@@ -55,6 +55,7 @@
 	mu             sync.Mutex
 	segmentFiles   map[uint32]*os.File
 	currentSegment uint32
+	isUnused       bool // writes to the current segment have failed, and it has no other records
 	currentSize    int64
 }
 
@@ -222,7 +223,8 @@
 }
 
 // write appends a group of requests and syncs it. After a failure the segment may
-// end in a torn record, so the next group begins a new segment.
+// end in a torn record, so the next group begins a new segment, or the same one again if
+// it has no other records: a full disk would else cost an open file for each group.
 func (l *Log) write(group []*appendRequest) error {
 	f, number, size, err := l.writableSegment()
 	if err != nil {
@@ -243,9 +245,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.currentSize = size + int64(len(data))
+	l.currentSize, l.isUnused = size+int64(len(data)), false
 	if err != nil {
-		l.currentSize = l.SegmentSize
+		l.currentSize, l.isUnused = l.SegmentSize, size == 0
 		return fmt.Errorf("append to segment %d: %w", number, err)
 	}
 	return nil
@@ -259,6 +261,12 @@
 	if l.currentSize > 0 && l.currentSize < l.SegmentSize {
 		return l.segmentFiles[l.currentSegment], l.currentSegment, l.currentSize, nil
 	}
+	if f := l.segmentFiles[l.currentSegment]; l.isUnused {
+		if err := f.Truncate(0); err != nil {
+			return nil, 0, 0, fmt.Errorf("empty segment: %w", err)
+		}
+		return f, l.currentSegment, 0, nil
+	}
 	n := l.currentSegment + 1
 	f, err := os.OpenFile(l.path(n), os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
--- a/internal/turns/disk/log_test.go
+++ b/internal/turns/disk/log_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"runtime"
 	"sync"
+	"syscall"
 	"testing"
 
 	"zinniapond.example/zinniapond/internal/test/assert"
@@ -143,3 +144,41 @@
 		assert.True(t, syncs <= fewSyncs, "%d syncs for %d records", syncs, records)
 	})
 }
+
+func TestFullDisk(t *testing.T) {
+	folder := t.TempDir()
+	l := &Log{Folder: folder, SegmentSize: 1 << 10}
+	isFull := true
+	l.Sync = func(*os.File) error {
+		if isFull {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	assert.NoError(t, l.Open(func([]byte, uint32, int64) {}))
+	group := func(text string) *appendRequest { return &appendRequest{records: [][]byte{[]byte(text)}} }
+	isFull = false
+	assert.NoError(t, l.write([]*appendRequest{group("before")}))
+	isFull = true
+	for range 1000 {
+		assert.ErrorIs(t, l.write([]*appendRequest{group("refused, and longer than the others")}), syscall.ENOSPC)
+	}
+	t.Run("guards against an open file for each append that fails", func(t *testing.T) {
+		assert.True(t, len(l.segmentFiles) <= 3, "%d segments", len(l.segmentFiles))
+	})
+	isFull = false
+	after := group("after")
+	assert.NoError(t, l.write([]*appendRequest{after}))
+	t.Run("guards against records that are lost or changed once the disk has room again", func(t *testing.T) {
+		got, err := l.Read(after.positions[0].Segment, after.positions[0].Offset)
+		assert.NoError(t, err)
+		assert.Equal(t, string(got), "after")
+		assert.NoError(t, l.Close())
+		var records []string
+		reopened := &Log{Folder: folder}
+		assert.NoError(t, reopened.Open(func(r []byte, _ uint32, _ int64) { records = append(records, string(r)) }))
+		assert.NoError(t, reopened.Close())
+		assert.Equal(t, records[0], "before")
+		assert.Equal(t, records[len(records)-1], "after")
+	})
+}
