Take an unframed answer of a plain service for incomplete after a reset

Cause: net/http writes the request in a goroutine of its own, which gets the reset; reads then end as after an orderly close. Evidence: TestEarlyAnswer failed before, a part was returned without an error. Change: the end of an answer without length counts only if no write on the connection has failed. The close of the connection by net/http itself, which follows such an answer, is no failure; its error hides the reason, so that the connection keeps it.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -93,6 +93,7 @@
 
 	mu            sync.Mutex
 	assignedConns []assignedConn
+	writeDone     chan struct{} // closed when no more of the request is written
 }
 
 // assignedConn is a connection that net/http has chosen for the request. There
@@ -107,11 +108,17 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// writeFailed is set after a write that failed for another reason than the close of the
+	// connection on this side. net/http hides the reason.
+	writeFailed atomic.Bool
 }
 
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -159,7 +166,7 @@
 	x.transport = p.transports.GetOrCreate(server, p.newTransport)
 	x.progressTimer = time.AfterFunc(time.Hour, func() { x.cancel(ErrNoProgress) })
 	x.progressTimer.Stop()
-	clientTrace := &httptrace.ClientTrace{GotConn: x.recordConn}
+	clientTrace := &httptrace.ClientTrace{GotConn: x.recordConn, WroteRequest: x.recordWrite}
 	request = request.WithContext(httptrace.WithClientTrace(x.ctx, clientTrace))
 	id := request.Header.Get(RequestIDField)
 	if _, echoes := p.echoing.Get(server); p.RequireID && !echoes {
@@ -207,6 +214,7 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		x.mu.Lock()
 		x.assignedConns = append(x.assignedConns, assignedConn{conn: c, writtenBefore: c.written.Load()})
+		x.writeDone = make(chan struct{})
 		x.mu.Unlock()
 	}
 	if x.deadlineMode == DeadlineAlways || x.deadlineMode == DeadlineOnReused && info.Reused {
@@ -214,6 +222,35 @@
 	}
 }
 
+// recordWrite records that the request is written, or that this has failed.
+func (x *exchange) recordWrite(httptrace.WroteRequestInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	close(x.writeDone)
+}
+
+// awaitOrderlyEnd returns io.EOF if the connection of an answer without length was closed
+// in order. The operating system reports a reset only once: if the goroutine that writes
+// the request gets it, reads end as after an orderly close.
+func (x *exchange) awaitOrderlyEnd() error {
+	x.mu.Lock()
+	done, assigned := x.writeDone, x.assignedConns
+	x.mu.Unlock()
+	if len(assigned) == 0 {
+		return io.EOF // not a connection of this pool
+	}
+	// net/http closes the connection after such an answer, which ends the write.
+	select {
+	case <-done:
+	case <-x.ctx.Done():
+		return x.ctx.Err()
+	}
+	if assigned[len(assigned)-1].conn.writeFailed.Load() {
+		return fmt.Errorf("connection was reset while the request was written: %w", io.ErrUnexpectedEOF)
+	}
+	return io.EOF
+}
+
 // wroteAny reports whether any byte of the request was written. It is called
 // after RoundTrip has failed: RoundTrip closes the connection before it returns
 // an error, so no byte is written later.
@@ -260,6 +297,9 @@
 	if x.bytesRead > MaxAnswerBytes {
 		return 0, fmt.Errorf("answer has more than %d bytes", MaxAnswerBytes)
 	}
+	if errors.Is(err, io.EOF) && x.answer.ContentLength < 0 && len(x.answer.TransferEncoding) == 0 {
+		err = x.awaitOrderlyEnd()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = x.cancelCause(err)
 	}
