Refuse answers of plain services whose status is no HTTP status

Cause: net/http accepts any three digits. Change: an answer with a status below 200 or above 599 ends the attempt.

--- a/internal/backend/conns/conns.go
+++ b/internal/backend/conns/conns.go
@@ -28,6 +28,8 @@
 	// short so that few requests are sent on a connection that the server is
 	// about to close.
 	idleTimeout = 15 * time.Second
+	// maxStatus is the highest HTTP status.
+	maxStatus = 599
 	// MaxAnswerBytes is the maximum size of an answer's body in bytes.
 	MaxAnswerBytes = 32 << 20
 	// drainTimeout and maxDrainBytes bound the reading of the bytes after an
@@ -183,6 +185,11 @@
 		return nil, zinniapond.Wrap("send request", server, err)
 	}
 	x.answer, x.body, answer.Body = answer, answer.Body, x
+	// net/http accepts any three digits.
+	if answer.StatusCode < http.StatusOK || answer.StatusCode > maxStatus {
+		_ = x.Close() // the answer is not used
+		return nil, zinniapond.Wrap("read answer", server, fmt.Errorf("answer with status %03d: %w", answer.StatusCode, zinniapond.ErrBackendFailed))
+	}
 	if err := x.checkID(id); err != nil {
 		_ = x.Close() // the answer is not used
 		return nil, zinniapond.Wrap("read answer", server, err)
--- a/internal/backend/plain/early_test.go
+++ b/internal/backend/plain/early_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,4 +62,13 @@
 		assert.NoError(t, err)
 		assert.Equal(t, string(answer.Body), "whole")
 	})
+	for _, status := range []string{"000", "099", "600"} {
+		t.Run("guards against an answer whose status is no status: "+status, func(t *testing.T) {
+			server := startEarly(t, func(c *net.TCPConn, _ io.Reader) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Text\r\nContent-Length: 4\r\n\r\nbody", status)
+			})
+			answer, err := newClient().Do(t.Context(), "one", server, serviceCall("GET", "/"), nil)
+			assert.True(t, err != nil, "status %d", answer.Status)
+		})
+	}
 }
