--- a/internal/front/runner/version_test.go
+++ b/internal/front/runner/version_test.go
@@ -138,4 +138,19 @@
 		assert.True(t, !p.hasOtherOf(w.list[0]), "the only replica of v1 has another one")
 		assert.True(t, p.hasOtherOf(w.list[1]), "one of two replicas of v2 has no other one")
 	})
+	t.Run("guards against room that is lost on a request which needs another version", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v1", "v2")
+		p, err := w.pool("pool")
+		assert.NoError(t, err)
+		now := time.Now()
+		next := p.waiters.enter(now, now, zinniapond.WaitingRequest{Ticket: p.waiters.ticket(), EnteredAt: now, LeaveAt: now.Add(time.Second), Deadline: now.Add(time.Second)})
+		woken := &waitState{run: &run{Runner: w.Runner}, waiters: p.waiters, only: w.list[1].Address, isUnused: true}
+		woken.passMisfit(now, p, zinniapond.PickInfo{Version: "v2"})
+		assert.Equal(t, len(next), 0)
+		woken.passMisfit(now, p, zinniapond.PickInfo{Version: "v1"})
+		assert.Equal(t, len(next), 1)
+		assert.Equal(t, (<-next).replica, w.list[1].Address)
+		assert.True(t, !woken.isUnused, "the room is offered twice")
+	})
 }
