--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -48,7 +48,7 @@
 	service     *zinniapond.Service
 	poolName    zinniapond.PoolName
 	deadline    time.Time // deadline of the client or the route, the earlier one
-	version     uint64
+	version     uint64    // of the configuration
 	body        []byte
 	chain       []zinniapond.Turn
 	allowance   allowance
--- a/internal/front/runner/version.go
+++ b/internal/front/runner/version.go
@@ -58,7 +58,7 @@
 	if u.origin != "" {
 		return u.origin
 	}
-	// Another version than the one on record needs a new record.
+	// At the version of the reservation the stream needs no second record.
 	if u.spend.Version != "" && p.serves(u.spend.Version) {
 		return u.spend.Version
 	}
