--- a/internal/fleet/record/record_test.go
+++ b/internal/fleet/record/record_test.go
@@ -24,10 +24,10 @@
 	for range routes {
 		route := zinniapond.Route{
 			Name: "r-" + name(), Host: name()[:6] + ".example", PathPrefix: "/" + name() + "/", Kind: zinniapond.RequestStream,
-			Timeout: 3 * time.Second, TargetLatency: 250 * time.Millisecond, Splits: []zinniapond.Split{{Service: "dele69a", Weight: 1}}, MaxAttempts: 1,
+			Timeout: 3 * time.Second, TargetLatency: 250 * time.Millisecond, Splits: []zinniapond.Split{{Service: "model-a", Weight: 1}}, MaxAttempts: 1,
 		}
 		r.Routes = append(r.Routes, route)
-		fmt.Fprintf(&text, `{"name":%q,"host":%q,"pathPrefix":%q,"kind":"streaming","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"dele69a","maxAttempts":1,"retentionEnabled":false,"sticky":true,"resumable":false,"targetGapMs":300},`,
+		fmt.Fprintf(&text, `{"route":%q,"domain":%q,"path":%q,"answers":"events","limit":3000,"target":250,"rank":0,"pool":"model-a","tries":1,"keeps":false,"affinity":true,"resumes":false,"pause":300,"note":"one of many routes alike"},`,
 			route.Name, route.Host, route.PathPrefix)
 	}
 	r.Source = []byte(text.String())
