review 3: streams taken up after a second version has come are refused (LOST)

Cause: a front writes no record of the version that begins a stream without a budget while it knows one version only. Another front that knows two by then refuses to take the stream up.

The case that stood there (TWICE, a stream in a replica's queue) is dropped: review/9 shows it already.

--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -61,7 +61,7 @@
 	entries := []any{}
 	for _, r := range l.members {
 		entry := map[string]any{
-			"id": r.id, "service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots,
+			"id": r.id, "service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots,
 			"state": pick(r.drainingAt.IsZero(), "ready", "draining"), "coldRemainingMs": 0,
 		}
 		if r.service != plainService {
@@ -84,10 +84,8 @@
 // replica is the stand-in for a replica. Its fields are set before it is added.
 type replica struct {
 	id, service, address, zone string
+	version                    string // of its software
 	slots                      int
-	// keepsClosed is set for a replica that goes on with a request whose connection was
-	// closed. Most replicas drop it.
-	keepsClosed bool
 	// work returns the pauses before each event of a stream; the last one ends it.
 	work func(r *run) []time.Duration
 
@@ -113,6 +111,9 @@
 	l.mu.Lock()
 	l.count++
 	r.address, r.list = listener.Addr().String(), l
+	if r.version == "" {
+		r.version = "v1"
+	}
 	if r.id == "" {
 		r.id = fmt.Sprintf("i-%d", l.count)
 	}
@@ -248,9 +249,6 @@
 		case <-r.ended:
 		}
 	}()
-	if r.keepsClosed {
-		gone = nil
-	}
 	if !r.enter(w, u, gone, stop) {
 		return
 	}
