--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -88,6 +88,8 @@
 	slots                      int
 	// work returns the pauses before each event of a stream; the last one ends it.
 	work func(r *run) []time.Duration
+	// failure returns the status with which a request fails after it was run, or 0.
+	failure func(r *run) int
 
 	list       *replicaList
 	server     *http.Server
@@ -340,6 +342,14 @@
 		r.mu.Lock()
 		u.events++
 		r.mu.Unlock()
+		if r.failure != nil {
+			if status := r.failure(u); status != 0 {
+				u.outcome = fmt.Sprintf("run, and answered %d", status)
+				w.WriteHeader(status)
+				_, _ = fmt.Fprintf(w, "the work on %s was done, and failed", u.attempt)
+				return
+			}
+		}
 		if !isStream {
 			_, _ = fmt.Fprintf(w, "answer to %s", u.attempt)
 			break
