front: do not relay a status that promises that a request has not run (REFUSED)

What callers saw: a replica ran an order and answered 503 or 429 without X-Not-Executed.

Cause: at a replica only X-Not-Executed, or 421 with the id of the request, says that it has not run; at the front 408, 421, 429 and 503 say it by themselves. The status was carried from the one meaning into the other.

Change: isReservedStatus names the statuses that only the scheduler may give: those four, 402 to a turn with a budget, and 404 and 410 to a turn that continues another one.

--- a/internal/front/runner/allowance.go
+++ b/internal/front/runner/allowance.go
@@ -21,7 +21,7 @@
 
 // obtainAllowance obtains a permit if the plan of the client has a limit, unless the
 // request holds one that is still valid. An attempt that may have run has used its
-// permit. The error does not promise that the request has not run if it may have.
+// permit.
 func (u *run) obtainAllowance(ctx context.Context) error {
 	if u.Allowances == nil || u.plan == nil || u.plan.RequestRate <= 0 {
 		return nil
@@ -37,7 +37,7 @@
 		permit, err := u.Allowances.Acquire(ctx, now, u.plan, u.begins())
 		if err != nil {
 			u.Stats.Add("front.limited", 1)
-			return u.overLimitError(err)
+			return err
 		}
 		u.allowance = allowance{plan: u.plan, permit: permit, held: true, runs: u.possibleRuns}
 		if now = u.Clock(); now.Before(permit.ExpiresAt) {
@@ -45,7 +45,7 @@
 		}
 	}
 	if !now.Before(u.allowance.permit.ExpiresAt) {
-		return u.overLimitError(retryableError("check request limit", shortRetryAfter, zinniapond.ErrRateLimited))
+		return retryableError("check request limit", shortRetryAfter, zinniapond.ErrRateLimited)
 	}
 	if u.request.Program != "" {
 		u.begun.Add(u.scopedProgram())
--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -44,11 +44,11 @@
 		}
 		// The key may have been revoked while the request waited.
 		if err := u.authorise(now); err != nil {
-			return u.overLimitError(zinniapond.Join(err, lastErr))
+			return zinniapond.Join(err, lastErr)
 		}
 		// Other hosts may have reported since.
 		if err := u.checkStanding(now, p); err != nil {
-			return u.overLimitError(zinniapond.Join(err, lastErr))
+			return zinniapond.Join(err, lastErr)
 		}
 		need.Version = u.neededVersion(p)
 		if need.Version != "" && !p.serves(need.Version) {
@@ -67,7 +67,7 @@
 			return u.deadlineError(zinniapond.Join(lastErr, err))
 		}
 		if errors.Is(err, zinniapond.ErrOverload) && len(need.Exclude) == 0 {
-			return u.overLimitError(zinniapond.Join(lastErr, err))
+			return zinniapond.Join(lastErr, err)
 		}
 		if err != nil {
 			if now.After(waitUntil) || !u.repeatable() && u.possibleRuns > 0 {
@@ -84,7 +84,7 @@
 		}
 		// The key may have been revoked while the request waited for a permission or token.
 		if err := u.authorise(u.Clock()); err != nil {
-			return u.overLimitError(zinniapond.Join(err, lastErr))
+			return zinniapond.Join(err, lastErr)
 		}
 		begun := u.Clock()
 		if !replica.permitUntil.IsZero() && begun.After(replica.permitUntil) {
@@ -104,11 +104,11 @@
 		case verdictMayHaveRun:
 			need.Exclude = append(wait.recordRun(need.Exclude), replica.Address)
 			if !u.repeatable() || u.possibleRuns >= max(u.route.MaxAttempts, 1) {
-				return u.outcomeUnknownError(lastErr)
+				return lastErr
 			}
 			if u.route.IsStream() && !u.awaitRunEnd(ctx, replica.Backend, begun) {
 				u.Stats.Add("front.unended", 1)
-				return u.outcomeUnknownError(lastErr)
+				return lastErr
 			}
 			u.Stats.Add("front.repeated", 1)
 		case verdictFailed:
@@ -128,25 +128,20 @@
 
 // deadlineError returns the error for a request whose deadline has passed.
 func (u *run) deadlineError(last error) error {
-	if u.possibleRuns == 0 {
-		return retryableError("wait for a replica", 0, zinniapond.Join(zinniapond.ErrOverload, last))
+	if u.possibleRuns > 0 {
+		return zinniapond.Join(zinniapond.ErrOutcomeUnknown, context.DeadlineExceeded, last)
 	}
-	return zinniapond.Join(zinniapond.ErrOutcomeUnknown, context.DeadlineExceeded, last)
+	return retryableError("wait for a replica", 0, zinniapond.Join(zinniapond.ErrOverload, last))
 }
 
-// noReplicaError returns the error for a request that no replica has accepted.
+// noReplicaError returns the error for a request that no other replica has accepted.
 func (u *run) noReplicaError(retryAfter time.Duration, last error) error {
 	if u.possibleRuns > 0 {
-		return u.outcomeUnknownError(last)
+		return zinniapond.Join(zinniapond.ErrOutcomeUnknown, last)
 	}
 	return retryableError("choose replica", retryAfter, zinniapond.Join(zinniapond.ErrOverload, last))
 }
 
-// outcomeUnknownError returns the error for a request that may have run.
-func (u *run) outcomeUnknownError(last error) error {
-	return zinniapond.Join(zinniapond.ErrOutcomeUnknown, last)
-}
-
 // attempt sends the request to one replica and relays its answer to the client.
 func (u *run) attempt(ctx context.Context, p *pool, replica zinniapond.Backend, cached zinniapond.Tokens, need zinniapond.PickInfo) (v verdict, err error) {
 	start := u.Clock()
@@ -213,6 +208,10 @@
 	}
 	p.doubts.Clear(replica)
 	paced.observe(answer)
+	if u.isReservedStatus(answer.Status) {
+		observation = zinniapond.Observation{Failed: true}
+		return verdictMayHaveRun, fmt.Errorf("replica %s may have run the request and answered with status %d: %w", replica.ID, answer.Status, zinniapond.ErrBackendFailed)
+	}
 	observation.TimeToFirstByte = u.Clock().Sub(start)
 	if !answer.IsStream {
 		departure.recordWholeAnswer()
--- a/internal/front/runner/choose.go
+++ b/internal/front/runner/choose.go
@@ -169,14 +169,6 @@
 	return &zinniapond.Error{Step: "wait for a limited replica", RetryAfter: after + rand.N(after), Err: zinniapond.ErrOverload}
 }
 
-// overLimitError returns the error for a request that exceeds the limits of the replicas.
-func (u *run) overLimitError(err error) error {
-	if u.possibleRuns > 0 {
-		return u.outcomeUnknownError(err)
-	}
-	return err
-}
-
 func sleepUntil(ctx context.Context, now, until time.Time) error {
 	if !until.After(now) {
 		return nil
--- a/internal/front/runner/version.go
+++ b/internal/front/runner/version.go
@@ -69,7 +69,7 @@
 // may run the request again from its beginning.
 func (u *run) versionGoneError(version zinniapond.SoftwareVersion, last error) error {
 	u.Stats.Add("front.versiongone", 1)
-	return u.overLimitError(zinniapond.Join(fmt.Errorf("no replica of version %s is left: %w", version, zinniapond.ErrUnavailable), last))
+	return zinniapond.Join(fmt.Errorf("no replica of version %s is left: %w", version, zinniapond.ErrUnavailable), last)
 }
 
 // resolveOrigin finds the software version that has begun a stream which the client
