--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -13,8 +13,8 @@
 	// errLeft is the cause of the end of an attempt whose request runs at another replica
 	// instead.
 	errLeft = errors.New("request leaves a replica at which it has stalled or will not end in time")
-	// errStalled is the cause of the end of an attempt whose stream cannot be completed.
-	errStalled = errors.New("stream has stalled and cannot be completed")
+	// errStalled is the cause of the end of an attempt whose replica has dropped the run.
+	errStalled = errors.New("stream has stalled and its replica no longer runs it")
 )
 
 // maxTimerDelay is how late a timer fires on a busy host. If it fires later, the host was
@@ -23,7 +23,7 @@
 
 // departure ends an attempt whose stream will not end in time at its replica, or has
 // stalled there, or whose answer is overdue. If the request must not run again, the attempt
-// goes on for as long as it may still be completed.
+// goes on until its deadline, unless the replica no longer runs it.
 type departure struct {
 	*run
 	pool    *pool
@@ -119,12 +119,7 @@
 		return
 	}
 	stall := d.pool.migration.Stall(now, d.progress)
-	switch {
-	case stall.IsHopeless:
-		d.Stats.Add("front.stalled", 1)
-		d.endAttempt(errStalled)
-		return
-	case stall.IsStalled:
+	if stall.IsStalled {
 		d.isAsking = true
 		d.inBackground("ask replica", d.askReplica)
 		return
@@ -175,8 +170,7 @@
 	if d.isOver || d.isPaused || d.hasLeft {
 		return
 	}
-	stall := d.pool.migration.Stall(now, d.progress)
-	if !stall.IsStalled {
+	if !d.pool.migration.Stall(now, d.progress).IsStalled {
 		d.check(now) // events have come
 		return
 	}
@@ -191,7 +185,7 @@
 		}
 		return
 	}
-	d.checkAt(now, soonest(stall.AskAt, now.Add(reportAge+runEndInterval)))
+	d.checkAt(now, now.Add(reportAge+runEndInterval))
 }
 
 // isRunGone reports whether the replica does not work on the request any more; false if
--- a/internal/policy/leave/leave.go
+++ b/internal/policy/leave/leave.go
@@ -26,10 +26,8 @@
 	leaveTime = 550 * time.Millisecond
 	// quantileStep is the relative change of an estimate by one observation, and
 	// highQuantile the quantile of the times that another replica is expected to take.
-	// lowQuantile is that of the times and lengths below which few streams are.
 	quantileStep = 0.05
 	highQuantile = 0.9
-	lowQuantile  = 0.1
 	// shareGain is the weight of an observation in the mean share of the token limit that
 	// is generated.
 	shareGain = 0.05
@@ -42,13 +40,11 @@
 // Policy implements zinniapond.Migration by the usual times of complete streams. Its zero
 // value is ready for use.
 type Policy struct {
-	mu       sync.Mutex
-	streams  int
-	first    float64 // high quantile of the time to the first event, in nanoseconds
-	gap      float64 // high quantile of the mean time between events, in nanoseconds
-	lowGap   float64 // low quantile of the same
-	share    float64 // mean share of the token limit that is generated; zero if unknown
-	lowShare float64 // low quantile of the same
+	mu      sync.Mutex
+	streams int
+	first   float64 // high quantile of the time to the first event, in nanoseconds
+	gap     float64 // high quantile of the mean time between events, in nanoseconds
+	share   float64 // mean share of the token limit that is generated; zero if unknown
 	// spent is the number of streams that have left because they had stalled, less what
 	// the streams that have ended since allow.
 	spent float64
@@ -67,12 +63,10 @@
 	p.streams++
 	adjust(&p.first, highQuantile, float64(s.FirstEventAt.Sub(s.StartedAt)))
 	adjust(&p.gap, highQuantile, float64(meanGap(s)))
-	adjust(&p.lowGap, lowQuantile, float64(meanGap(s)))
 	if s.MaxGenerated <= 0 || s.Generated <= 0 {
 		return
 	}
 	share := min(float64(s.Generated)/float64(s.MaxGenerated), 1)
-	adjust(&p.lowShare, lowQuantile, share)
 	if p.share == 0 {
 		p.share = share
 	}
@@ -123,14 +117,14 @@
 	return p.share
 }
 
-// silentSince returns since when no event has come that this host could have read.
+// silentSince returns since when neither the header of the answer nor an event has come that
+// this host could have read.
 func silentSince(s zinniapond.StreamProgress) time.Time {
 	since := s.StartedAt
-	if s.Events > 0 {
-		since = s.LastEventAt
-	}
-	if s.ResumedAt.After(since) {
-		return s.ResumedAt
+	for _, at := range []time.Time{s.AnsweredAt, s.LastEventAt, s.ResumedAt} {
+		if at.After(since) {
+			since = at
+		}
 	}
 	return since
 }
--- a/internal/policy/leave/stall.go
+++ b/internal/policy/leave/stall.go
@@ -32,8 +32,7 @@
 	if stallsAt.IsZero() || now.Before(stallsAt) {
 		return zinniapond.StreamStall{AskAt: stallsAt}
 	}
-	hopelessAt := p.hopelessAt(s)
-	return zinniapond.StreamStall{IsStalled: true, IsHopeless: !now.Before(hopelessAt), AskAt: hopelessAt}
+	return zinniapond.StreamStall{IsStalled: true}
 }
 
 // stallsAt returns when the stream has stalled if no event comes before; zero if neither
@@ -51,13 +50,3 @@
 	}
 	return silentSince(s).Add(max(time.Duration(stallRatio*usual), stallTargets*target, own, minStall))
 }
-
-// hopelessAt returns from when on the stream would end after its deadline even if it went
-// on at once and fast, and ended early. Before usual streams were observed, this is the
-// deadline.
-func (p *Policy) hopelessAt(s zinniapond.StreamProgress) time.Time {
-	if p.streams < minStreams {
-		return s.Deadline
-	}
-	return s.Deadline.Add(-time.Duration(remainingEvents(s, p.lowShare) * p.lowGap))
-}
--- a/migration.go
+++ b/migration.go
@@ -27,11 +27,9 @@
 
 // StreamStall tells whether a stream has stalled: its answer has begun, and no complete
 // event has come for much longer than is usual. Bytes of an incomplete event do not count.
+// A stall is a reason to ask the replica whether the run goes on, not to end the stream.
 type StreamStall struct {
 	IsStalled bool
-	// IsHopeless is set if the stream would end after its deadline even if it went on at
-	// once, as fast as the fastest streams of the pool and to one of their shortest ends.
-	IsHopeless bool
 	// AskAt is when this changes if no event has come until then; zero for never.
 	AskAt time.Time
 }
