--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -40,6 +40,8 @@
 	gone    map[netip.AddrPort]bool // replicas that have ended
 	reports int                     // number of reports that were asked for
 	runsOn  int                     // number of reports that name the run of a broken stream
+	// hasQueue is set if reports show that requests wait at the replica.
+	hasQueue bool
 	// reportErr is the error of each report.
 	reportErr error
 	// confirmedAge is the age of the confirmation of the configuration.
@@ -75,11 +77,17 @@
 	return w.gone[a]
 }
 
-func (w *testRunner) IsRunning(context.Context, zinniapond.Backend, zinniapond.AttemptID) (bool, error) {
+func (w *testRunner) RunState(context.Context, zinniapond.Backend, zinniapond.AttemptID) (zinniapond.RunState, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reports++
-	return w.reports <= w.runsOn, w.reportErr
+	switch {
+	case w.reports <= w.runsOn:
+		return zinniapond.RunActive, w.reportErr
+	case w.hasQueue:
+		return zinniapond.RunUnknown, w.reportErr
+	}
+	return zinniapond.RunEnded, w.reportErr
 }
 
 func (w *testRunner) CloseIdle(time.Time, []zinniapond.Backend) {}
--- a/internal/front/runner/leave.go
+++ b/internal/front/runner/leave.go
@@ -160,7 +160,7 @@
 
 // askReplica asks the replica of a stalled stream whether it still works on it. The attempt
 // ends if the replica has said twice that it does not: its last events may have been on
-// the way the first time.
+// the way the first time. A preempted run waits in the replica's queue.
 func (d *departure) askReplica() {
 	isGone := d.isRunGone(d.ctx)
 	d.mu.Lock()
@@ -188,17 +188,17 @@
 	d.checkAt(now, now.Add(reportAge+runEndInterval))
 }
 
-// isRunGone reports whether the replica does not work on the request any more; false if
-// that is not known.
+// isRunGone reports whether the replica does not have the request any more; false if that
+// is not known.
 func (d *departure) isRunGone(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	running, err := d.Client.IsRunning(callCtx, d.replica, d.request.ID)
+	state, err := d.Client.RunState(callCtx, d.replica, d.request.ID)
 	if err != nil {
 		d.Logger.Debug("run of a stalled stream not known", "id", d.request.ID, "replica", d.replica.Address, "error", err)
 		return d.ended.Has(ctx, d.Clock(), d.replica)
 	}
-	return !running
+	return state == zinniapond.RunEnded
 }
 
 // soonest returns the earlier of two instants, of which zero ones are ignored.
--- a/internal/front/runner/resume.go
+++ b/internal/front/runner/resume.go
@@ -33,13 +33,13 @@
 			return false
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		running, err := u.Client.IsRunning(callCtx, replica, u.request.ID)
+		state, err := u.Client.RunState(callCtx, replica, u.request.ID)
 		cancel()
 		if err != nil {
 			u.Logger.Debug("run of a broken stream not known to have ended", "id", u.request.ID, "replica", replica.Address, "error", err)
 			return u.ended.Has(ctx, u.Clock(), replica)
 		}
-		if !running {
+		if state != zinniapond.RunActive {
 			return true
 		}
 	}
--- a/internal/front/runner/stall_test.go
+++ b/internal/front/runner/stall_test.go
@@ -173,6 +173,14 @@
 		c.gaps, c.runsOn = map[int]time.Duration{4: 15 * time.Second}, 1000
 		assertServed(t, c, 1)
 	})
+	inBubble(t, "guards against cutting a preempted stream that waits in the replica's queue, which its reports do not name", func(t *testing.T) {
+		for _, resumable := range []bool{true, false} {
+			c := newStallClient(t, 30, resumable)
+			c.view.Routing.Routes[0].MaxAttempts = 1
+			c.gaps, c.hasQueue = map[int]time.Duration{4: 5 * time.Second}, true
+			assertServed(t, c, 1)
+		}
+	})
 	inBubble(t, "guards against waiting for a stream that the replica no longer runs", func(t *testing.T) {
 		c := newStallClient(t, 30, false)
 		c.stopAfter = 3
--- a/request.go
+++ b/request.go
@@ -163,6 +163,19 @@
 	Close() error
 }
 
+// RunState is what a replica reports of a request that was sent to it.
+type RunState uint8
+
+const (
+	// RunUnknown means that the report does not name the request, while requests wait in
+	// the replica's queue. One that was preempted waits there, too.
+	RunUnknown RunState = iota
+	// RunActive means that the replica works on the request.
+	RunActive
+	// RunEnded means that the replica does not have the request.
+	RunEnded
+)
+
 // ReplicaClient sends requests to replicas.
 type ReplicaClient interface {
 	// Send sends a request and returns the header of the answer. The error wraps
@@ -182,10 +195,9 @@
 	// HasEnded reports whether nothing listens at the address of a replica. It is false
 	// if that is not known.
 	HasEnded(ctx context.Context, replica netip.AddrPort) bool
-	// IsRunning reports whether a replica still works on a request. The report of a
-	// replica may be some hundred milliseconds old. The error wraps ErrOutcomeUnknown if
-	// the replica does not say it.
-	IsRunning(ctx context.Context, replica Backend, id AttemptID) (bool, error)
+	// RunState returns what a replica reports of a request. The report may be some hundred
+	// milliseconds old. The error wraps ErrOutcomeUnknown if there is no such report.
+	RunState(ctx context.Context, replica Backend, id AttemptID) (RunState, error)
 	// CloseIdle closes connections that have been idle for too long, and those to
 	// replicas that are no longer listed.
 	CloseIdle(now time.Time, replicas []Backend)
