--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -42,8 +42,9 @@
 	runsOn  int                     // number of reports that name the run of a broken stream
 	// hasQueue is set if reports show that requests wait at the replica.
 	hasQueue bool
-	// reportErr is the error of each report.
-	reportErr error
+	// reportErr is the error of each report, or only of those that name the run.
+	reportErr      error
+	errsOnlyActive bool
 	// confirmedAge is the age of the confirmation of the configuration.
 	confirmedAge time.Duration
 }
@@ -84,6 +85,8 @@
 	switch {
 	case w.reports <= w.runsOn:
 		return zinniapond.RunActive, w.reportErr
+	case w.errsOnlyActive:
+		return zinniapond.RunEnded, nil
 	case w.hasQueue:
 		return zinniapond.RunUnknown, w.reportErr
 	}
--- a/internal/front/runner/stall_test.go
+++ b/internal/front/runner/stall_test.go
@@ -181,6 +181,13 @@
 			assertServed(t, c, 1)
 		}
 	})
+	inBubble(t, "guards against cutting a stream that this host has taken from a replica which works on for longer", func(t *testing.T) {
+		for _, reportErr := range []error{nil, zinniapond.ErrOutcomeUnknown} {
+			c := newStallClient(t, 30, true)
+			c.stopAfter, c.runsOn, c.reportErr, c.errsOnlyActive = 3, 25, reportErr, true
+			assertServed(t, c, 2)
+		}
+	})
 	inBubble(t, "guards against waiting for a stream that the replica no longer runs", func(t *testing.T) {
 		c := newStallClient(t, 30, false)
 		c.stopAfter = 3
