--- a/blame.go
+++ b/blame.go
@@ -52,7 +52,7 @@
 	// StandingSuspect requests were running at a replica that ended. They run apart
 	// from each other, so that the next ending shows which of them is the cause.
 	StandingSuspect
-	// StandingGuilty requests end replicas and are not run.
+	// StandingGuilty requests end replicas and are not run, except for retrials.
 	StandingGuilty
 )
 
@@ -61,6 +61,8 @@
 	Standing Standing
 	// Endings is the number of replicas that ended while the request was running.
 	Endings int
+	// IsCertain is set if so many replicas have ended that no retrial is allowed.
+	IsCertain bool
 	// RetryAfter is the time after which the verdict on a guilty request may be
 	// another one: hosts that had requests at the same replica have reported by then,
 	// or the evidence is too old to count.
@@ -77,6 +79,10 @@
 	RecordFinish(now time.Time, request Digest)
 	// Judge returns the verdict on a request.
 	Judge(now time.Time, request Digest) Verdict
+	// AllowRetrial reports whether a guilty request may run once more, as a verdict that is
+	// not certain may be wrong and only a finish refutes it. draw is a random number in
+	// [0, 1), so that few hosts allow one at the same time.
+	AllowRetrial(now time.Time, request Digest, draw float64) bool
 	// Lost returns the number of replicas of a pool that ended with requests running
 	// there, within the given time.
 	Lost(now time.Time, pool PoolName, within time.Duration) int
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -46,6 +46,9 @@
 	v := u.Blame.Judge(now, u.digest)
 	u.suspected = u.suspected || v.Standing == zinniapond.StandingSuspect
 	switch {
+	case v.Standing == zinniapond.StandingGuilty && (u.onRetrial && !v.IsCertain || u.Blame.AllowRetrial(now, u.digest, rand.Float64())):
+		u.onRetrial, u.suspected = true, true
+		u.Stats.Add("front.retried", 1)
 	case v.Standing == zinniapond.StandingGuilty:
 		u.Stats.Add("front.blamed", 1)
 		return retryableError("check request", min(v.RetryAfter, maxGuiltyRetryAfter),
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -26,11 +26,20 @@
 	// if no other request explains them as well.
 	guiltyEndings = 2
 	// certainEndings is the number of replicas after whose endings a request is guilty
-	// although others were running at the same replicas, or replicas end without it.
+	// although others were running at the same replicas, replicas end without it, or it
+	// has finished at another replica within memory.
 	certainEndings = 3
 	// backgroundEndings is the number of endings without a cause from which replicas
 	// are taken to end by themselves, so that two endings may be a coincidence.
 	backgroundEndings = 2
+	// retrialPause is the time after the last ending, and between two retrials at one host,
+	// before a guilty request may run once more. Of the requests that come after that,
+	// retrialShare do.
+	retrialPause = 5 * time.Second
+	retrialShare = 0.125
+	// simultaneousTime is the time within which replicas are taken to end at one moment.
+	// It is shorter than the pause after which a client sends a request again.
+	simultaneousTime = 100 * time.Millisecond
 	// settleTime is the time within which other hosts report what was running at a
 	// replica that ended.
 	settleTime = 300 * time.Millisecond
@@ -53,6 +62,7 @@
 	mu       sync.RWMutex
 	endings  map[lifetime]*ending
 	suspects map[zinniapond.Digest]*suspect
+	finished finishes
 	// surplus is the number of suspects beyond assuredSuspects of all endings.
 	surplus int
 	// unexplained is set while verdicts of one change are made, which all need the
@@ -74,6 +84,7 @@
 
 // RecordFinish records that a replica has answered a request completely.
 func (b *Book) RecordFinish(now time.Time, request zinniapond.Digest) {
+	b.finished.record(now, request)
 	b.mu.RLock()
 	_, known := b.suspects[request]
 	b.mu.RUnlock()
@@ -104,7 +115,7 @@
 		return zinniapond.Verdict{}
 	}
 	isTied, isExplained := false, true
-	v := zinniapond.Verdict{Endings: own}
+	v := zinniapond.Verdict{Endings: own, IsCertain: own >= certainEndings}
 	youngest := memory
 	for _, e := range s.endings {
 		if !s.counts(now, e) {
@@ -122,7 +133,7 @@
 	switch {
 	case isExplained:
 		return zinniapond.Verdict{}
-	case own >= certainEndings, own >= guiltyEndings && !isTied && (s.wasGuilty || b.background(now) < backgroundEndings):
+	case v.IsCertain, own >= guiltyEndings && !isTied && !s.hasFinished(now) && (s.wasGuilty || b.background(now) < backgroundEndings):
 		v.Standing = zinniapond.StandingGuilty
 	default:
 		v.Standing = zinniapond.StandingSuspect
@@ -146,6 +157,35 @@
 	return count
 }
 
+// AllowRetrial reports whether a guilty request may run once more. After certainEndings
+// replicas have ended with it, at whatever addresses and instants, it may not until they are
+// too old: a retrial that ends a replica is the last one.
+func (b *Book) AllowRetrial(now time.Time, request zinniapond.Digest, draw float64) bool {
+	if draw >= retrialShare {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.suspects[request]
+	if s == nil || now.Sub(s.retriedAt) < retrialPause {
+		return false
+	}
+	count := 0
+	for _, e := range s.endings {
+		if now.Sub(e.at) < retrialPause {
+			return false
+		}
+		if s.counts(now, e) {
+			count++
+		}
+	}
+	if count >= certainEndings {
+		return false
+	}
+	s.retriedAt = now
+	return true
+}
+
 // Lost returns the number of replicas of a pool that ended within the given time.
 func (b *Book) Lost(now time.Time, pool zinniapond.PoolName, within time.Duration) int {
 	b.mu.RLock()
--- a/internal/policy/blame/evidence.go
+++ b/internal/policy/blame/evidence.go
@@ -68,6 +68,7 @@
 	endings    []*ending
 	finishedAt time.Time // zero if the request has not finished since
 	learnedAt  time.Time // when this host learned of the finish
+	retriedAt  time.Time // when this host last allowed a retrial
 	// wasGuilty is set while the request is guilty. Replicas that end by themselves
 	// later do not make its endings a coincidence.
 	wasGuilty bool
@@ -83,7 +84,8 @@
 }
 
 // strength returns the number of replicas that speak against a suspect. Several
-// lifetimes at one address count as one replica fewer: it may end by itself.
+// lifetimes at one address count as one replica fewer: it may end by itself. Replicas that
+// end at one moment count as one: they have a cause in common, such as a rack without power.
 func (s *suspect) strength(now time.Time) int {
 	if now.Before(s.countedTo) {
 		return s.counted
@@ -100,9 +102,11 @@
 	until := now.Add(memory)
 	var buffer [4]netip.AddrPort
 	addresses := buffer[:0]
+	var instants [4]time.Time
+	moments := instants[:0]
 	for _, e := range s.endings {
 		if s.counts(now, e) {
-			addresses = append(addresses, e.replica.address)
+			addresses, moments = append(addresses, e.replica.address), append(moments, e.at)
 			if expiry := e.at.Add(memory); expiry.Before(until) {
 				until = expiry
 			}
@@ -113,7 +117,20 @@
 	if addresses = slices.Compact(addresses); len(addresses) == 1 && total > 1 {
 		return total - 1, until
 	}
-	return len(addresses), until
+	return min(len(addresses), countMoments(moments)), until
+}
+
+// countMoments returns the number of instants of which no two are within simultaneousTime.
+func countMoments(instants []time.Time) int {
+	slices.SortFunc(instants, time.Time.Compare)
+	count := 0
+	var last time.Time
+	for _, at := range instants {
+		if count == 0 || at.Sub(last) >= simultaneousTime {
+			count, last = count+1, at
+		}
+	}
+	return count
 }
 
 // finish records that the request has finished and reports whether that is news.
@@ -125,6 +142,12 @@
 	return true
 }
 
+// hasFinished reports whether the request has finished within memory. An input that several
+// programs send may be running at replicas that end for another reason.
+func (s *suspect) hasFinished(now time.Time) bool {
+	return !s.finishedAt.IsZero() && now.Sub(s.finishedAt) < memory
+}
+
 func (s *suspect) has(e *ending) bool { return slices.Contains(s.endings, e) }
 
 func (s *suspect) remove(e *ending) {
--- a/internal/policy/blame/merge.go
+++ b/internal/policy/blame/merge.go
@@ -64,6 +64,9 @@
 		if s == nil {
 			s = &suspect{digest: d}
 			b.suspects[d] = s
+			if finishedAt, ok := b.finished.last(now, d); ok {
+				s.finish(now, finishedAt)
+			}
 		}
 		if s.has(e) {
 			continue
