--- a/internal/turns/keeper/keeper_test.go
+++ b/internal/turns/keeper/keeper_test.go
@@ -30,6 +30,10 @@
 	// renewed and renewedBytes are the ids of turns in renewals and notices that reached a
 	// keeper, and the encoded bytes of these requests and their replies.
 	renewed, renewedBytes atomic.Int64
+	// delay is the time that each request to a keeper takes.
+	delay atomic.Int64
+	// inFlight are the bytes of turns in requests to keepers, and maxInFlight the most so far.
+	inFlight, maxInFlight atomic.Int64
 }
 
 func (h *hosts) now() time.Time { return time.Now().Add(time.Duration(h.elapsed.Load())) }
@@ -100,6 +104,10 @@
 	if k == nil || unreachable {
 		return errGone
 	}
+	if q, ok := request.(zinniapond.KeepRequest); ok {
+		defer h.countInFlight(q)()
+	}
+	time.Sleep(time.Duration(h.delay.Load()))
 	switch q := request.(type) {
 	case zinniapond.KeepRequest:
 		err := k.Keep(q, answer.(*zinniapond.KeepReply))
--- a/internal/turns/keeper/spends.go
+++ b/internal/turns/keeper/spends.go
@@ -14,53 +14,69 @@
 // replicateSpends compares checksums of spends by second with the other disks, and
 // copies the spends of each second for which too few disks have the checksum of this
 // disk. The seconds are processed in random order, so that several disks do not send
-// the same spends at the same time.
-func (k *Keeper) replicateSpends(ctx context.Context, set quorum.Set) error {
-	ownSums := k.checksums()
+// the same spends at the same time. It returns the number of spends that were offered.
+func (c *copier) replicateSpends(set quorum.Set) (offered int, err error) {
+	ownSums := c.checksums()
 	sumsByDisk := make(map[zinniapond.DiskID]map[int64]uint64)
 	for _, d := range set.Disks {
 		if !d.CountsForWrites() {
 			continue
 		}
-		if sumsByDisk[d.ID] = ownSums; d.ID == k.log.ID() {
+		if sumsByDisk[d.ID] = ownSums; d.ID == c.log.ID() {
 			continue
 		}
-		sums, err := k.fetchChecksums(ctx, d)
+		sums, err := c.fetchChecksums(c.ctx, d)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		sumsByDisk[d.ID] = sums
 	}
-	missingBySecond := make(map[int64][]zinniapond.Spend)
-	for at, sum := range ownSums {
-		matching := slices.DeleteFunc(slices.Clone(set.Disks), func(d zinniapond.Disk) bool { return sumsByDisk[d.ID][at] != sum })
-		if !set.IsWriteQuorum(matching) {
-			missingBySecond[at] = nil
+	missingBySecond := c.spendsOf(func(at int64) bool {
+		matching := slices.DeleteFunc(slices.Clone(set.Disks), func(d zinniapond.Disk) bool { return sumsByDisk[d.ID][at] != ownSums[at] })
+		return !set.IsWriteQuorum(matching)
+	})
+	seconds := slices.Collect(maps.Keys(missingBySecond))
+	rand.Shuffle(len(seconds), func(a, b int) { seconds[a], seconds[b] = seconds[b], seconds[a] })
+	for _, d := range set.Disks {
+		if !d.CountsForWrites() || d.ID == c.log.ID() {
+			continue
+		}
+		var spends []zinniapond.Spend
+		for _, at := range seconds {
+			if sumsByDisk[d.ID][at] != ownSums[at] {
+				spends = append(spends, missingBySecond[at]...)
+			}
+		}
+		offered += len(spends)
+		for chunk := range slices.Chunk(spends, maxRecordsPerQuery) {
+			if err := c.run(maxCopyBytes, func() error { return c.sendMissingSpends(d, chunk) }); err != nil {
+				return offered, err
+			}
 		}
 	}
+	return offered, nil
+}
+
+// spendsOf returns the spends of this disk by the second of their reservation, of those
+// seconds for which isWanted returns true.
+func (k *Keeper) spendsOf(isWanted func(second int64) bool) map[int64][]zinniapond.Spend {
+	bySecond := make(map[int64][]zinniapond.Spend)
+	wanted := make(map[int64]bool)
 	k.programs.Each(func(_ zinniapond.ProgramID, a *account) bool {
 		for _, s := range a.listSpends() {
-			if shortSpends, ok := missingBySecond[s.ReservedAt.Unix()]; ok {
-				missingBySecond[s.ReservedAt.Unix()] = append(shortSpends, s)
+			at := s.ReservedAt.Unix()
+			want, isKnown := wanted[at]
+			if !isKnown {
+				want = isWanted(at)
+				wanted[at] = want
+			}
+			if want {
+				bySecond[at] = append(bySecond[at], s)
 			}
 		}
 		return true
 	})
-	seconds := slices.Collect(maps.Keys(missingBySecond))
-	rand.Shuffle(len(seconds), func(a, b int) { seconds[a], seconds[b] = seconds[b], seconds[a] })
-	for _, at := range seconds {
-		for _, d := range set.Disks {
-			if !d.CountsForWrites() || sumsByDisk[d.ID][at] == ownSums[at] {
-				continue
-			}
-			for chunk := range slices.Chunk(missingBySecond[at], maxRecordsPerQuery) {
-				if err := k.copyMissingSpends(ctx, d, chunk); err != nil {
-					return err
-				}
-			}
-		}
-	}
-	return nil
+	return bySecond
 }
 
 // fetchChecksums returns the checksums of the spends of another disk by second.
@@ -81,17 +97,17 @@
 	return sums, nil
 }
 
-// copyMissingSpends asks a disk which of the spends it does not have, and copies
+// sendMissingSpends asks a disk which of the spends it does not have, and copies
 // those.
-func (k *Keeper) copyMissingSpends(ctx context.Context, d zinniapond.Disk, spends []zinniapond.Spend) error {
-	callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+func (c *copier) sendMissingSpends(d zinniapond.Disk, spends []zinniapond.Spend) error {
+	callCtx, cancel := context.WithTimeout(c.ctx, copyTimeout)
 	defer cancel()
 	var request zinniapond.MissingSpendsRequest
 	for _, s := range spends {
 		request.Spends = append(request.Spends, zinniapond.SpendKey{Program: s.Program, Turn: s.Turn})
 	}
 	var reply zinniapond.MissingSpendsReply
-	if err := k.Peers.Call(callCtx, d.Address, "Keeper.Lacks", request, &reply); err != nil {
+	if err := c.Peers.Call(callCtx, d.Address, "Keeper.Lacks", request, &reply); err != nil {
 		return zinniapond.Wrap("offer spends", d.Address, err)
 	}
 	if reply.Disk != d.ID {
@@ -107,5 +123,5 @@
 	if len(missing) == 0 {
 		return nil
 	}
-	return k.copyRecords(ctx, d, zinniapond.KeepRequest{Spends: missing})
+	return c.sendRecords(d, zinniapond.KeepRequest{Spends: missing})
 }
--- a/internal/turns/keeper/walk.go
+++ b/internal/turns/keeper/walk.go
@@ -14,14 +14,8 @@
 
 const (
 	// maxRecordsPerQuery is the number of records asked about in one request.
-	maxRecordsPerQuery = 500
-	// maxCopyBytes is the size of turns after which a copy request is sent.
-	maxCopyBytes = 128 << 10
-	// copyTimeout bounds one request between disks.
-	copyTimeout           = 5 * time.Second
+	maxRecordsPerQuery    = 500
 	replicationRetryDelay = 200 * time.Millisecond
-	// maxCopyPause bounds the pause between two copy requests.
-	maxCopyPause = 100 * time.Millisecond
 )
 
 // runReplication makes sure that enough other disks have each record of this disk,
@@ -64,41 +58,61 @@
 	}) {
 		return nil
 	}
-	if err := k.replicateSpends(ctx, set); err != nil {
+	begun := k.Clock()
+	c := k.newCopier(ctx, begun)
+	sent, err := c.sendLackingRecords(begun, set)
+	// All requests in flight end before the walk does.
+	if err = zinniapond.Join(err, c.wait()); err != nil {
 		return err
 	}
+	k.Logger.Info("records copied", "turns", sent.turns, "bytes", sent.bytes, "spends", sent.spends, "took", k.Clock().Sub(begun), "index", view.DisksIndex)
+	return nil
+}
+
+// copied counts the records that a walk has sent to other disks.
+type copied struct {
+	turns, bytes, spends int
+}
+
+// sendLackingRecords sends the records of this disk that too few disks have.
+func (c *copier) sendLackingRecords(now time.Time, set quorum.Set) (sent copied, err error) {
+	if sent.spends, err = c.replicateSpends(set); err != nil {
+		return sent, err
+	}
 	var ids []zinniapond.TurnID
-	k.turns.Each(func(id zinniapond.TurnID, _ *turnEntry) bool {
-		ids = append(ids, id)
+	c.turns.Each(func(id zinniapond.TurnID, s *turnEntry) bool {
+		if s.expiry.Load() >= now.UnixNano() {
+			ids = append(ids, id)
+		}
 		return true
 	})
 	for chunk := range slices.Chunk(ids, maxRecordsPerQuery) {
-		if err := k.replicateTurns(ctx, set, chunk); err != nil {
-			return err
+		if err := c.replicateTurns(set, chunk, &sent); err != nil {
+			return sent, err
 		}
 	}
-	return nil
+	return sent, nil
 }
 
 // replicateTurns copies those of the turns of which too few disks have a copy. A
 // turn is copied by the first disk in its placement order that has it. If only disks
 // whose copies do not count have it, each of them copies it.
-func (k *Keeper) replicateTurns(ctx context.Context, set quorum.Set, ids []zinniapond.TurnID) error {
-	holders, err := k.fetchHolders(ctx, set, ids)
+func (c *copier) replicateTurns(set quorum.Set, ids []zinniapond.TurnID, sent *copied) error {
+	holders, err := c.fetchHolders(c.ctx, set, ids)
 	if err != nil {
 		return err
 	}
 	toSend := make(map[zinniapond.DiskID][]zinniapond.TurnID)
 	tooFewDisks := false
 	for _, id := range ids {
-		s, ok := k.turns.Get(id)
+		s, ok := c.turns.Get(id)
 		if !ok {
 			continue
 		}
 		order := set.PreferenceOrder(id, s.origin)
 		has := func(d zinniapond.DiskID) bool { return holders[d][id] }
 		first := slices.IndexFunc(order, func(d zinniapond.Disk) bool { return has(d.ID) })
-		if first >= 0 && order[first].ID != k.log.ID() {
+		if first >= 0 && order[first].ID != c.log.ID() {
 			continue
 		}
 		lack, enough := set.MissingCopies(order, has)
@@ -108,7 +122,7 @@
 		}
 	}
 	for _, d := range set.Disks {
-		if err := k.sendTurns(ctx, d, toSend[d.ID]); err != nil {
+		if err := c.sendTurns(d, toSend[d.ID], sent); err != nil {
 			return err
 		}
 	}
@@ -154,46 +168,35 @@
 }
 
 // sendTurns reads turns from this disk and copies them to another one.
-func (k *Keeper) sendTurns(ctx context.Context, d zinniapond.Disk, ids []zinniapond.TurnID) error {
+func (c *copier) sendTurns(d zinniapond.Disk, ids []zinniapond.TurnID, sent *copied) error {
 	var request zinniapond.KeepRequest
 	size := 0
+	flush := func() error {
+		if len(request.Turns) == 0 {
+			return nil
+		}
+		full := request
+		sent.turns, sent.bytes = sent.turns+len(full.Turns), sent.bytes+size
+		err := c.run(size, func() error { return c.sendRecords(d, full) })
+		request, size = zinniapond.KeepRequest{}, 0
+		return err
+	}
 	for _, id := range ids {
-		s, ok := k.turns.Get(id)
+		s, ok := c.turns.Get(id)
 		if !ok {
 			continue
 		}
-		t, err := k.readTurn(s)
+		t, err := c.readTurn(s)
 		if err != nil {
-			k.Logger.Error("turn cannot be copied", "turn", id, "error", err)
+			c.Logger.Error("turn cannot be copied", "turn", id, "error", err)
 			return err
 		}
 		request.Turns = append(request.Turns, t)
 		if size += len(t.Input) + len(t.Output); size > maxCopyBytes {
-			if err := k.copyRecords(ctx, d, request); err != nil {
+			if err := flush(); err != nil {
 				return err
 			}
-			request.Turns, size = nil, 0
 		}
 	}
-	if len(request.Turns) == 0 {
-		return nil
-	}
-	return k.copyRecords(ctx, d, request)
-}
-
-// copyRecords sends records to a disk, and then pauses for half of the time that the
-// request took, so that both hosts have CPU and bandwidth for serving turns.
-func (k *Keeper) copyRecords(ctx context.Context, d zinniapond.Disk, request zinniapond.KeepRequest) error {
-	start := k.Clock()
-	defer func() { time.Sleep(min(k.Clock().Sub(start)/2, maxCopyPause)) }()
-	callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	var reply zinniapond.KeepReply
-	if err := k.Peers.Call(callCtx, d.Address, "Keeper.Keep", request, &reply); err != nil {
-		return zinniapond.Wrap("copy turns", d.Address, err)
-	}
-	if !reply.Kept || reply.Disk != d.ID {
-		return fmt.Errorf("copy turns: disk %s did not store them: %w", d.ID, zinniapond.ErrNotFound)
-	}
-	return nil
+	return flush()
 }
