--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	now = u.Clock()
-	if u.route.Resumable {
+	if u.route.Resumable && !u.needsOwnRecord() {
 		u.spend.Version = p.onlyVersion()
 	}
 	err = u.prepareWithRetry(callCtx, now)
--- a/internal/front/runner/version.go
+++ b/internal/front/runner/version.go
@@ -117,8 +117,8 @@
 }
 
 // recordOrigin records the software version at which a stream begins, before the client
-// has the first event. It does nothing if the reservation has the version, or if a stream
-// without a record can only have begun at this one.
+// has the first event. It does nothing if the reservation has the version. That this host
+// knows no other version says nothing about the host at which the client takes the stream up.
 func (u *run) recordOrigin(ctx context.Context) {
 	if !u.route.Resumable || u.origin != "" {
 		return
@@ -130,10 +130,6 @@
 	now := u.Clock()
 	spend := u.spend
 	if u.needsOwnRecord() {
-		p, err := u.pool(u.poolName)
-		if err != nil || p.onlyVersion() == u.replicaVersion {
-			return
-		}
 		spend = u.originSpend(now, u.request.ID)
 	}
 	spend.Version, spend.Begun = u.replicaVersion, true
