--- a/internal/front/runner/attempt.go
+++ b/internal/front/runner/attempt.go
@@ -52,7 +52,7 @@
 		}
 		need.Version = u.neededVersion(p)
 		if need.Version != "" && !p.serves(need.Version) {
-			return u.versionGoneError(need.Version, lastErr)
+			return u.versionGoneError(p, need.Version, lastErr)
 		}
 		wait.passMisfit(now, p, need)
 		replica, err := candidate{}, zinniapond.ErrUnavailable
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -215,6 +215,8 @@
 	ended   bool
 	aborted bool
 	refused error
+	// retryAfter is the time after which the client may return that was refused.
+	retryAfter time.Duration
 }
 
 func (r *recorder) Begin(status int, _ []zinniapond.HeaderField, _ int64) error {
@@ -225,7 +227,7 @@
 func (r *recorder) End() error           { r.ended = true; return nil }
 func (r *recorder) Abort()               { r.aborted = true }
 func (r *recorder) Refuse(f zinniapond.Refusal) error {
-	r.refused = f.Reason
+	r.refused, r.retryAfter = f.Reason, f.RetryAfter
 	return nil
 }
 
--- a/internal/front/runner/version.go
+++ b/internal/front/runner/version.go
@@ -66,33 +66,47 @@
 }
 
 // versionGoneError returns the error for a stream that no replica can continue. The client
-// may run the request again from its beginning.
-func (u *run) versionGoneError(version zinniapond.SoftwareVersion, last error) error {
+// may run the request again from its beginning, or come back soon if this host has not
+// learned of the version yet.
+func (u *run) versionGoneError(p *pool, version zinniapond.SoftwareVersion, last error) error {
+	isPast := slices.ContainsFunc(u.pastVersions(), func(past zinniapond.PastVersion) bool { return past.Version == version })
+	if !isPast && !slices.Contains(p.versions.Load().listed, version) {
+		u.Stats.Add("front.versionunknown", 1)
+		err := fmt.Errorf("version %s is not known here yet: %w", version, zinniapond.ErrUnavailable)
+		return retryableError("find replica", shortRetryAfter, zinniapond.Join(err, last))
+	}
 	u.Stats.Add("front.versiongone", 1)
 	return zinniapond.Join(fmt.Errorf("no replica of version %s is left: %w", version, zinniapond.ErrUnavailable), last)
 }
 
+// pastVersions returns the versions that replicas of the pool have had lately.
+func (u *run) pastVersions() []zinniapond.PastVersion {
+	var list []zinniapond.PastVersion
+	for _, past := range u.Directory.View().PastVersions {
+		if past.Pool == u.poolName {
+			list = append(list, past)
+		}
+	}
+	return list
+}
+
 // resolveOrigin finds the software version that has begun a stream which the client
-// resumes.
+// resumes. It asks the disks, whatever versions this host knows: it may have missed the
+// coming of one while it was cut off or stood still.
 func (u *run) resolveOrigin(ctx context.Context, now time.Time, p *pool) error {
 	if !u.route.IsStream() || !u.route.Resumable || u.request.LastEventID == "" {
 		return nil
 	}
-	origin := zinniapond.StreamOrigin{Listed: p.versions.Load().listed}
-	for _, past := range u.Directory.View().PastVersions {
-		if past.Pool == u.poolName {
-			origin.Past = append(origin.Past, past)
-		}
-	}
+	origin := zinniapond.StreamOrigin{IsNamed: u.request.Resumes != "", Listed: p.versions.Load().listed, Past: u.pastVersions()}
 	spends := u.others
-	if u.needsOwnRecord() && u.request.Resumes != "" && len(origin.Listed)+len(origin.Past) > 1 {
+	if u.needsOwnRecord() && origin.IsNamed && len(origin.Listed)+len(origin.Past) > 0 {
 		var err error
 		if spends, err = u.Turns.Reserve(ctx, now, u.originSpend(now, u.request.Resumes), 0); err != nil {
 			return retryableError("find beginning of stream", shortRetryAfter, err)
 		}
 	}
 	for _, s := range spends {
-		if u.request.Resumes != "" && s.Turn == u.request.Resumes {
+		if origin.IsNamed && s.Turn == u.request.Resumes {
 			origin.Recorded = s.Version
 		}
 	}
--- a/internal/front/runner/version_test.go
+++ b/internal/front/runner/version_test.go
@@ -88,13 +88,41 @@
 		w.view.PastVersions = []zinniapond.PastVersion{{Pool: "pool", Version: "v1", GoneAt: time.Now()}}
 		refusedUnsent(t, w, takeUp)
 	})
+	plain := zinniapond.Request{LastEventID: "1", Resumes: "first"}
 	t.Run("guards against refusing take-ups in a pool of one version", func(t *testing.T) {
 		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
 		w.setVersions(t, "v1", "v1")
 		w.view.PastVersions = []zinniapond.PastVersion{{Pool: "other", Version: "v2", GoneAt: time.Now()}}
-		plain := zinniapond.Request{LastEventID: "1", Resumes: "first"}
+		w.turns.others = begunAt("v1")
 		assert.True(t, w.forward(takeUp).ended, "the turn is not complete")
 		assert.True(t, w.forward(plain).ended, "the stream without a program is not complete")
+		w.turns.others = nil
+		assert.True(t, w.forward(zinniapond.Request{LastEventID: "1"}).ended, "the stream of a client that does not name its beginning is not complete")
+	})
+	t.Run("guards against a take-up at the only version that a host knows which has missed the coming of another one", func(t *testing.T) {
+		for _, q := range []zinniapond.Request{takeUp, plain} {
+			w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+			w.setVersions(t, "v1", "v1")
+			w.turns.others = begunAt("v2")
+			refusedUnsent(t, w, q)
+		}
+	})
+	t.Run("guards against a guess for a stream without a record at a host that knows one version", func(t *testing.T) {
+		for _, q := range []zinniapond.Request{takeUp, plain} {
+			w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+			w.setVersions(t, "v1", "v1")
+			refusedUnsent(t, w, q)
+		}
+	})
+	t.Run("guards against a client that comes back late to a host which learns of the version of its stream", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, rest, true, nil))
+		w.setVersions(t, "v1", "v1")
+		w.turns.others = begunAt("v2")
+		to := w.forward(plain)
+		assert.True(t, to.retryAfter > 0 && to.retryAfter <= shortRetryAfter, "to come back after %s", to.retryAfter)
+		w.setVersions(t, "v1", "v2")
+		assert.True(t, w.forward(plain).ended, "the stream does not go on")
+		assert.Equal(t, w.sentVersions(), []zinniapond.SoftwareVersion{"v2"})
 	})
 	t.Run("guards against a write more for each turn in a pool of one version", func(t *testing.T) {
 		w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -15,8 +15,10 @@
 	kernel.Register("default", func(*kernel.Kernel) (zinniapond.OriginPolicy, error) { return Policy{}, nil })
 }
 
-// Policy continues a stream at the version that is on record. Without a record it continues
-// it if only one version can have begun it.
+// Policy continues a stream at the version that is on record. A stream that should have a
+// record and has none is not continued, whatever versions this host knows: it may not have
+// learned of the one that began the stream. For a client that does not name the beginning,
+// the stream goes on if this host knows one version only.
 type Policy struct{}
 
 var _ zinniapond.OriginPolicy = Policy{}
@@ -26,6 +28,9 @@
 	if origin.Recorded != "" {
 		return origin.Recorded, nil
 	}
+	if origin.IsNamed && len(origin.Listed)+len(origin.Past) > 0 {
+		return "", fmt.Errorf("no record of the version that has begun the stream: %w", zinniapond.ErrUnavailable)
+	}
 	only := zinniapond.SoftwareVersion("")
 	isOther := func(v zinniapond.SoftwareVersion) bool {
 		if only == "" {
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -31,5 +31,8 @@
 	t.Run("guards against a version that nobody knows to have begun the stream", refuses(zinniapond.StreamOrigin{Listed: []zinniapond.SoftwareVersion{"v1", "v2"}}))
 	t.Run("guards against the newer version for a stream of one that has just left", refuses(zinniapond.StreamOrigin{Listed: []zinniapond.SoftwareVersion{"v2"}, Past: past(time.Second)}))
 	t.Run("guards against refusing streams for a version that left long ago", resolves(zinniapond.StreamOrigin{Listed: []zinniapond.SoftwareVersion{"v2"}, Past: past(zinniapond.VersionMemory)}, "v2"))
+	t.Run("guards against the only version that this host knows for a stream whose record is missing", refuses(zinniapond.StreamOrigin{IsNamed: true, Listed: []zinniapond.SoftwareVersion{"v1"}}))
+	t.Run("guards against the version that has just left for a stream whose record is missing", refuses(zinniapond.StreamOrigin{IsNamed: true, Past: past(time.Second)}))
+	t.Run("guards against refusing streams of replicas without versions", resolves(zinniapond.StreamOrigin{IsNamed: true}, ""))
 	t.Run("guards against a pool without replicas", resolves(zinniapond.StreamOrigin{}, ""))
 }
--- a/versions.go
+++ b/versions.go
@@ -21,6 +21,9 @@
 	// Recorded is the software version that has begun the stream; empty if there is no
 	// record.
 	Recorded SoftwareVersion
+	// IsNamed is set if the client names the attempt that began the stream, so that a record
+	// was looked for.
+	IsNamed bool
 	// Listed are the versions of the pool's replicas, live and leaving ones, and Past
 	// those that its replicas have had.
 	Listed []SoftwareVersion
@@ -30,6 +33,6 @@
 // OriginPolicy decides at which software version a stream goes on that a client resumes.
 type OriginPolicy interface {
 	// Resolve returns the version; empty if the pool has no replicas and had none. The error
-	// wraps ErrUnavailable if several versions may have begun the stream.
+	// wraps ErrUnavailable if it is not known which version has begun the stream.
 	Resolve(now time.Time, origin StreamOrigin) (SoftwareVersion, error)
 }
