front: a failed record of a stream's version is written later, or ends the stream (ORDER, LOST)

What callers saw: nothing was reported; found with the take-ups. If the disks were late for 250 ms as a stream began, it could never be taken up. If its reservation named the only version known then and another one began the stream, a failed write left the wrong version on record.

Cause: one bounded write whose failure was logged and forgotten.

Change: the front writes the record again for 3 s beside the stream.

Evidence: two subtests of TestVersions failed before; each part turned off is noticed (versionlate, versionreserved).

--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -161,7 +161,9 @@
 	settled  []zinniapond.Spend
 	begun    []zinniapond.Spend
 	beginErr error
-	asked    []zinniapond.TurnID // turns whose chains were read
+	// beginFailures is the number of records that fail with beginErr; negative for all.
+	beginFailures int
+	asked         []zinniapond.TurnID // turns whose chains were read
 	// onReserve is called during each reservation; may be nil.
 	onReserve func()
 	// reached is closed when a disk is reached again; may be nil.
@@ -189,8 +191,12 @@
 func (f *fakeTurns) Begin(_ context.Context, _ time.Time, s zinniapond.Spend) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.beginFailures != 0 {
+		f.beginFailures--
+		return f.beginErr
+	}
 	f.begun = append(f.begun, s)
-	return f.beginErr
+	return nil
 }
 
 func (f *fakeTurns) Settle(_ context.Context, _ time.Time, s zinniapond.Spend) error {
--- a/internal/front/runner/stream.go
+++ b/internal/front/runner/stream.go
@@ -50,10 +50,12 @@
 // turn at once.
 func (u *run) relayStream(ctx context.Context, answer *zinniapond.ReplicaAnswer, observation *zinniapond.Observation, start time.Time) (verdict, error) {
 	if !u.answerBegun {
+		if err := u.recordOrigin(ctx); err != nil {
+			return verdictFailed, err
+		}
 		u.answerBegun = true
 		u.stream.status = answer.Status
 		u.skipReceived()
-		u.recordOrigin(ctx)
 		if err := u.responder.Begin(answer.Status, answer.Fields, -1); err != nil {
 			return verdictFailed, err
 		}
--- a/internal/front/runner/version.go
+++ b/internal/front/runner/version.go
@@ -9,9 +9,15 @@
 	"zinniapond.example/zinniapond"
 )
 
-// beginTimeout bounds the time for recording the software version of a stream, which is
-// part of the time to its first event. A stream without a record may not be resumed.
-const beginTimeout = 250 * time.Millisecond
+const (
+	// beginTimeout bounds the time for recording the software version of a stream, which is
+	// part of the time to its first event. A stream without a record may not be resumed.
+	beginTimeout = 250 * time.Millisecond
+	// recordTime bounds the further attempts to record it beside the stream, and
+	// recordPause is the pause between two of them.
+	recordTime  = 3 * time.Second
+	recordPause = 100 * time.Millisecond
+)
 
 // versions are the software versions of a pool's replicas.
 type versions struct {
@@ -133,29 +139,49 @@
 // recordOrigin records the software version at which a stream begins, before the client
 // has the first event. It does nothing if the reservation has the version. That this host
 // knows no other version says nothing about the host at which the client takes the stream up.
-func (u *run) recordOrigin(ctx context.Context) {
+// If the disks are late, the stream begins and the record follows, unless they have another
+// version of it: the error is then that of the record, and the stream must not begin.
+func (u *run) recordOrigin(ctx context.Context) error {
 	if !u.route.Resumable || u.origin != "" {
-		return
+		return nil
 	}
 	u.origin = u.replicaVersion
 	if u.replicaVersion == "" || u.spend.Version == u.replicaVersion {
-		return
+		return nil
 	}
 	now := u.Clock()
 	spend := u.spend
 	if u.needsOwnRecord() {
 		spend = u.originSpend(now, u.request.ID)
 	}
+	isReservedElsewhere := spend.Version != ""
 	spend.Version, spend.Begun = u.replicaVersion, true
-	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
-	if err := u.Turns.Begin(ctx, now, spend); err != nil {
+	if err := u.Turns.Begin(callCtx, now, spend); err != nil {
 		u.Stats.Add("front.unrecorded", 1)
 		u.Logger.Warn("version of stream not recorded", "id", u.request.ID, "version", u.replicaVersion, "error", err)
+		if isReservedElsewhere {
+			return fmt.Errorf("record version %s of stream: %w", u.replicaVersion, err)
+		}
+		u.inBackground("record version", func() { u.recordLater(now, spend) })
 	}
 	if !u.needsOwnRecord() {
 		u.spend.Version, u.spend.Begun = spend.Version, true
 	}
+	return nil
+}
+
+// recordLater records the version of a stream that has begun without a record.
+func (u *run) recordLater(now time.Time, spend zinniapond.Spend) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTime)
+	defer cancel()
+	for next := now; sleepUntil(ctx, u.Clock(), next) == nil; next = u.Clock().Add(recordPause) {
+		if err := u.Turns.Begin(ctx, now, spend); err == nil {
+			u.Stats.Add("front.recordedlate", 1)
+			return
+		}
+	}
 }
 
 // passMisfit offers the room that the request was woken for to the next request, if its
--- a/internal/front/runner/version_test.go
+++ b/internal/front/runner/version_test.go
@@ -171,6 +171,25 @@
 		assert.Equal(t, w.turns.reserved.Version, "v1")
 		assert.Equal(t, w.turns.begun[0].Version, "v2")
 	})
+	t.Run("guards against a first event while the reservation has another version and the record of this one fails", func(t *testing.T) {
+		w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
+		w.setVersions(t, "v1")
+		w.turns.onReserve = func() { w.setVersions(t, "v2") }
+		w.turns.beginErr, w.turns.beginFailures = zinniapond.ErrNoQuorum, -1
+		to := w.forward(turn)
+		assert.Equal(t, to.body.String(), "")
+		assert.ErrorIs(t, to.refused, zinniapond.ErrOutcomeUnknown)
+	})
+	t.Run("guards against a stream that cannot be taken up as the disks were late once", func(t *testing.T) {
+		for _, q := range []zinniapond.Request{turn, {}} {
+			w := newTestRunner(t, resumable, answersWith(200, wholeText, true, nil))
+			w.setVersions(t, "v1", "v2")
+			w.turns.beginErr, w.turns.beginFailures = zinniapond.ErrNoQuorum, 2
+			assert.True(t, w.forward(q).ended, "the stream is not complete")
+			assert.Equal(t, len(w.turns.begun), 1)
+			assert.Equal(t, w.turns.begun[0].Version, w.sent[0].Replica.Version)
+		}
+	})
 	t.Run("guards against versions of streams that never go on elsewhere", func(t *testing.T) {
 		w := newTestRunner(t, zinniapond.Route{Kind: zinniapond.RequestStream, MaxAttempts: 1}, answersWith(200, wholeText, true, nil))
 		w.setVersions(t, "v1", "v2")
