front: count a retrial once

Cause: front.retried counted each check of a request that runs on retrial, and the condition hid two steps.

Change: isRetrial asks for a retrial once and counts it.

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -72,7 +72,7 @@
 	held           int64      // bytes of memory taken
 	digest         zinniapond.Digest
 	suspected      bool // a replica may have ended while the request was running there
-	onRetrial      bool // the request runs although it is guilty
+	onRetrial      bool // the request may run although it is guilty
 	// limitTime is the time for which the request has waited for permissions of
 	// limited replicas.
 	limitTime time.Duration
--- a/internal/front/runner/suspect.go
+++ b/internal/front/runner/suspect.go
@@ -46,9 +46,8 @@
 	v := u.Blame.Judge(now, u.digest)
 	u.suspected = u.suspected || v.Standing == zinniapond.StandingSuspect
 	switch {
-	case v.Standing == zinniapond.StandingGuilty && (u.onRetrial && !v.IsCertain || u.Blame.AllowRetrial(now, u.digest, rand.Float64())):
-		u.onRetrial, u.suspected = true, true
-		u.Stats.Add("front.retried", 1)
+	case v.Standing == zinniapond.StandingGuilty && u.isRetrial(now, v):
+		u.suspected = true
 	case v.Standing == zinniapond.StandingGuilty:
 		u.Stats.Add("front.blamed", 1)
 		return retryableError("check request", min(v.RetryAfter, maxGuiltyRetryAfter),
@@ -61,6 +60,16 @@
 	return nil
 }
 
+// isRetrial reports whether a guilty request runs although it is guilty. The verdict may
+// become certain while the request waits.
+func (u *run) isRetrial(now time.Time, v zinniapond.Verdict) bool {
+	if !u.onRetrial && u.Blame.AllowRetrial(now, u.digest, rand.Float64()) {
+		u.onRetrial = true
+		u.Stats.Add("front.retried", 1)
+	}
+	return u.onRetrial && !v.IsCertain
+}
+
 // lossesExceeded reports whether a number of replicas that ended within lossWindow is
 // more than a pool may lose. One loss is always allowed, so that a pool with few
 // replicas serves again.
