front: keep the error of a stream that has begun as it is in the log

Cause: the reason for refusing a request was also written to the log for streams that had begun and are broken off, so that the line began with "outcome unknown".

Change: refusalReason is applied to requests that are refused only.

Result: front/runner TestRefusalReason, TestReservedStatuses, TestAttempts and TestStreams pass.

--- a/internal/front/runner/forward.go
+++ b/internal/front/runner/forward.go
@@ -98,7 +98,10 @@
 func (r *Runner) Forward(ctx context.Context, now time.Time, request zinniapond.Request, to zinniapond.Responder) {
 	u := &run{Runner: r, request: &request, responder: to, client: ctx}
 	defer func() { u.Memory.Give(u.held) }()
-	err := u.refusalReason(u.forward(ctx, now))
+	err := u.forward(ctx, now)
+	if !u.answerBegun {
+		err = u.refusalReason(err)
+	}
 	u.returnAllowance(u.Clock())
 	u.settle()
 	u.log(err)
