--- a/internal/core/vars/vars_test.go
+++ b/internal/core/vars/vars_test.go
@@ -40,7 +40,7 @@
 		assertLease(t, start.Add(-4*time.Second), 4500*time.Millisecond, 4*time.Second, true)
 		assertLease(t, start.Add(-4500*time.Millisecond), 4500*time.Millisecond, 4500*time.Millisecond, false)
 	})
-	t.Run("guards against an age of centuries before the first confirmation", func(t *testing.T) {
+	t.Run("guards against an age of centuries before the state was first known to be current", func(t *testing.T) {
 		assertLease(t, time.Time{}, time.Second, -1, false)
 	})
 	t.Run("guards against an expired lease where keys need none", func(t *testing.T) {
--- a/internal/front/runner/access_test.go
+++ b/internal/front/runner/access_test.go
@@ -127,7 +127,7 @@
 		confirmedAt := time.Now().Add(-w.confirmedAge)
 		assert.True(t, w.forward(withKey(blueKey)).ended, "the answer is not complete")
 		until := w.sent[0].SendUntil.Sub(confirmedAt)
-		assert.True(t, until >= 4500*time.Millisecond && until < 4900*time.Millisecond, "to be sent until %s after the confirmation", until)
+		assert.True(t, until >= 4500*time.Millisecond && until < 4900*time.Millisecond, "to be sent until %s after the configuration was known to be current", until)
 	})
 	t.Run("guards against sending a request whose key could not be confirmed in time", func(t *testing.T) {
 		connectsLate := func(zinniapond.ReplicaRequest) (*zinniapond.ReplicaAnswer, error) {
@@ -141,7 +141,7 @@
 		assert.ErrorIs(t, w.forward(withKey(blueKey)).refused, zinniapond.ErrStaleConfig)
 		assert.Equal(t, len(w.sent), 1)
 	})
-	t.Run("guards against a table that is older than its confirmation", func(t *testing.T) {
+	t.Run("guards against a table that is older than the instant at which it was known to be current", func(t *testing.T) {
 		w := newKeyedRunner(t, safe, whole)
 		assert.NoError(t, w.update())
 		w.setPlans(planWithKeys("red", redKey))
--- a/internal/front/runner/fakes_test.go
+++ b/internal/front/runner/fakes_test.go
@@ -45,7 +45,7 @@
 	// reportErr is the error of each report, or only of those that name the run.
 	reportErr      error
 	errsOnlyActive bool
-	// confirmedAge is the age of the confirmation of the configuration.
+	// confirmedAge is the time since the configuration was last known to be current.
 	confirmedAge time.Duration
 }
 
--- a/internal/turns/disks/pause_test.go
+++ b/internal/turns/disks/pause_test.go
@@ -132,7 +132,7 @@
 		s.silent[address(1)] = true
 		for range 20 {
 			s.advance(steadyInterval)
-			s.runRound(context.Background()) // without a confirmation
+			s.runRound(context.Background()) // its lease is not renewed
 		}
 		assertLost(t, s)
 	})
--- a/settings.go
+++ b/settings.go
@@ -175,8 +175,9 @@
 	QuotaSlack   int
 }
 
-// keyLeaseShare is the share of RevocationTime for which a host accepts keys without
-// confirmation of its configuration. The rest allows for clocks of different speed.
+// keyLeaseShare is the share of RevocationTime for which a host accepts keys after
+// its configuration was last known to be current. The rest allows for clocks of different
+// speed.
 const keyLeaseShare = 0.9
 
 // KeyLease returns the largest age of a confirmed configuration with which a host accepts
