keeper: measure the time of copies in simulated time

Cause: the test took real time, so it also measured the CPU and the file system that the race detector and other work had left. It is for the pace of the copies: how many requests, how many of them at once, and the pauses between them.

Change: the subtests run in a synctest bubble. A request still takes 10 ms, for the way and the sync; the bound of 2 s and the counts of records are as they were.

--- a/internal/turns/keeper/copier_test.go
+++ b/internal/turns/keeper/copier_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"zinniapond.example/zinniapond"
@@ -16,6 +17,12 @@
 	catchUpTime = 4 * time.Second
 )
 
+// inBubble runs a subtest in a synctest bubble. Only the delays of requests and the pauses
+// between them take time there, not the CPU and the file system of the machine.
+func inBubble(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
 // fill stores turns and spends on the disk of a keeper.
 func fill(t *testing.T, h *hosts, k *Keeper, turns, turnBytes, spends int) {
 	t.Helper()
@@ -60,6 +67,7 @@
 		lost, index := time.Now(), h.View().DisksIndex
 		assert.Eventually(t, time.Minute, "the copies are verified", func() bool { return k.verifiedView.Load() >= uint64(index) })
 		took := time.Since(lost)
+		t.Logf("the copies took %s", took)
 		assert.True(t, took < catchUpTime-k.Settings.Keeper.DetectionTimeout(), "the copies took %s", took)
 		copies := 0
 		for _, other := range others {
@@ -69,13 +77,13 @@
 		assert.Equal(t, copies, turns)
 		return h
 	}
-	t.Run("guards against a second loss before the many turns of one disk are copied", func(t *testing.T) {
+	inBubble(t, "guards against a second loss before the many turns of one disk are copied", func(t *testing.T) {
 		assertCaughtUp(t, 3000, 8<<10, 0)
 	})
-	t.Run("guards against a second loss before the many spends of one disk are copied", func(t *testing.T) {
+	inBubble(t, "guards against a second loss before the many spends of one disk are copied", func(t *testing.T) {
 		assertCaughtUp(t, 0, 0, 20_000)
 	})
-	t.Run("guards against copies of large turns that take the memory of the hosts", func(t *testing.T) {
+	inBubble(t, "guards against copies of large turns that take the memory of the hosts", func(t *testing.T) {
 		h := assertCaughtUp(t, 20, 2*maxCopyBytesInFlight, 0)
 		assert.True(t, h.maxInFlight.Load() <= 2*maxCopyBytesInFlight, "%d bytes in flight", h.maxInFlight.Load())
 	})
